--- /dev/null
+++ b/source/Standin/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/source/Transport/HttpClient.cpp
@@ -0,0 +1,184 @@
+#include "Transport/HttpClient.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+
+namespace amaranth::transport {
+
+namespace detail {
+
+class ClientConnection final {
+public:
+  explicit ClientConnection(const std::string &Address)
+      : Client_("http://" + Address) {}
+
+  httplib::Client Client_;
+  SteadyTime IdleSince_;
+};
+
+} // namespace detail
+
+namespace {
+
+httplib::Request toLibraryRequest(const HttpCall &Call) {
+  httplib::Request Request;
+  Request.method = Call.Method_;
+  Request.path = Call.Path_;
+  for (const auto &[Name, Value] : Call.Headers_)
+    Request.set_header(Name, Value);
+  if (!Call.Body_.empty()) {
+    Request.set_header("Content-Type", Call.ContentType_);
+    Request.body = Call.Body_;
+  } else if (Call.Method_ != "GET") {
+    Request.set_header("Content-Length", "0");
+  }
+  return Request;
+}
+
+HttpReply toReply(const httplib::Response &Source) {
+  HttpReply Reply;
+  Reply.Status_ = Source.status;
+  Reply.ContentType_ = Source.get_header_value("Content-Type");
+  for (const auto &[Name, Value] : Source.headers)
+    Reply.Headers_.add(Name, Value);
+  Reply.Body_ = Source.body;
+  return Reply;
+}
+
+/// Times of one call, from which a read failure is classified.
+struct CallProgress {
+  SteadyTime LastByte_;
+  bool StoppedByReceiver_ = false;
+  bool DeadlinePassed_ = false;
+};
+
+CallFailure classify(httplib::Error Error, const HttpCall &Call,
+                     const CallProgress &Progress) {
+  if (Call.Cancel_ && Call.Cancel_->cancelled())
+    return CallFailure::Cancelled;
+  if (Progress.DeadlinePassed_ || SteadyClock::now() >= Call.Deadline_)
+    return CallFailure::DeadlineExceeded;
+  if (Progress.StoppedByReceiver_)
+    return CallFailure::Cancelled;
+  if (Error == httplib::Error::Connection ||
+      Error == httplib::Error::ConnectionTimeout)
+    return CallFailure::NotSent;
+  // The library reports a timeout and a reset alike as a read error. A little
+  // slack covers the rounding of its timer.
+  constexpr Milliseconds Slack{5};
+  auto Quiet = SteadyClock::now() - Progress.LastByte_;
+  if (Quiet + Slack >= Call.ProgressTimeout_)
+    return CallFailure::Silent;
+  return CallFailure::Reset;
+}
+
+} // namespace
+
+void CancelToken::cancel() {
+  std::lock_guard Lock(Mutex_);
+  Cancelled_ = true;
+  if (Active_)
+    Active_->Client_.stop();
+}
+
+bool CancelToken::cancelled() const {
+  std::lock_guard Lock(Mutex_);
+  return Cancelled_;
+}
+
+HttpClient::HttpClient(const HttpClientSettings &Settings)
+    : Settings_(Settings) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Connection HttpClient::take(const HttpCall &Call) {
+  if (!Call.FreshConnection_) {
+    std::lock_guard Lock(Mutex_);
+    auto &Kept = Idle_[Call.Address_];
+    while (!Kept.empty()) {
+      Connection Last = std::move(Kept.back());
+      Kept.pop_back();
+      if (SteadyClock::now() - Last->IdleSince_ < Settings_.IdleLifetime_)
+        return Last;
+    }
+  }
+  auto Opened = std::make_unique<detail::ClientConnection>(Call.Address_);
+  Opened->Client_.set_keep_alive(true);
+  Opened->Client_.set_tcp_nodelay(true);
+  return Opened;
+}
+
+void HttpClient::giveBack(const std::string &Address, Connection Used) {
+  Used->IdleSince_ = SteadyClock::now();
+  std::lock_guard Lock(Mutex_);
+  auto &Kept = Idle_[Address];
+  if (Kept.size() < Settings_.MaxIdlePerAddress_)
+    Kept.push_back(std::move(Used));
+}
+
+void HttpClient::dropIdle(const std::string &Address) {
+  std::lock_guard Lock(Mutex_);
+  Idle_.erase(Address);
+}
+
+HttpOutcome HttpClient::call(const HttpCall &Call) {
+  HttpOutcome Outcome;
+  Milliseconds Left = remaining(Call.Deadline_);
+  if (Left.count() == 0)
+    return Outcome;
+  Connection Line = take(Call);
+  Line->Client_.set_connection_timeout(
+      std::min(Settings_.ConnectTimeout_, Left));
+  Line->Client_.set_read_timeout(std::min(Call.ProgressTimeout_, Left));
+  Line->Client_.set_write_timeout(std::min(Call.ProgressTimeout_, Left));
+  if (Call.Cancel_) {
+    std::lock_guard Lock(Call.Cancel_->Mutex_);
+    if (Call.Cancel_->Cancelled_) {
+      Outcome.Failure_ = CallFailure::Cancelled;
+      return Outcome;
+    }
+    Call.Cancel_->Active_ = Line.get();
+  }
+
+  CallProgress Progress{SteadyClock::now()};
+  httplib::Request Request = toLibraryRequest(Call);
+  int Status = 0;
+  Request.response_handler = [&](const httplib::Response &Response) {
+    Progress.LastByte_ = SteadyClock::now();
+    Status = Response.status;
+    return true;
+  };
+  std::string Body;
+  Request.content_receiver = [&](const char *Data, std::size_t Size,
+                                 std::uint64_t, std::uint64_t) {
+    Progress.LastByte_ = SteadyClock::now();
+    if (Progress.LastByte_ >= Call.Deadline_) {
+      Progress.DeadlinePassed_ = true;
+      return false;
+    }
+    if (!Call.OnChunk_ || Status != 200) {
+      Body.append(Data, Size);
+      return true;
+    }
+    Progress.StoppedByReceiver_ = !Call.OnChunk_({Data, Size});
+    return !Progress.StoppedByReceiver_;
+  };
+  httplib::Result Answer = Line->Client_.send(Request);
+
+  if (Call.Cancel_) {
+    std::lock_guard Lock(Call.Cancel_->Mutex_);
+    Call.Cancel_->Active_ = nullptr;
+  }
+  if (!Answer) {
+    Outcome.Failure_ = classify(Answer.error(), Call, Progress);
+    return Outcome;
+  }
+  Outcome.Ok_ = true;
+  Outcome.Reply_ = toReply(*Answer);
+  Outcome.Reply_.Body_ = std::move(Body);
+  giveBack(Call.Address_, std::move(Line));
+  return Outcome;
+}
+
+} // namespace amaranth::transport
--- /dev/null
+++ b/source/Transport/HttpClient.h
@@ -0,0 +1,100 @@
+/// \file
+/// HTTP client on cpp-httplib with persistent connections.
+#ifndef AMARANTH_TRANSPORT_HTTPCLIENT_H
+#define AMARANTH_TRANSPORT_HTTPCLIENT_H
+
+#include "Transport/HttpMessage.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace amaranth::transport {
+
+namespace detail {
+class ClientConnection;
+}
+
+/// Settings of HttpClient.
+struct HttpClientSettings {
+  Milliseconds ConnectTimeout_{500};
+  /// Idle connections kept for each address.
+  std::size_t MaxIdlePerAddress_ = 64;
+  /// An idle connection older than this is closed instead of reused.
+  Milliseconds IdleLifetime_{5000};
+};
+
+/// Cancels a call from another thread by closing its connection.
+class CancelToken final {
+public:
+  /// Cancels the call in progress and every later call with this token.
+  void cancel();
+  bool cancelled() const;
+
+private:
+  friend class HttpClient;
+  mutable std::mutex Mutex_;
+  bool Cancelled_ = false;
+  detail::ClientConnection *Active_ = nullptr;
+};
+
+/// One client call.
+struct HttpCall {
+  std::string Address_; ///< "ip:port".
+  std::string Method_ = "POST";
+  std::string Path_;
+  HttpHeaders Headers_;
+  std::string ContentType_ = "application/json";
+  std::string Body_;
+  SteadyTime Deadline_;
+  /// Longest time without a byte from the other side.
+  Milliseconds ProgressTimeout_{2000};
+  /// Opens a new connection; for retries and for calls that must not be
+  /// repeated, because a reused connection may already be dead.
+  bool FreshConnection_ = false;
+  CancelToken *Cancel_ = nullptr;
+  /// Takes body chunks as they arrive, for replies with status 200; returning
+  /// false ends the call as Cancelled.
+  std::function<bool(std::string_view)> OnChunk_;
+};
+
+/// What became of a call: a reply, or the failure. With OnChunk_ a failure can
+/// follow chunks already delivered.
+struct HttpOutcome {
+  bool Ok_ = false;
+  HttpReply Reply_;
+  CallFailure Failure_ = CallFailure::NotSent;
+};
+
+/// Makes calls on persistent connections, one call a connection at a time.
+/// Thread-safe.
+class HttpClient final {
+public:
+  explicit HttpClient(const HttpClientSettings &Settings);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// Makes the call and blocks until its end.
+  HttpOutcome call(const HttpCall &Call);
+
+  /// Closes the idle connections to \p Address, after one of them was silent.
+  void dropIdle(const std::string &Address);
+
+private:
+  using Connection = std::unique_ptr<detail::ClientConnection>;
+
+  Connection take(const HttpCall &Call);
+  void giveBack(const std::string &Address, Connection Used);
+
+  HttpClientSettings Settings_;
+  std::mutex Mutex_;
+  std::map<std::string, std::vector<Connection>> Idle_;
+};
+
+} // namespace amaranth::transport
+
+#endif
--- /dev/null
+++ b/source/Transport/HttpServer.cpp
@@ -0,0 +1,162 @@
+#include "Transport/HttpServer.h"
+
+#include "Transport/WorkArena.h"
+
+#include <httplib.h>
+
+#include <sys/socket.h>
+
+#include <atomic>
+#include <cassert>
+
+namespace amaranth::transport {
+
+namespace {
+
+/// Pending connections that the kernel holds for accept().
+constexpr int ListenBacklog = 1024;
+
+/// Requests served on one connection before it is closed.
+constexpr std::size_t KeepAliveMaxRequests = 100000;
+
+/// Runs the library's connection handlers as tasks of an arena.
+class ArenaTaskQueue final : public httplib::TaskQueue {
+public:
+  explicit ArenaTaskQueue(WorkArena &Arena) : Arena_(Arena) {}
+
+  void enqueue(std::function<void()> Task) override {
+    Arena_.enqueue(std::move(Task));
+  }
+  void shutdown() override { Arena_.waitIdle(); }
+
+private:
+  WorkArena &Arena_;
+};
+
+class DataSinkAdapter final : public ChunkSink {
+public:
+  explicit DataSinkAdapter(httplib::DataSink &Sink) : Sink_(Sink) {}
+
+  bool write(std::string_view Chunk) override {
+    if (Chunk.empty())
+      return true;
+    return Sink_.write(Chunk.data(), Chunk.size());
+  }
+
+private:
+  httplib::DataSink &Sink_;
+};
+
+HttpRequest toRequest(const httplib::Request &Source) {
+  HttpRequest Request;
+  Request.Method_ = Source.method;
+  Request.Path_ = Source.path;
+  for (const auto &[Name, Value] : Source.headers)
+    Request.Headers_.add(Name, Value);
+  for (std::size_t I = 1; I < Source.matches.size(); ++I)
+    Request.PathParameters_.push_back(Source.matches[I].str());
+  Request.Body_ = Source.body;
+  return Request;
+}
+
+void writeReply(HttpReply Reply, httplib::Response &Sink) {
+  Sink.status = Reply.Status_;
+  for (const auto &[Name, Value] : Reply.Headers_)
+    Sink.set_header(Name, Value);
+  if (!Reply.StreamBody_) {
+    Sink.set_content(std::move(Reply.Body_), Reply.ContentType_);
+    return;
+  }
+  auto Provider = [Write = std::move(Reply.StreamBody_)](
+                      std::size_t, httplib::DataSink &DataSink) {
+    DataSinkAdapter Adapter(DataSink);
+    Write(Adapter);
+    DataSink.done();
+    return true;
+  };
+  Sink.set_chunked_content_provider(Reply.ContentType_, std::move(Provider));
+}
+
+} // namespace
+
+struct HttpServer::Implementation {
+  explicit Implementation(const HttpServerSettings &Settings)
+      : Arena_({Settings.MaxConnections_}) {}
+
+  WorkArena Arena_;
+  httplib::Server Server_;
+  std::atomic<int> Descriptor_{-1};
+};
+
+HttpServer::HttpServer(const HttpServerSettings &Settings)
+    : Settings_(Settings),
+      Implementation_(std::make_unique<Implementation>(Settings)) {
+  auto &Server = Implementation_->Server_;
+  Server.new_task_queue = [this] {
+    return new ArenaTaskQueue(Implementation_->Arena_);
+  };
+  Server.set_keep_alive_max_count(KeepAliveMaxRequests);
+  Server.set_keep_alive_timeout(Settings_.KeepAliveTimeout_.count());
+  Server.set_read_timeout(Settings_.ReadTimeout_);
+  Server.set_write_timeout(Settings_.WriteTimeout_);
+  Server.set_payload_max_length(Settings_.MaxBodyBytes_);
+  Server.set_tcp_nodelay(true);
+  Server.set_socket_options([this](socket_t Socket) {
+    int Yes = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    Implementation_->Descriptor_ = Socket;
+  });
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+void HttpServer::route(std::string_view Method, const std::string &Pattern,
+                       Handler Handle) {
+  auto Adapter = [Handle = std::move(Handle)](const httplib::Request &Source,
+                                              httplib::Response &Sink) {
+    writeReply(Handle(toRequest(Source)), Sink);
+  };
+  auto &Server = Implementation_->Server_;
+  if (Method == "GET")
+    Server.Get(Pattern, Adapter);
+  else if (Method == "POST")
+    Server.Post(Pattern, Adapter);
+  else if (Method == "PUT")
+    Server.Put(Pattern, Adapter);
+  else if (Method == "DELETE")
+    Server.Delete(Pattern, Adapter);
+  else
+    assert(false && "unsupported HTTP method");
+}
+
+Result<void> HttpServer::start() {
+  auto &Server = Implementation_->Server_;
+  Port_ = Settings_.Port_;
+  bool Bound = true;
+  if (Port_ == 0) {
+    Port_ = Server.bind_to_any_port(Settings_.Address_);
+    Bound = Port_ > 0;
+  } else {
+    Bound = Server.bind_to_port(Settings_.Address_, Port_);
+  }
+  if (!Bound)
+    return fail(ErrorCode::Unavailable, "cannot bind " + Settings_.Address_ +
+                                            ":" +
+                                            std::to_string(Settings_.Port_));
+  // The library listened with a backlog of 5; listening again raises it.
+  ::listen(Implementation_->Descriptor_, ListenBacklog);
+  Thread_ = std::thread([&Server] { Server.listen_after_bind(); });
+  // stop() before the accept loop runs would have no effect.
+  while (!Server.is_running())
+    std::this_thread::yield();
+  return {};
+}
+
+void HttpServer::stop() {
+  if (!Thread_.joinable())
+    return;
+  Implementation_->Server_.stop();
+  Thread_.join();
+}
+
+} // namespace amaranth::transport
--- /dev/null
+++ b/tests/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/tests.cmake
@@ -0,0 +1,27 @@
+# One Catch2 program for each library, and one that runs the real processes.
+add_library(amaranth_test_main STATIC tests/Main.cpp)
+
+function(amaranth_test Name Folder Timeout)
+  file(GLOB Sources CONFIGURE_DEPENDS tests/${Folder}/*.cpp)
+  if(NOT Sources)
+    return()
+  endif()
+  add_executable(${Name} ${Sources})
+  target_include_directories(${Name} PRIVATE tests)
+  target_link_libraries(${Name} PRIVATE amaranth_test_main ${ARGN})
+  target_compile_definitions(${Name} PRIVATE AMARANTH_BINARY_DIR="${CMAKE_BINARY_DIR}"
+    AMARANTH_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+  add_test(NAME ${Name} COMMAND ${Name})
+  set_tests_properties(${Name} PROPERTIES TIMEOUT ${Timeout})
+endfunction()
+
+amaranth_test(support_test Support 60 amaranth_support)
+amaranth_test(transport_test Transport 120 amaranth_transport)
+amaranth_test(state_test State 60 amaranth_state)
+amaranth_test(protocol_test Protocol 120 amaranth_protocol)
+amaranth_test(coordination_test Coordination 180 amaranth_coordination)
+amaranth_test(integration_test Integration 600 amaranth_coordination)
+if(TARGET integration_test)
+  add_dependencies(integration_test amaranthd amaranthctl amaranth-standin)
+  set_tests_properties(integration_test PROPERTIES RUN_SERIAL TRUE)
+endif()
