Read and check service documents and daemon settings

Both readers report every fault at once with line, key, what was found and what is allowed. Secrets and key digests are never repeated in a fault.

--- a/source/State/ServiceDocument.cpp
+++ b/source/State/ServiceDocument.cpp
@@ -1,5 +1,7 @@
 #include "State/ServiceDocument.h"
 
+#include "Support/Digest.h"
+
 namespace amaranth::state {
 
 const char *toString(StageKind Kind) {
@@ -30,4 +32,22 @@
   return nullptr;
 }
 
+const ClientAccount *
+ServiceDocument::findAccountByDigest(std::string_view KeyDigest) const {
+  // Every account is compared, so that the time does not show which one, if
+  // any, has the key.
+  const ClientAccount *Found = nullptr;
+  for (const ClientAccount &Candidate : Accounts_)
+    if (equalsConstantTime(Candidate.KeyDigest_, KeyDigest))
+      Found = &Candidate;
+  return Found;
+}
+
+std::string toString(const std::string &File, const DocumentFault &Fault) {
+  std::string Text = File + ":" + std::to_string(Fault.Line_) + ": ";
+  if (!Fault.Key_.empty())
+    Text += Fault.Key_ + ": ";
+  return Text + "found " + Fault.Found_ + "; allowed: " + Fault.Allowed_;
+}
+
 } // namespace amaranth::state
--- /dev/null
+++ b/source/State/TomlReader.h
@@ -0,0 +1,94 @@
+/// \file
+/// Checked reading of TOML tables.
+#ifndef AMARANTH_STATE_TOMLREADER_H
+#define AMARANTH_STATE_TOMLREADER_H
+
+#include "State/ServiceDocument.h"
+#include "State/TextRule.h"
+
+#define TOML_EXCEPTIONS 0
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace amaranth::state {
+
+enum class Presence { Required, Optional };
+
+/// Inclusive bounds of an integer key.
+struct IntegerRange {
+  std::int64_t Minimum_;
+  std::int64_t Maximum_;
+};
+
+/// Bounds of a number key.
+struct NumberRange {
+  double Above_; ///< Exclusive lower bound.
+  double Maximum_;
+  bool BelowMaximum_ = false; ///< The maximum itself is not allowed.
+};
+
+/// Parses \p Text; a syntax error becomes the only fault.
+std::optional<toml::table> parseToml(std::string_view Text,
+                                     std::vector<DocumentFault> &Faults);
+
+/// \p Text quoted for a fault: escaped and shortened.
+std::string quoteFound(std::string_view Text);
+
+/// Reads the keys of one table into typed values and records a fault for each
+/// key that is missing, of another type, out of range or unknown, so that one
+/// reading reports everything. The table must outlive the reader. A read
+/// function returns whether it stored a value.
+class TomlReader final {
+public:
+  /// \p Path names the table in faults; it is empty for the root.
+  TomlReader(const toml::table &Table, std::string Path,
+             std::vector<DocumentFault> &Faults);
+
+  bool readText(const char *Key, Presence Needed, const TextRule &Rule,
+                std::string &Value);
+  bool readTexts(const char *Key, Presence Needed, const TextRule &Rule,
+                 std::vector<std::string> &Values);
+  bool readInteger(const char *Key, IntegerRange Range, int &Value);
+  bool readMilliseconds(const char *Key, IntegerRange Range,
+                        Milliseconds &Value);
+  bool readNumber(const char *Key, NumberRange Range, double &Value);
+  bool readFlag(const char *Key, bool &Value);
+
+  /// The tables of an array ("[[key]]"); empty if the key is absent.
+  std::vector<TomlReader> readTables(const char *Key);
+  /// The table "[key]", if present.
+  std::optional<TomlReader> readTable(const char *Key);
+
+  /// Records a fault for every key that no read function asked for.
+  void rejectUnknown();
+
+  /// Records a fault at \p Key, or at the table itself if the key is absent.
+  void addFault(const char *Key, std::string Found, std::string Allowed);
+  /// Records a fault at element \p Index of the array \p Key.
+  void addElementFault(const char *Key, std::size_t Index, std::string Found,
+                       std::string Allowed);
+
+private:
+  const toml::node *find(const char *Key, Presence Needed);
+  bool readChecked(const char *Key, IntegerRange Range, std::int64_t &Value);
+  bool readElement(const char *Key, std::size_t Index, const toml::node &Node,
+                   const TextRule &Rule, std::vector<std::string> &Values);
+  int lineOf(const char *Key) const;
+  std::string pathOf(std::string_view Key) const;
+
+  const toml::table *Table_;
+  std::string Path_;
+  std::vector<DocumentFault> *Faults_;
+  std::set<std::string, std::less<>> Known_;
+};
+
+} // namespace amaranth::state
+
+#endif
