--- a/source/Standin/Main.cpp
+++ b/source/Standin/Main.cpp
@@ -1,1 +1,237 @@
-int main() { return 0; }
+/// \file
+/// Stand-ins of the platform and of targets, for tests and the demo.
+
+#include "Standin/Arguments.h"
+#include "Standin/EngineStandin.h"
+#include "Standin/KeyValueStandin.h"
+#include "Standin/PoolStandin.h"
+#include "Standin/ServiceStandin.h"
+
+#include <csignal>
+#include <cstdio>
+#include <memory>
+
+using namespace amaranth;
+using namespace amaranth::standin;
+
+namespace {
+
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+
+constexpr const char *Usage =
+    "Usage: amaranth-standin kv|engine|pool|service [options]\n"
+    "       amaranth-standin <subcommand> --help\n"
+    "\n"
+    "  kv       key-value service (etcd v3 API as HTTP/JSON) and host list\n"
+    "  engine   model engine with streamed completions\n"
+    "  pool     encoders, retrievers and rerankers\n"
+    "  service  plain service that records its executions\n"
+    "\n"
+    "Examples:\n"
+    "  amaranth-standin kv --port 2379\n"
+    "  amaranth-standin engine --count 12 --slots 8 --token-us 5000\n";
+
+using Instances = std::vector<std::unique_ptr<Standin>>;
+
+/// What a subcommand built from its arguments, or the exit code.
+struct Setup {
+  std::optional<int> ExitCode_;
+  Instances Instances_;
+};
+
+/// Options of every subcommand.
+struct CommonOptions {
+  int Port_ = 0;
+  int Count_ = 1;
+  int Connections_ = 512;
+};
+
+void addCommon(Arguments &Options, CommonOptions &Common) {
+  Options.integer("port", Common.Port_,
+                  "Port on 127.0.0.1; 0 lets the system choose");
+  Options.integer("max-connections", Common.Connections_,
+                  "Connections that an instance serves at once");
+}
+
+void addCount(Arguments &Options, CommonOptions &Common) {
+  Options.integer("count", Common.Count_,
+                  "Instances in this process, on consecutive ports if --port "
+                  "is given");
+}
+
+/// A usage error, or nothing.
+std::optional<int> checkCommon(const CommonOptions &Common) {
+  if (Common.Port_ >= 0 && Common.Port_ <= 65535 && Common.Count_ >= 1 &&
+      Common.Connections_ >= 1)
+    return std::nullopt;
+  std::fprintf(stderr, "amaranth-standin: --port, --count or "
+                       "--max-connections is out of range\n");
+  return ExitUsage;
+}
+
+StandinServerSettings serverSettings(const CommonOptions &Common, int Index) {
+  int Port = Common.Port_ == 0 ? 0 : Common.Port_ + Index;
+  return {Port, Common.Connections_};
+}
+
+template <typename Kind, typename Settings>
+Setup instantiate(const CommonOptions &Common, Settings Base) {
+  Setup Made;
+  for (int Index = 0; Index < Common.Count_; ++Index) {
+    Base.Server_ = serverSettings(Common, Index);
+    Made.Instances_.push_back(std::make_unique<Kind>(Base));
+  }
+  return Made;
+}
+
+std::optional<int> parse(Arguments &Options, const CommonOptions &Common,
+                         int Count, const char **Values) {
+  if (auto Code = Options.parse(Count, Values))
+    return Code;
+  return checkCommon(Common);
+}
+
+Setup makeKeyValue(int Count, const char **Values) {
+  CommonOptions Common;
+  KeyValueSettings Settings;
+  int LagMs = 0;
+  Arguments Options("amaranth-standin kv",
+                    "  amaranth-standin kv --port 2379 --host-list-lag-ms "
+                    "2000\n");
+  addCommon(Options, Common);
+  Options.integer("host-list-lag-ms", LagMs,
+                  "Time until a new host list is visible");
+  Options.integer("history", Settings.HistoryLimit_,
+                  "Revisions kept for watches");
+  if (auto Code = parse(Options, Common, Count, Values))
+    return {Code, {}};
+  Settings.HostListLag_ = Milliseconds{LagMs};
+  return instantiate<KeyValueStandin>(Common, Settings);
+}
+
+Setup makeEngine(int Count, const char **Values) {
+  CommonOptions Common;
+  EngineSettings Settings;
+  int TokenUs = static_cast<int>(Settings.TokenTime_.count());
+  int PrefillUs = static_cast<int>(Settings.PrefillTokenTime_.count());
+  int LagMs = 0;
+  Arguments Options("amaranth-standin engine",
+                    "  amaranth-standin engine --count 12 --slots 8\n"
+                    "  amaranth-standin engine --crash-marker CRASH-NOW\n");
+  addCommon(Options, Common);
+  addCount(Options, Common);
+  Options.integer("slots", Settings.Slots_, "Requests in the batch");
+  Options.integer("token-us", TokenUs, "Microseconds for each output token");
+  Options.integer("prefill-us", PrefillUs,
+                  "Microseconds for each prompt token that is not cached");
+  Options.integer("cache-tokens", Settings.CacheTokens_,
+                  "Capacity of the prefix cache");
+  Options.integer("load-lag-ms", LagMs, "Age of load reports");
+  Options.flag("check-fencing", Settings.ChecksFencing_,
+               "Refuse orders with a stale fencing number");
+  Options.text("model", Settings.Model_, "Model loaded at start");
+  Options.text("role", Settings.Role_, "Role at start");
+  Options.text("crash-marker", Settings.CrashMarker_,
+               "Exit when a prompt contains this text; single instance only");
+  if (auto Code = parse(Options, Common, Count, Values))
+    return {Code, {}};
+  if (!Settings.CrashMarker_.empty() && Common.Count_ > 1) {
+    std::fprintf(stderr, "amaranth-standin engine: --crash-marker needs "
+                         "--count 1, because it ends the whole process\n");
+    return {ExitUsage, {}};
+  }
+  Settings.TokenTime_ = Microseconds{TokenUs};
+  Settings.PrefillTokenTime_ = Microseconds{PrefillUs};
+  Settings.LoadLag_ = Milliseconds{LagMs};
+  return instantiate<EngineStandin>(Common, Settings);
+}
+
+/// Pools and plain services take the same options.
+template <typename Kind, typename Settings>
+Setup makeTimed(const std::string &Program, int Count, const char **Values) {
+  CommonOptions Common;
+  Settings Base;
+  int ServiceUs = static_cast<int>(Base.ServiceTime_.count());
+  int LagMs = 0;
+  Arguments Options(Program, "  " + Program + " --count 5 --service-us 2000\n");
+  addCommon(Options, Common);
+  addCount(Options, Common);
+  Options.integer("slots", Base.Slots_, "Calls served at once");
+  Options.integer("service-us", ServiceUs, "Microseconds for each call");
+  Options.integer("load-lag-ms", LagMs, "Age of load reports");
+  if (auto Code = parse(Options, Common, Count, Values))
+    return {Code, {}};
+  Base.ServiceTime_ = Microseconds{ServiceUs};
+  Base.LoadLag_ = Milliseconds{LagMs};
+  return instantiate<Kind>(Common, Base);
+}
+
+Setup make(const std::string &Name, int Count, const char **Values) {
+  if (Name == "kv")
+    return makeKeyValue(Count, Values);
+  if (Name == "engine")
+    return makeEngine(Count, Values);
+  if (Name == "pool")
+    return makeTimed<PoolStandin, PoolSettings>("amaranth-standin pool", Count,
+                                                Values);
+  if (Name == "service")
+    return makeTimed<ServiceStandin, ServiceSettings>(
+        "amaranth-standin service", Count, Values);
+  if (Name == "--help" || Name == "-?") {
+    std::fputs(Usage, stdout);
+    return {0, {}};
+  }
+  if (Name == "--version") {
+    std::printf("amaranth-standin %s\n", AMARANTH_VERSION);
+    return {0, {}};
+  }
+  std::fprintf(stderr, "amaranth-standin: unknown subcommand: %s\n%s",
+               Name.c_str(), Usage);
+  return {ExitUsage, {}};
+}
+
+/// Blocks the signals that end the process, before any thread exists.
+sigset_t blockSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t Ending;
+  sigemptyset(&Ending);
+  sigaddset(&Ending, SIGTERM);
+  sigaddset(&Ending, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Ending, nullptr);
+  return Ending;
+}
+
+bool start(Standin &Instance) {
+  auto Started = capture([&] { return Instance.start(); });
+  if (!Started) {
+    std::fprintf(stderr, "amaranth-standin: %s\n",
+                 Started.error().Message_.c_str());
+    return false;
+  }
+  for (const Announcement &Line : Instance.announcements())
+    std::printf("listening %s 127.0.0.1:%d\n", Line.Name_.c_str(), Line.Port_);
+  std::fflush(stdout);
+  return true;
+}
+
+} // namespace
+
+int main(int Count, const char **Values) {
+  if (Count < 2) {
+    std::fputs(Usage, stderr);
+    return ExitUsage;
+  }
+  sigset_t Ending = blockSignals();
+  Setup Made = make(Values[1], Count - 1, Values + 1);
+  if (Made.ExitCode_)
+    return *Made.ExitCode_;
+  for (auto &Instance : Made.Instances_)
+    if (!start(*Instance))
+      return ExitFailure;
+  int Signal = 0;
+  sigwait(&Ending, &Signal);
+  for (auto &Instance : Made.Instances_)
+    Instance->stop();
+  return 0;
+}
--- /dev/null
+++ b/source/Standin/OrderBook.cpp
@@ -0,0 +1,42 @@
+#include "Standin/OrderBook.h"
+
+#include "Support/Time.h"
+
+namespace amaranth::standin {
+
+using Json = nlohmann::json;
+
+OrderBook::OrderBook(bool ChecksFencing, std::string Model, std::string Role)
+    : ChecksFencing_(ChecksFencing), Model_(std::move(Model)),
+      Role_(std::move(Role)) {}
+
+bool OrderBook::apply(const Json &Order) {
+  std::lock_guard Lock(Mutex_);
+  auto Fencing = Order.at("fencing").get<std::int64_t>();
+  std::string Model = Order.value("model", Model_);
+  std::string Role = Order.value("role", Role_);
+  bool Accepted = !ChecksFencing_ || Fencing >= Fencing_;
+  Record_.push_back({{"fencing", Fencing},
+                     {"model", Model},
+                     {"role", Role},
+                     {"accepted", Accepted},
+                     {"time_ms", wallNow().count()}});
+  if (!Accepted)
+    return false;
+  Fencing_ = Fencing;
+  Model_ = std::move(Model);
+  Role_ = std::move(Role);
+  return true;
+}
+
+Json OrderBook::state() const {
+  std::lock_guard Lock(Mutex_);
+  return {{"model", Model_}, {"role", Role_}, {"fencing", Fencing_}};
+}
+
+Json OrderBook::record() const {
+  std::lock_guard Lock(Mutex_);
+  return Record_;
+}
+
+} // namespace amaranth::standin
