Add process fixtures for integration tests

Stand-ins end when their standard input closes, so that a test process that crashes or times out leaves none behind.

--- a/source/Standin/Main.cpp
+++ b/source/Standin/Main.cpp
@@ -7,9 +7,13 @@
 #include "Standin/PoolStandin.h"
 #include "Standin/ServiceStandin.h"
 
+#include <unistd.h>
+
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <memory>
+#include <thread>
 
 using namespace amaranth;
 using namespace amaranth::standin;
@@ -38,6 +42,7 @@
 struct Setup {
   std::optional<int> ExitCode_;
   Instances Instances_;
+  bool EndWithStdin_ = false;
 };
 
 /// Options of every subcommand.
@@ -45,6 +50,7 @@
   int Port_ = 0;
   int Count_ = 1;
   int Connections_ = 512;
+  bool EndWithStdin_ = false;
 };
 
 void addCommon(Arguments &Options, CommonOptions &Common) {
@@ -52,6 +58,8 @@
                   "Port on 127.0.0.1; 0 lets the system choose");
   Options.integer("max-connections", Common.Connections_,
                   "Connections that an instance serves at once");
+  Options.flag("end-with-stdin", Common.EndWithStdin_,
+               "Exit when standard input closes");
 }
 
 void addCount(Arguments &Options, CommonOptions &Common) {
@@ -78,6 +86,7 @@
 template <typename Kind, typename Settings>
 Setup instantiate(const CommonOptions &Common, Settings Base) {
   Setup Made;
+  Made.EndWithStdin_ = Common.EndWithStdin_;
   for (int Index = 0; Index < Common.Count_; ++Index) {
     Base.Server_ = serverSettings(Common, Index);
     Made.Instances_.push_back(std::make_unique<Kind>(Base));
@@ -202,6 +211,17 @@
   return Ending;
 }
 
+/// Sends SIGTERM to this process when standard input closes, so that stand-ins
+/// end with the test that started them even if it crashes.
+void watchStdin() {
+  std::thread([] {
+    std::array<char, 256> Ignored{};
+    while (read(STDIN_FILENO, Ignored.data(), Ignored.size()) > 0) {
+    }
+    kill(getpid(), SIGTERM);
+  }).detach();
+}
+
 bool start(Standin &Instance) {
   auto Started = capture([&] { return Instance.start(); });
   if (!Started) {
@@ -229,6 +249,8 @@
   for (auto &Instance : Made.Instances_)
     if (!start(*Instance))
       return ExitFailure;
+  if (Made.EndWithStdin_)
+    watchStdin();
   int Signal = 0;
   sigwait(&Ending, &Signal);
   for (auto &Instance : Made.Instances_)
--- /dev/null
+++ b/tests/Integration/FailureArtifacts.cpp
@@ -0,0 +1,46 @@
+#include "Integration/FailureArtifacts.h"
+
+#define CATCH_CONFIG_EXTERNAL_INTERFACES
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <iostream>
+#include <mutex>
+#include <vector>
+
+namespace amaranth::integration {
+
+namespace {
+
+std::mutex PathsMutex;
+std::vector<std::string> Paths;
+
+/// Prints or removes the artifacts at the end of each test case.
+class ArtifactListener final : public Catch::TestEventListenerBase {
+public:
+  using TestEventListenerBase::TestEventListenerBase;
+
+  void testCaseEnded(const Catch::TestCaseStats &Stats) override {
+    bool Failed = Stats.totals.assertions.failed > 0;
+    std::lock_guard Lock(PathsMutex);
+    for (const std::string &Path : Paths) {
+      std::error_code Ignored;
+      if (Failed)
+        std::cerr << "log of failed test: " << Path << '\n';
+      else
+        std::filesystem::remove(Path, Ignored);
+    }
+    Paths.clear();
+  }
+};
+
+CATCH_REGISTER_LISTENER(ArtifactListener)
+
+} // namespace
+
+void addFailureArtifact(const std::string &Path) {
+  std::lock_guard Lock(PathsMutex);
+  Paths.push_back(Path);
+}
+
+} // namespace amaranth::integration
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -23,5 +23,8 @@
 amaranth_test(integration_test Integration 600 amaranth_coordination)
 if(TARGET integration_test)
   add_dependencies(integration_test amaranthd amaranthctl amaranth-standin)
+  # The functions that compute the expected answers of the stand-ins.
+  target_sources(integration_test PRIVATE source/Standin/DeterministicText.cpp
+    source/Standin/DeterministicRetrieval.cpp)
   set_tests_properties(integration_test PROPERTIES RUN_SERIAL TRUE)
 endif()
