--- /dev/null
+++ b/source/State/BurnReport.h
@@ -0,0 +1,98 @@
+/// \file
+/// Error-budget accounting for each service and client account.
+#ifndef AMARANTH_STATE_BURNREPORT_H
+#define AMARANTH_STATE_BURNREPORT_H
+
+#include "State/BurnSummary.h"
+#include "Support/Time.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace amaranth::state {
+
+namespace detail {
+class BurnSeries;
+}
+
+/// How a request ended, as its caller saw it.
+enum class RequestResult {
+  InTime,  ///< Complete answer within the deadline.
+  Late,    ///< Complete answer after it, or ended by the deadline.
+  Failed,  ///< Accepted, then failed or unknown.
+  Refused, ///< Refused as not run; outside the objective.
+};
+
+/// Time that a request spent in one stage, all attempts included.
+struct StageSpan {
+  std::string Stage_;
+  Microseconds Taken_{};
+};
+
+/// One finished request.
+struct FinishedRequest {
+  std::string Service_;
+  std::string Account_;
+  RequestResult Result_ = RequestResult::InTime;
+  bool Short_ = false; ///< Of the short size class.
+  Milliseconds Deadline_{};
+  Microseconds Taken_{}; ///< From acceptance to the end of the answer.
+  std::vector<StageSpan> Stages_;
+  std::string FailedStage_; ///< The stage that failed, for Failed.
+  SteadyTime FinishedAt_;
+};
+
+/// Settings of BurnReport.
+struct BurnReportSettings {
+  std::string Host_ = {}; ///< Name of this host.
+  Seconds Slot_{30};
+  Seconds ShortWindow_{300};
+  Seconds LongWindow_{3600};
+  /// Pairs of service and account; a new pair replaces one that was idle for
+  /// the long window, or else is counted under the account "(other)".
+  std::size_t MaxSeries_ = 1024;
+};
+
+/// Counts finished requests in a ring of time slots for each service and
+/// account, and for each service over all accounts ("(all)"). A missed request
+/// spends one unit of error budget. The unit goes to the stage that failed, or
+/// is divided among the stages in proportion to the time they took over their
+/// share of the deadline. A stage's share is its part of the usual time of
+/// requests answered in time; time outside all stages counts as the stage
+/// "(outside stages)". Thread-safe; memory is bounded.
+class BurnReport final {
+public:
+  explicit BurnReport(const BurnReportSettings &Settings);
+  ~BurnReport();
+  BurnReport(const BurnReport &) = delete;
+  BurnReport &operator=(const BurnReport &) = delete;
+
+  /// Sets the objective of \p Service, when its document comes into force.
+  void setObjective(const std::string &Service, const Objective &Goal);
+
+  void record(const FinishedRequest &Request);
+
+  /// The report at \p Now, sorted by service and account.
+  BurnSummary summary(SteadyTime Now) const;
+
+private:
+  using SeriesKey = std::pair<std::string, std::string>;
+
+  detail::BurnSeries &seriesOf(const std::string &Service,
+                               const std::string &Account, SteadyTime Now);
+  void removeIdle(SteadyTime Now);
+  Objective objectiveOf(const std::string &Service) const;
+
+  BurnReportSettings Settings_;
+  mutable std::mutex Mutex_;
+  std::map<std::string, Objective> Objectives_;
+  std::map<SeriesKey, std::unique_ptr<detail::BurnSeries>> Series_;
+};
+
+} // namespace amaranth::state
+
+#endif
