Add the fault-injecting TCP proxy stand-in

Refusal shuts the listening socket down and listens again later on the same descriptor: the port stays bound, so that no other socket can take it.

--- a/source/Standin/Main.cpp
+++ b/source/Standin/Main.cpp
@@ -5,6 +5,7 @@
 #include "Standin/EngineStandin.h"
 #include "Standin/KeyValueStandin.h"
 #include "Standin/PoolStandin.h"
+#include "Standin/ProxyStandin.h"
 #include "Standin/ServiceStandin.h"
 
 #include <unistd.h>
@@ -24,13 +25,14 @@
 constexpr int ExitUsage = 2;
 
 constexpr const char *Usage =
-    "Usage: amaranth-standin kv|engine|pool|service [options]\n"
+    "Usage: amaranth-standin kv|engine|pool|service|proxy [options]\n"
     "       amaranth-standin <subcommand> --help\n"
     "\n"
     "  kv       key-value service (etcd v3 API as HTTP/JSON) and host list\n"
     "  engine   model engine with streamed completions\n"
     "  pool     encoders, retrievers and rerankers\n"
     "  service  plain service that records its executions\n"
+    "  proxy    TCP proxy that injects network faults\n"
     "\n"
     "Examples:\n"
     "  amaranth-standin kv --port 2379\n"
@@ -114,7 +116,7 @@
   Options.integer("history", Settings.HistoryLimit_,
                   "Revisions kept for watches");
   if (auto Code = parse(Options, Common, Count, Values))
-    return {Code, {}};
+    return {Code, {}, false};
   Settings.HostListLag_ = Milliseconds{LagMs};
   return instantiate<KeyValueStandin>(Common, Settings);
 }
@@ -144,11 +146,11 @@
   Options.text("crash-marker", Settings.CrashMarker_,
                "Exit when a prompt contains this text; single instance only");
   if (auto Code = parse(Options, Common, Count, Values))
-    return {Code, {}};
+    return {Code, {}, false};
   if (!Settings.CrashMarker_.empty() && Common.Count_ > 1) {
     std::fprintf(stderr, "amaranth-standin engine: --crash-marker needs "
                          "--count 1, because it ends the whole process\n");
-    return {ExitUsage, {}};
+    return {ExitUsage, {}, false};
   }
   Settings.TokenTime_ = Microseconds{TokenUs};
   Settings.PrefillTokenTime_ = Microseconds{PrefillUs};
@@ -170,12 +172,46 @@
   Options.integer("service-us", ServiceUs, "Microseconds for each call");
   Options.integer("load-lag-ms", LagMs, "Age of load reports");
   if (auto Code = parse(Options, Common, Count, Values))
-    return {Code, {}};
+    return {Code, {}, false};
   Base.ServiceTime_ = Microseconds{ServiceUs};
   Base.LoadLag_ = Milliseconds{LagMs};
   return instantiate<Kind>(Common, Base);
 }
 
+/// The address, or nothing after an error message.
+std::optional<SocketAddress> readAddress(const std::string &Text) {
+  auto Address = capture([&] { return parseLoopback(Text); });
+  if (Address)
+    return *Address;
+  std::fprintf(stderr, "amaranth-standin proxy: %s\n",
+               Address.error().Message_.c_str());
+  return std::nullopt;
+}
+
+Setup makeProxy(int Count, const char **Values) {
+  CommonOptions Common;
+  std::string Listen = "127.0.0.1:0";
+  std::string To;
+  Arguments Options("amaranth-standin proxy",
+                    "  amaranth-standin proxy --to 127.0.0.1:9000\n"
+                    "  amaranth-standin proxy --listen 127.0.0.1:9001 --to "
+                    "127.0.0.1:9000 --port 9002\n");
+  Options.text("listen", Listen, "IP:PORT for clients (default 127.0.0.1:0)");
+  Options.text("to", To, "IP:PORT of the target");
+  addCommon(Options, Common);
+  if (auto Code = parse(Options, Common, Count, Values))
+    return {Code, {}, false};
+  auto ListenAddress = readAddress(Listen);
+  auto ToAddress = readAddress(To);
+  if (!ListenAddress || !ToAddress)
+    return {ExitUsage, {}, false};
+  Setup Made;
+  Made.EndWithStdin_ = Common.EndWithStdin_;
+  Made.Instances_.push_back(std::make_unique<ProxyStandin>(ProxySettings{
+      *ListenAddress, *ToAddress, Common.Port_, Common.Connections_}));
+  return Made;
+}
+
 Setup make(const std::string &Name, int Count, const char **Values) {
   if (Name == "kv")
     return makeKeyValue(Count, Values);
@@ -187,17 +223,19 @@
   if (Name == "service")
     return makeTimed<ServiceStandin, ServiceSettings>(
         "amaranth-standin service", Count, Values);
+  if (Name == "proxy")
+    return makeProxy(Count, Values);
   if (Name == "--help" || Name == "-?") {
     std::fputs(Usage, stdout);
-    return {0, {}};
+    return {0, {}, false};
   }
   if (Name == "--version") {
     std::printf("amaranth-standin %s\n", AMARANTH_VERSION);
-    return {0, {}};
+    return {0, {}, false};
   }
   std::fprintf(stderr, "amaranth-standin: unknown subcommand: %s\n%s",
                Name.c_str(), Usage);
-  return {ExitUsage, {}};
+  return {ExitUsage, {}, false};
 }
 
 /// Blocks the signals that end the process, before any thread exists.
--- /dev/null
+++ b/source/Standin/ProxyStandin.h
@@ -0,0 +1,66 @@
+/// \file
+/// A TCP proxy that injects network faults.
+#ifndef AMARANTH_STANDIN_PROXYSTANDIN_H
+#define AMARANTH_STANDIN_PROXYSTANDIN_H
+
+#include "Standin/ProxyConnection.h"
+#include "Standin/Standin.h"
+#include "Standin/StandinServer.h"
+#include "Transport/WorkArena.h"
+
+#include <list>
+#include <memory>
+#include <thread>
+
+namespace amaranth::standin {
+
+/// Settings of ProxyStandin.
+struct ProxySettings {
+  SocketAddress Listen_;
+  SocketAddress To_;
+  int ControlPort_ = 0;
+  int MaxConnections_ = 512;
+};
+
+/// Forwards bytes without knowledge of the protocol. Control by HTTP on its
+/// own port: the switches of ProxyFaults, and the actions cut, freeze and
+/// duplicate-last.
+class ProxyStandin final : public Standin {
+public:
+  explicit ProxyStandin(const ProxySettings &Settings);
+  ~ProxyStandin() override;
+
+  Result<void> start() override;
+  std::vector<Announcement> announcements() const override;
+  void stop() override;
+
+private:
+  using Connection = std::shared_ptr<ProxyConnection>;
+
+  void addSwitches();
+  void addRoutes();
+  void acceptLoop();
+  void open(Socket Client);
+  void close(const Connection &Ended);
+  void applyRefusal();
+  int cutAll();
+  int freezeAll();
+  nlohmann::json describe();
+  transport::HttpReply duplicateLast();
+
+  ProxySettings Settings_;
+  ProxyFaults Faults_;
+  RequestRecorder Recorder_;
+  StandinServer Server_;
+  Socket Listener_;
+  std::mutex Mutex_;
+  std::list<Connection> Open_;
+  std::int64_t Accepted_ = 0;
+  bool Listening_ = false;
+  transport::WorkArena Arena_;
+  std::thread Thread_;
+};
+
+} // namespace amaranth::standin
+
+#endif
--- /dev/null
+++ b/source/Standin/Socket.h
@@ -0,0 +1,68 @@
+/// \file
+/// TCP sockets on 127.0.0.1 for the proxy.
+#ifndef AMARANTH_STANDIN_SOCKET_H
+#define AMARANTH_STANDIN_SOCKET_H
+
+#include "Support/Error.h"
+#include "Support/Time.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace amaranth::standin {
+
+/// An IPv4 address of this machine.
+struct SocketAddress {
+  std::string Ip_ = "127.0.0.1";
+  int Port_ = 0;
+};
+
+/// Reads "ip:port"; InvalidArgument unless the address is a loopback one.
+Result<SocketAddress> parseLoopback(std::string_view Text);
+
+/// Owns a TCP socket. Blocking; shutdownBoth() from another thread ends a
+/// blocked call.
+class Socket final {
+public:
+  Socket() = default;
+  explicit Socket(int Descriptor) : Descriptor_(Descriptor) {}
+  Socket(Socket &&Other) noexcept;
+  Socket &operator=(Socket &&Other) noexcept;
+  ~Socket();
+
+  /// Unavailable if the address cannot be bound.
+  static Result<Socket> listenOn(const SocketAddress &Address);
+  /// Unavailable if the connection is refused.
+  static Result<Socket> connectTo(const SocketAddress &Address);
+
+  bool valid() const { return Descriptor_ >= 0; }
+  int descriptor() const { return Descriptor_; }
+  int localPort() const;
+
+  /// The next connection; invalid if this socket does not listen.
+  Socket accept() const;
+  /// Lets a socket that stopped listening listen again on the same port.
+  bool listenAgain() const;
+
+  /// True once bytes, an end or an error can be read; false after \p Limit.
+  bool waitReadable(Milliseconds Limit) const;
+  /// Waits without a limit.
+  void waitReadable() const;
+  /// Bytes read, 0 at the end, negative on an error.
+  std::ptrdiff_t read(char *Buffer, std::size_t Size) const;
+  /// False if the connection is gone.
+  bool writeAll(std::string_view Data) const;
+
+  void shutdownWrite() const;
+  /// Closes a connection in both directions, or stops listening while keeping
+  /// the port; the descriptor stays valid.
+  void shutdownBoth() const;
+
+private:
+  int Descriptor_ = -1;
+};
+
+} // namespace amaranth::standin
+
+#endif
--- a/source/Standin/StandinServer.cpp
+++ b/source/Standin/StandinServer.cpp
@@ -89,10 +89,16 @@
     if (auto Fault = Switches_.apply(Call.Body_))
       return errorReply(400, *Fault);
     Interruption_.notify();
+    if (SwitchCallback_)
+      SwitchCallback_();
     return jsonReply(200, Switches_.snapshot());
   });
 }
 
+void StandinServer::onSwitchChange(std::function<void()> Callback) {
+  SwitchCallback_ = std::move(Callback);
+}
+
 Result<void> StandinServer::start() {
   BOOST_LEAF_CHECK(Server_.start());
   Running_ = true;
--- a/source/Standin/StandinServer.h
+++ b/source/Standin/StandinServer.h
@@ -52,6 +52,8 @@
              const std::string &Kind, Handler Handle);
 
   SwitchBoard &switches() { return Switches_; }
+  /// Calls \p Callback after each change of switches, before it is answered.
+  void onSwitchChange(std::function<void()> Callback);
   Interruption &interruption() { return Interruption_; }
 
   Result<void> start();
@@ -68,6 +70,7 @@
 
   Interruption Interruption_;
   SwitchBoard Switches_;
+  std::function<void()> SwitchCallback_;
   std::mutex Mutex_;
   std::map<std::string, std::int64_t> Counters_;
   bool Running_ = false;
