--- /dev/null
+++ b/source/Coordination/ClosedJournals.cpp
@@ -0,0 +1,90 @@
+#include "Coordination/ClosedJournals.h"
+
+#include "Coordination/Session.h"
+#include "Support/Log.h"
+
+#include <algorithm>
+
+namespace amaranth::coordination {
+
+namespace {
+
+/// Rounds of reading and closing; each lost reply costs one.
+constexpr int MaxRounds = 6;
+
+} // namespace
+
+ClosedJournals::ClosedJournals(ClosedJournalsSettings Settings,
+                               protocol::KeyValueStore &Store)
+    : Settings_(Settings), Store_(Store) {}
+
+ClosedJournals::Content ClosedJournals::read(const std::string &Host,
+                                             std::uint64_t Incarnation,
+                                             bool MayClose,
+                                             SteadyTime Deadline) {
+  Name Home(Host, Incarnation);
+  auto Found = slotOf(Home);
+  std::unique_lock Lock(Found->Mutex_, Deadline);
+  if (!Lock.owns_lock())
+    return nullptr;
+  if (!Found->Content_)
+    Found->Content_ = load(Home, MayClose, Deadline);
+  return Found->Content_;
+}
+
+std::shared_ptr<ClosedJournals::Slot> ClosedJournals::slotOf(const Name &Home) {
+  std::lock_guard Lock(Mutex_);
+  auto &Found = Slots_[Home];
+  if (Found)
+    return Found;
+  Found = std::make_shared<Slot>();
+  Order_.push_back(Home);
+  auto Kept = Found;
+  if (Order_.size() > Settings_.MaxJournals_) {
+    Slots_.erase(Order_.front());
+    Order_.pop_front();
+  }
+  return Kept;
+}
+
+/// The mark and the intents are seen by one read: if the mark is there, every
+/// intent that was ever written is there too, or counted in DeletedUpTo_.
+ClosedJournals::Content ClosedJournals::load(const Name &Home, bool MayClose,
+                                             SteadyTime Deadline) {
+  const auto &[Host, Incarnation] = Home;
+  bool SessionMissing = false;
+  for (int Round = 0; Round < MaxRounds; ++Round) {
+    if (remaining(Deadline) == Milliseconds{0})
+      return nullptr;
+    auto Read = capture([&] {
+      return Journal::read(Store_, Host, Incarnation, callTimeout(Deadline));
+    });
+    if (!Read && Read.error().Code_ != ErrorCode::Ambiguous)
+      return nullptr;
+    if (!Read)
+      continue;
+    if (Read->Closed_)
+      return std::make_shared<JournalContent>(std::move(*Read));
+    if (!MayClose || SessionMissing)
+      return nullptr;
+    auto Reply = capture([&] {
+      return Store_.commit(Session::closing(Host, Incarnation),
+                           callTimeout(Deadline));
+    });
+    if (!Reply && Reply.error().Code_ != ErrorCode::Ambiguous)
+      return nullptr;
+    if (Reply && Reply->Succeeded_)
+      LogEvent(LogLevel::Info, "session_ended")
+          .field("host", Host)
+          .field("incarnation", Incarnation);
+    // Another survivor may have closed it since the read; look once more.
+    SessionMissing = Reply && !Reply->Succeeded_;
+  }
+  return nullptr;
+}
+
+Milliseconds ClosedJournals::callTimeout(SteadyTime Deadline) const {
+  return std::min(Settings_.CallTimeout_, remaining(Deadline));
+}
+
+} // namespace amaranth::coordination
--- /dev/null
+++ b/source/Coordination/ClosedJournals.h
@@ -0,0 +1,64 @@
+/// \file
+/// Journals of homes that are gone.
+#ifndef AMARANTH_COORDINATION_CLOSEDJOURNALS_H
+#define AMARANTH_COORDINATION_CLOSEDJOURNALS_H
+
+#include "Coordination/Journal.h"
+#include "Protocol/KeyValueStore.h"
+#include "Support/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace amaranth::coordination {
+
+/// Settings of ClosedJournals.
+struct ClosedJournalsSettings {
+  std::size_t MaxJournals_ = 16; ///< Kept in memory.
+  Milliseconds CallTimeout_{1000};
+};
+
+/// Ends the sessions of dead homes and reads their journals. A closed journal
+/// gets no more intents, so it is read once and kept. Thread-safe.
+class ClosedJournals final {
+public:
+  using Content = std::shared_ptr<const JournalContent>;
+
+  ClosedJournals(ClosedJournalsSettings Settings,
+                 protocol::KeyValueStore &Store);
+
+  /// The journal of \p Incarnation of \p Host if it is closed; null if it is
+  /// not, if the key-value service does not answer, or if the journal has been
+  /// deleted. With \p MayClose an open session is ended first, which is
+  /// allowed only when the home is known to be dead.
+  Content read(const std::string &Host, std::uint64_t Incarnation,
+               bool MayClose, SteadyTime Deadline);
+
+private:
+  using Name = std::pair<std::string, std::uint64_t>;
+
+  /// One journal; the mutex lets one thread read it for all.
+  struct Slot {
+    std::timed_mutex Mutex_;
+    Content Content_;
+  };
+
+  std::shared_ptr<Slot> slotOf(const Name &Home);
+  Content load(const Name &Home, bool MayClose, SteadyTime Deadline);
+  Milliseconds callTimeout(SteadyTime Deadline) const;
+
+  ClosedJournalsSettings Settings_;
+  protocol::KeyValueStore &Store_;
+  std::mutex Mutex_;
+  std::map<Name, std::shared_ptr<Slot>> Slots_;
+  std::deque<Name> Order_; ///< Oldest first.
+};
+
+} // namespace amaranth::coordination
+
+#endif
--- /dev/null
+++ b/source/Coordination/Journal.h
@@ -0,0 +1,192 @@
+/// \file
+/// Durable record of the requests that a home is about to run.
+#ifndef AMARANTH_COORDINATION_JOURNAL_H
+#define AMARANTH_COORDINATION_JOURNAL_H
+
+#include "Coordination/MemberView.h"
+#include "Coordination/Session.h"
+#include "Protocol/KeyValueStore.h"
+#include "Protocol/PeerMessages.h"
+#include "Support/Time.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace amaranth::coordination {
+
+/// A request that its home is about to run.
+struct Intent {
+  std::string Identity_;      ///< requestIdentity() of the request.
+  std::string ContentDigest_; ///< contentDigest() of the request.
+  Milliseconds Expiry_{0};    ///< Of its ticket, on the home's ticket clock.
+};
+
+/// What became of an append.
+enum class AppendStatus {
+  Durable,  ///< The intent is in the journal, so the request may run.
+  Failed,   ///< Not sent, or refused because the session is gone.
+  TimedOut, ///< No answer in time; the write may still arrive.
+  Full,     ///< The queue is full.
+};
+
+/// What a journal says of one request.
+struct JournalEntry {
+  std::string ContentDigest_;
+  std::optional<protocol::RequestOutcome> Outcome_;
+};
+
+/// The journal of one incarnation, as read.
+struct JournalContent {
+  /// The session is gone for good: no intent can be added any more.
+  bool Closed_ = false;
+  /// A value could not be read, so that a missing intent proves nothing.
+  bool Corrupt_ = false;
+  /// Intents with an expiry up to this one may have been deleted.
+  Milliseconds DeletedUpTo_{0};
+  std::unordered_map<std::string, JournalEntry> Entries_; ///< By identity.
+};
+
+/// Settings of Journal.
+struct JournalSettings {
+  Milliseconds MinInterval_{5}; ///< Between the starts of two writes.
+  /// Journal writes per second that all alive hosts share.
+  double FleetWritesPerSecond_ = 200;
+  Milliseconds OutcomeDelay_{200}; ///< Longest wait of an outcome.
+  Milliseconds CallTimeout_{1000};
+  Milliseconds RetryDelay_{50};  ///< After a write without an answer.
+  Milliseconds ProbeDelay_{500}; ///< Between reads during an outage.
+  std::size_t MaxQueue_ = 4096;  ///< Intents; also the bound on outcomes.
+  /// Bodies larger than this are not recorded, in bytes.
+  std::size_t MaxBody_ = 4096;
+  /// Bound on one value, in bytes; the service stores up to 1 MB.
+  std::size_t MaxBatchBytes_ = 512 * 1024;
+};
+
+/// Group commit of intents and outcomes under the session of this host. One
+/// write is in flight at a time and carries everything that waited for it.
+/// Every write is conditional on the session key, so that none succeeds after
+/// a survivor deleted it. Thread-safe.
+class Journal final {
+public:
+  Journal(JournalSettings Settings, protocol::KeyValueStore &Store,
+          Session &Session, const MemberView &Members);
+  /// Fails what is still queued.
+  ~Journal();
+  Journal(const Journal &) = delete;
+  Journal &operator=(const Journal &) = delete;
+
+  /// Appends \p Request under \p Incarnation and waits for its batch. Only
+  /// Durable allows the request to run; after any other status it must not
+  /// run, whatever arrives at the service later.
+  AppendStatus append(const Intent &Request, std::uint64_t Incarnation,
+                      SteadyTime Deadline);
+
+  /// Adds an outcome to a later batch. When the queue is full the oldest
+  /// outcome is dropped; survivors then answer `unknown`.
+  void addOutcome(const Intent &Request, std::uint64_t Incarnation,
+                  const protocol::RequestOutcome &Outcome);
+
+  /// Writes the queued outcomes now; false if they were not all recorded
+  /// within \p Timeout.
+  bool flush(Milliseconds Timeout);
+
+  /// False while the key-value service does not answer.
+  bool isAvailable() const;
+
+  /// Prefix of the keys of one incarnation.
+  static std::string prefixOf(const std::string &Host,
+                              std::uint64_t Incarnation);
+  /// Key that marks a journal closed; in the journal's own range, so that one
+  /// read sees the mark together with the intents.
+  static std::string closedKeyOf(const std::string &Host,
+                                 std::uint64_t Incarnation);
+  /// Prefix of the index of closed journals.
+  static std::string closedIndexPrefix();
+  static std::string closedIndexKeyOf(const std::string &Host,
+                                      std::uint64_t Incarnation);
+
+  /// Reads the journal of any host.
+  static Result<JournalContent> read(protocol::KeyValueStore &Store,
+                                     const std::string &Host,
+                                     std::uint64_t Incarnation,
+                                     Milliseconds Timeout);
+
+  /// Deletes up to \p Limit segments last written at or before \p Revision and
+  /// records the highest expiry among them in the same transaction. Returns
+  /// their number. Conflict if another caller deleted segments at the same
+  /// time.
+  static Result<std::size_t>
+  deleteOldSegments(protocol::KeyValueStore &Store, const std::string &Host,
+                    std::uint64_t Incarnation, std::uint64_t Revision,
+                    std::size_t Limit, Milliseconds Timeout);
+
+  /// Deletes a closed journal and its entry in the index, all at once.
+  static Result<void> deleteClosed(protocol::KeyValueStore &Store,
+                                   const std::string &Host,
+                                   std::uint64_t Incarnation,
+                                   Milliseconds Timeout);
+
+private:
+  struct PendingIntent {
+    Intent Intent_;
+    std::uint64_t Incarnation_ = 0;
+    std::optional<AppendStatus> Status_;
+  };
+  struct PendingOutcome {
+    Intent Intent_;
+    std::uint64_t Incarnation_ = 0;
+    protocol::RequestOutcome Outcome_;
+    SteadyTime Added_;
+  };
+  struct Batch {
+    std::uint64_t Incarnation_ = 0;
+    protocol::Transaction Write_;
+    std::vector<std::shared_ptr<PendingIntent>> Intents_;
+    std::vector<PendingOutcome> Outcomes_;
+    bool MayHaveArrived_ = false;
+  };
+
+  void run();
+  SteadyTime nextDue(bool IsOpen) const;
+  Milliseconds interval() const;
+  void probe(std::unique_lock<std::mutex> &Lock);
+  void failQueued();
+  void failOtherIncarnations(std::uint64_t Open);
+  void dropOtherOutcomes(std::uint64_t Incarnation);
+  bool takeBatch(const OpenSession &Under);
+  void writeBatch(std::unique_lock<std::mutex> &Lock);
+  void onReply(const Expected<protocol::TransactionResult> &Reply);
+  void endBatch(AppendStatus Status);
+  void returnOutcomes();
+
+  JournalSettings Settings_;
+  protocol::KeyValueStore &Store_;
+  Session &Session_;
+  const MemberView &Members_;
+  mutable std::mutex Mutex_;
+  std::condition_variable Work_; ///< Wakes the writer.
+  std::condition_variable Done_; ///< Wakes those who wait for a batch.
+  std::deque<std::shared_ptr<PendingIntent>> Queue_;
+  std::deque<PendingOutcome> Outcomes_;
+  std::optional<Batch> Batch_; ///< The write in flight or to be repeated.
+  std::uint64_t Sequence_ = 0;
+  SteadyTime NextWrite_;
+  SteadyTime NextProbe_;
+  bool Available_ = true;
+  bool Flushing_ = false;
+  std::size_t Dropped_ = 0; ///< Outcomes that were not recorded.
+  bool Stopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace amaranth::coordination
+
+#endif
--- /dev/null
+++ b/source/Coordination/OutcomeText.h
@@ -0,0 +1,31 @@
+/// \file
+/// Outcomes that a daemon answers by itself.
+#ifndef AMARANTH_COORDINATION_OUTCOMETEXT_H
+#define AMARANTH_COORDINATION_OUTCOMETEXT_H
+
+#include "Protocol/PeerMessages.h"
+#include "Support/Time.h"
+
+#include <string>
+
+namespace amaranth::coordination {
+
+/// HTTP status of an idempotency key that is not allowed.
+inline constexpr int StatusBadKey = 400;
+/// HTTP status of a key that was used with different content.
+inline constexpr int StatusConflict = 409;
+
+/// Did not run, and for a ticketed key never will.
+protocol::RequestOutcome makeNotRun(std::string Detail);
+
+/// May have run, or may run yet.
+protocol::RequestOutcome makeUnknown(std::string Detail,
+                                     Milliseconds RetryAfter);
+
+/// The key was used with different content. Its kind is Unknown, because the
+/// key may have run with that content.
+protocol::RequestOutcome makeConflict();
+
+} // namespace amaranth::coordination
+
+#endif
--- /dev/null
+++ b/source/Coordination/RequestRegistry.cpp
@@ -0,0 +1,163 @@
+#include "Coordination/RequestRegistry.h"
+
+#include "Coordination/OutcomeText.h"
+
+#include <cassert>
+#include <utility>
+
+namespace amaranth::coordination {
+
+using protocol::OutcomeKind;
+using protocol::RequestOutcome;
+
+RequestRegistry::RequestRegistry(RequestRegistrySettings Settings,
+                                 std::function<Milliseconds()> Now)
+    : Settings_(Settings), Now_(std::move(Now)) {}
+
+std::optional<RequestOutcome> RequestRegistry::begin(const RegistryKey &Key,
+                                                     SteadyTime Deadline) {
+  std::unique_lock Lock(Mutex_);
+  // Read under the lock: once a key has been refused as expired, no thread
+  // with an earlier reading can start it.
+  Milliseconds Now = Now_();
+  forgetOld(Now);
+  auto Found = Entries_.find(Key.Identity_);
+  if (Found != Entries_.end())
+    return answer(Lock, Found->second, Key, Deadline);
+  if (Now > Key.Expiry_)
+    return absentAt(Now, Key.Expiry_);
+  if (Entries_.size() >= Settings_.MaxEntries_)
+    return makeUnknown("this host remembers as many keys as it can; the "
+                       "request was not started",
+                       Seconds(1));
+  auto New = std::make_shared<Entry>();
+  New->ContentDigest_ = Key.ContentDigest_;
+  New->Expiry_ = Key.Expiry_;
+  Entries_.emplace(Key.Identity_, std::move(New));
+  ByExpiry_.emplace(Key.Expiry_, Key.Identity_);
+  return std::nullopt;
+}
+
+void RequestRegistry::finish(const std::string &Identity,
+                             const RequestOutcome &Outcome) {
+  std::lock_guard Lock(Mutex_);
+  EntryPointer Ended = end(Identity, Outcome);
+  if (Outcome.Body_.empty())
+    return;
+  BodyBytes_ += Outcome.Body_.size();
+  Bodies_.push_back(Ended);
+  boundBodies();
+}
+
+void RequestRegistry::withdraw(const std::string &Identity,
+                               const RequestOutcome &Outcome) {
+  std::lock_guard Lock(Mutex_);
+  EntryPointer Ended = end(Identity, Outcome);
+  Entries_.erase(Identity);
+  auto [First, Last] = ByExpiry_.equal_range(Ended->Expiry_);
+  for (auto It = First; It != Last; ++It) {
+    if (It->second != Identity)
+      continue;
+    ByExpiry_.erase(It);
+    return;
+  }
+}
+
+std::optional<RequestOutcome> RequestRegistry::find(const RegistryKey &Key,
+                                                    SteadyTime Deadline) {
+  std::unique_lock Lock(Mutex_);
+  auto Found = Entries_.find(Key.Identity_);
+  if (Found == Entries_.end())
+    return std::nullopt;
+  return answer(Lock, Found->second, Key, Deadline);
+}
+
+RequestOutcome RequestRegistry::absent(Milliseconds Expiry) const {
+  std::lock_guard Lock(Mutex_);
+  return absentAt(Now_(), Expiry);
+}
+
+bool RequestRegistry::isAlmostFull() const {
+  std::lock_guard Lock(Mutex_);
+  return Entries_.size() >= Settings_.MaxEntries_ - Settings_.MaxEntries_ / 10;
+}
+
+std::size_t RequestRegistry::size() const {
+  std::lock_guard Lock(Mutex_);
+  return Entries_.size();
+}
+
+RequestOutcome RequestRegistry::answer(std::unique_lock<std::mutex> &Lock,
+                                       const EntryPointer &Found,
+                                       const RegistryKey &Key,
+                                       SteadyTime Deadline) {
+  EntryPointer Kept = Found;
+  if (!Key.ContentDigest_.empty() && Key.ContentDigest_ != Kept->ContentDigest_)
+    return makeConflict();
+  Kept->Ended_.wait_until(Lock, Deadline,
+                          [&] { return Kept->Outcome_.has_value(); });
+  if (Kept->Outcome_)
+    return *Kept->Outcome_;
+  RequestOutcome Running;
+  Running.Kind_ = OutcomeKind::Running;
+  Running.Detail_ = "the request is running";
+  Running.RetryAfter_ = Seconds(1);
+  return Running;
+}
+
+RequestRegistry::EntryPointer
+RequestRegistry::end(const std::string &Identity,
+                     const RequestOutcome &Outcome) {
+  auto Found = Entries_.find(Identity);
+  assert(Found != Entries_.end() && !Found->second->Outcome_);
+  Found->second->Outcome_ = Outcome;
+  Found->second->Ended_.notify_all();
+  return Found->second;
+}
+
+RequestOutcome RequestRegistry::absentAt(Milliseconds Now,
+                                         Milliseconds Expiry) const {
+  if (Now <= Expiry)
+    return makeUnknown("this host has not seen the key; send the request again",
+                       Seconds(1));
+  if (Now <= Expiry + Settings_.Retention_)
+    return makeNotRun("the ticket of the key has expired");
+  return makeUnknown("the ticket of the key expired too long ago",
+                     Milliseconds{0});
+}
+
+/// Forgets ended keys past their retention. Afterwards absentAt() no longer
+/// says `not_run` for them.
+void RequestRegistry::forgetOld(Milliseconds Now) {
+  auto It = ByExpiry_.begin();
+  while (It != ByExpiry_.end() && It->first + Settings_.Retention_ < Now) {
+    auto Found = Entries_.find(It->second);
+    if (!Found->second->Outcome_) {
+      ++It;
+      continue;
+    }
+    BodyBytes_ -= Found->second->Outcome_->Body_.size();
+    Entries_.erase(Found);
+    It = ByExpiry_.erase(It);
+  }
+  while (!Bodies_.empty() && Bodies_.front().expired())
+    Bodies_.pop_front();
+}
+
+/// Drops the oldest bodies. Their keys stay and still prevent a second run.
+void RequestRegistry::boundBodies() {
+  while (BodyBytes_ > Settings_.MaxBodyBytes_ && !Bodies_.empty()) {
+    EntryPointer Oldest = Bodies_.front().lock();
+    Bodies_.pop_front();
+    if (!Oldest || Oldest->Outcome_->Body_.empty())
+      continue;
+    BodyBytes_ -= Oldest->Outcome_->Body_.size();
+    Oldest->Outcome_ =
+        makeUnknown("the request ran to the outcome '" +
+                        std::string(toString(Oldest->Outcome_->Kind_)) +
+                        "', but its answer is no longer held",
+                    Milliseconds{0});
+  }
+}
+
+} // namespace amaranth::coordination
--- /dev/null
+++ b/source/Coordination/Session.cpp
@@ -0,0 +1,247 @@
+#include "Coordination/Session.h"
+
+#include "Coordination/Journal.h"
+#include "Support/Digest.h"
+#include "Support/Log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace amaranth::coordination {
+
+namespace {
+
+using protocol::Compare;
+using protocol::Mutation;
+
+constexpr char SessionPrefix[] = "/amaranth/sessions/";
+
+/// \p Instance tells processes apart that chose the same incarnation.
+std::string toJson(const SessionRecord &Record, const std::string &Instance) {
+  nlohmann::json Json;
+  Json["instance"] = Instance;
+  Json["host"] = Record.Host_;
+  Json["data_centre"] = Record.DataCentre_;
+  Json["caller_address"] = Record.CallerAddress_;
+  Json["peer_address"] = Record.PeerAddress_;
+  Json["incarnation"] = Record.Incarnation_;
+  return Json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<SessionRecord> fromJson(const std::string &Text) {
+  auto Json = nlohmann::json::parse(Text, nullptr, false);
+  if (!Json.is_object())
+    return std::nullopt;
+  for (const char *Field :
+       {"host", "data_centre", "caller_address", "peer_address"})
+    if (!Json.contains(Field) || !Json[Field].is_string())
+      return std::nullopt;
+  if (!Json.contains("incarnation") || !Json["incarnation"].is_number())
+    return std::nullopt;
+  SessionRecord Record;
+  Record.Host_ = Json["host"];
+  Record.DataCentre_ = Json["data_centre"];
+  Record.CallerAddress_ = Json["caller_address"];
+  Record.PeerAddress_ = Json["peer_address"];
+  Record.Incarnation_ = Json["incarnation"];
+  return Record;
+}
+
+/// Creates the session unless it exists or was closed. Without the second
+/// condition a delayed repetition could open a closed session again.
+protocol::Transaction creation(const SessionRecord &Record,
+                               const std::string &Value) {
+  std::string Key = Session::keyOf(Record.Host_, Record.Incarnation_);
+  std::string Closed = Journal::closedKeyOf(Record.Host_, Record.Incarnation_);
+  protocol::Transaction Create;
+  Create.Conditions_.push_back({Key, Compare::Field::CreateRevision});
+  Create.Conditions_.push_back({Closed, Compare::Field::CreateRevision});
+  Create.Writes_.push_back({Mutation::Kind::Put, Key, Value});
+  Create.ReadOnFailure_.push_back(Key);
+  return Create;
+}
+
+/// A number above \p Used, also if the wall clock was set back.
+std::uint64_t nextIncarnation(std::uint64_t Used) {
+  return std::max(Used + 1, static_cast<std::uint64_t>(wallNow().count()));
+}
+
+} // namespace
+
+Session::Session(SessionSettings Settings, protocol::KeyValueStore &Store,
+                 SessionListener *Listener)
+    : Settings_(std::move(Settings)), Store_(Store), Listener_(Listener),
+      Instance_(randomHex(8)) {
+  Incarnation_ = Settings_.Self_.Incarnation_;
+  if (Incarnation_ == 0)
+    Incarnation_ = static_cast<std::uint64_t>(wallNow().count());
+  Thread_ = std::thread([this] { run(); });
+}
+
+Session::~Session() {
+  {
+    std::lock_guard Lock(Mutex_);
+    Stopping_ = true;
+  }
+  Changed_.notify_all();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+std::optional<OpenSession> Session::current() const {
+  std::lock_guard Lock(Mutex_);
+  return Open_;
+}
+
+std::uint64_t Session::incarnation() const {
+  std::lock_guard Lock(Mutex_);
+  return Incarnation_;
+}
+
+bool Session::isUnavailable() const {
+  std::lock_guard Lock(Mutex_);
+  return Unavailable_;
+}
+
+void Session::reportDeleted(std::uint64_t Incarnation) {
+  std::lock_guard Lock(Mutex_);
+  if (!Open_ || Open_->Incarnation_ != Incarnation)
+    return;
+  LogEvent(LogLevel::Warn, "session_deleted").field("incarnation", Incarnation);
+  Open_.reset();
+  Incarnation_ = nextIncarnation(Incarnation);
+  Changed_.notify_all();
+}
+
+bool Session::waitOpen(Milliseconds Timeout) const {
+  std::unique_lock Lock(Mutex_);
+  return Changed_.wait_for(Lock, Timeout, [this] { return Open_.has_value(); });
+}
+
+Result<void> Session::close(Milliseconds Timeout) {
+  SteadyTime Deadline = SteadyClock::now() + Timeout;
+  {
+    std::lock_guard Lock(Mutex_);
+    Stopping_ = true;
+    Open_.reset();
+  }
+  Changed_.notify_all();
+  if (Thread_.joinable())
+    Thread_.join();
+  auto Closing = closing(Settings_.Self_.Host_, incarnation());
+  while (true) {
+    Milliseconds CallTimeout =
+        std::min(Settings_.CallTimeout_, remaining(Deadline));
+    auto Reply = capture([&] { return Store_.commit(Closing, CallTimeout); });
+    if (Reply)
+      return {};
+    // Without an open session the transaction has no effect, so an ambiguous
+    // reply can be repeated.
+    if (Reply.error().Code_ != ErrorCode::Ambiguous ||
+        remaining(Deadline) == Milliseconds{0})
+      return fail(Reply.error().Code_, Reply.error().Message_);
+  }
+}
+
+std::string Session::keyOf(const std::string &Host, std::uint64_t Incarnation) {
+  return SessionPrefix + Host + '/' + std::to_string(Incarnation);
+}
+
+protocol::Transaction Session::closing(const std::string &Host,
+                                       std::uint64_t Incarnation) {
+  std::string Key = keyOf(Host, Incarnation);
+  protocol::Transaction Close;
+  Close.Conditions_.push_back(
+      {Key, Compare::Field::CreateRevision, Compare::Relation::Greater, 0});
+  Close.Writes_.push_back({Mutation::Kind::Delete, Key, ""});
+  Close.Writes_.push_back(
+      {Mutation::Kind::Put, Journal::closedKeyOf(Host, Incarnation), "{}"});
+  Close.Writes_.push_back({Mutation::Kind::Put,
+                           Journal::closedIndexKeyOf(Host, Incarnation), "{}"});
+  return Close;
+}
+
+Result<std::vector<SessionRecord>>
+Session::readSessions(protocol::KeyValueStore &Store, Milliseconds Timeout) {
+  BOOST_LEAF_AUTO(Range, Store.range(SessionPrefix, true, Timeout));
+  std::vector<SessionRecord> Records;
+  for (const auto &Pair : Range.Pairs_) {
+    auto Record = fromJson(Pair.Value_);
+    if (Record)
+      Records.push_back(std::move(*Record));
+    else
+      LogEvent(LogLevel::Warn, "session_unreadable").field("key", Pair.Key_);
+  }
+  return Records;
+}
+
+Result<std::optional<SessionRecord>>
+Session::readSession(protocol::KeyValueStore &Store, const std::string &Host,
+                     std::uint64_t Incarnation, Milliseconds Timeout) {
+  BOOST_LEAF_AUTO(Range, Store.range(keyOf(Host, Incarnation), false, Timeout));
+  if (Range.Pairs_.empty())
+    return std::optional<SessionRecord>();
+  return fromJson(Range.Pairs_.front().Value_);
+}
+
+void Session::run() {
+  std::unique_lock Lock(Mutex_);
+  while (!Stopping_) {
+    if (Open_) {
+      Changed_.wait(Lock);
+      continue;
+    }
+    openOnce(Lock);
+    if (!Open_ && !Stopping_)
+      Changed_.wait_for(Lock, Settings_.RetryDelay_,
+                        [this] { return Stopping_; });
+  }
+}
+
+/// One attempt to create the session; the lock is released during calls.
+void Session::openOnce(std::unique_lock<std::mutex> &Lock) {
+  SessionRecord Record = Settings_.Self_;
+  Record.Incarnation_ = Incarnation_;
+  Lock.unlock();
+  std::string Value = toJson(Record, Instance_);
+  auto Reply = capture([&] {
+    return Store_.commit(creation(Record, Value), Settings_.CallTimeout_);
+  });
+  std::optional<OpenSession> Opened;
+  bool Taken = false;
+  if (!Reply) {
+    // The next attempt finds a key that this one created.
+    LogEvent(LogLevel::Warn, "session_not_created")
+        .field("code", toString(Reply.error().Code_));
+  } else if (Reply->Succeeded_) {
+    Opened = OpenSession{Record.Incarnation_, Reply->StoreRevision_};
+  } else if (!Reply->Found_.empty() && Reply->Found_.front().Value_ == Value) {
+    Opened =
+        OpenSession{Record.Incarnation_, Reply->Found_.front().CreateRevision_};
+  } else {
+    Taken = true;
+  }
+  Lock.lock();
+  Unavailable_ = !Reply;
+  if (Taken) {
+    // Another process of this host used the number, for example before the
+    // clock was set back, or the session was closed before its creation was
+    // confirmed.
+    Incarnation_ = nextIncarnation(Incarnation_);
+  }
+  if (!Opened || Stopping_)
+    return;
+  Open_ = Opened;
+  Changed_.notify_all();
+  LogEvent(LogLevel::Info, "session_open")
+      .field("incarnation", Opened->Incarnation_);
+  if (!Listener_)
+    return;
+  Lock.unlock();
+  Listener_->onSessionOpen(Opened->Incarnation_);
+  Lock.lock();
+}
+
+} // namespace amaranth::coordination
--- /dev/null
+++ b/tests/Coordination/OnceFixture.cpp
@@ -0,0 +1,403 @@
+#include "OnceFixture.h"
+
+#include "Support/Log.h"
+
+#include <catch2/catch.hpp>
+
+namespace amaranth::coordination::test {
+
+using protocol::Compare;
+using protocol::ForwardedRequest;
+using protocol::KeyValue;
+using protocol::Member;
+using protocol::MemberStatus;
+using protocol::Mutation;
+using protocol::OutcomeKind;
+using protocol::RequestOutcome;
+using protocol::Transaction;
+
+namespace {
+
+auto lost() { return fail(ErrorCode::Ambiguous, "the reply was lost"); }
+auto unsent() { return fail(ErrorCode::Unavailable, "not reachable"); }
+
+} // namespace
+
+void Gate::wait() {
+  std::unique_lock Lock(Mutex_);
+  ++Arrived_;
+  Changed_.notify_all();
+  Changed_.wait_for(Lock, EventLimit, [this] { return Open_; });
+}
+
+void Gate::waitArrived() {
+  std::unique_lock Lock(Mutex_);
+  REQUIRE(Changed_.wait_for(Lock, EventLimit, [this] { return Arrived_ > 0; }));
+}
+
+void Gate::open() {
+  std::lock_guard Lock(Mutex_);
+  Open_ = true;
+  Changed_.notify_all();
+}
+
+protocol::RangeResult FakeStore::range(const std::string &Key, bool Prefix) {
+  std::lock_guard Lock(Mutex_);
+  protocol::RangeResult Result;
+  Result.StoreRevision_ = Revision_;
+  for (auto It = Pairs_.lower_bound(Key); It != Pairs_.end(); ++It) {
+    bool Match = Prefix ? It->first.starts_with(Key) : It->first == Key;
+    if (!Match)
+      break;
+    Result.Pairs_.push_back(It->second);
+  }
+  return Result;
+}
+
+protocol::TransactionResult FakeStore::commit(const Transaction &Request) {
+  std::lock_guard Lock(Mutex_);
+  protocol::TransactionResult Result;
+  for (const Compare &Condition : Request.Conditions_) {
+    if (holds(Condition))
+      continue;
+    for (const std::string &Key : Request.ReadOnFailure_)
+      if (auto Found = Pairs_.find(Key); Found != Pairs_.end())
+        Result.Found_.push_back(Found->second);
+    Result.StoreRevision_ = Revision_;
+    return Result;
+  }
+  ++Revision_;
+  for (const Mutation &Write : Request.Writes_) {
+    if (Write.Kind_ == Mutation::Kind::Delete) {
+      Pairs_.erase(Write.Key_);
+    } else if (Write.Kind_ == Mutation::Kind::DeletePrefix) {
+      std::erase_if(Pairs_, [&](const auto &Entry) {
+        return Entry.first.starts_with(Write.Key_);
+      });
+    } else {
+      KeyValue &Pair = Pairs_[Write.Key_];
+      if (Pair.CreateRevision_ == 0)
+        Pair.CreateRevision_ = Revision_;
+      Pair.Key_ = Write.Key_;
+      Pair.Value_ = Write.Value_;
+      Pair.ModRevision_ = Revision_;
+    }
+  }
+  Result.Succeeded_ = true;
+  Result.StoreRevision_ = Revision_;
+  return Result;
+}
+
+void FakeStore::delay(const Transaction &Request) {
+  std::lock_guard Lock(Mutex_);
+  Delayed_.push_back(Request);
+}
+
+void FakeStore::releaseDelayed() {
+  std::vector<Transaction> Released;
+  {
+    std::lock_guard Lock(Mutex_);
+    Released.swap(Delayed_);
+  }
+  for (const Transaction &Request : Released)
+    commit(Request);
+}
+
+std::size_t FakeStore::count(const std::string &Prefix) {
+  return range(Prefix, true).Pairs_.size();
+}
+
+bool FakeStore::holds(const Compare &Condition) const {
+  std::uint64_t Revision = 0;
+  if (auto Found = Pairs_.find(Condition.Key_); Found != Pairs_.end())
+    Revision = Condition.Field_ == Compare::Field::CreateRevision
+                   ? Found->second.CreateRevision_
+                   : Found->second.ModRevision_;
+  return Condition.Relation_ == Compare::Relation::Equal
+             ? Revision == Condition.Revision_
+             : Revision > Condition.Revision_;
+}
+
+void StoreClient::setHook(Hook New) {
+  std::lock_guard Lock(Mutex_);
+  Hook_ = std::move(New);
+}
+
+Fault StoreClient::nextFault(const Transaction *Request) {
+  Hook Current;
+  {
+    std::lock_guard Lock(Mutex_);
+    Current = Hook_;
+  }
+  return Current ? Current(Request) : Fault::None;
+}
+
+Result<protocol::RangeResult> StoreClient::range(const std::string &Key,
+                                                 bool Prefix, Milliseconds) {
+  Fault Next = nextFault(nullptr);
+  if (Next == Fault::Unavailable)
+    return unsent();
+  if (Next != Fault::None)
+    return lost();
+  return Store_.range(Key, Prefix);
+}
+
+Result<protocol::TransactionResult>
+StoreClient::commit(const Transaction &Request, Milliseconds) {
+  switch (nextFault(&Request)) {
+  case Fault::None:
+    return Store_.commit(Request);
+  case Fault::Unavailable:
+    return unsent();
+  case Fault::LoseRequest:
+    return lost();
+  case Fault::LoseReply:
+    Store_.commit(Request);
+    return lost();
+  case Fault::DelayEffect:
+    Store_.delay(Request);
+    return lost();
+  }
+  return lost();
+}
+
+Result<protocol::LeaseGrant> StoreClient::grantLease(Seconds, Milliseconds) {
+  return unsent();
+}
+Result<protocol::LeaseGrant> StoreClient::keepAlive(std::int64_t,
+                                                    Milliseconds) {
+  return unsent();
+}
+Result<void> StoreClient::revokeLease(std::int64_t, Milliseconds) {
+  return unsent();
+}
+Result<std::unique_ptr<protocol::Watch>>
+StoreClient::watch(const std::string &, std::uint64_t,
+                   protocol::WatchListener &) {
+  return unsent();
+}
+
+bool isAppend(const Transaction *Request) {
+  return Request && Request->Writes_.size() == 1 &&
+         Request->Writes_[0].Key_.starts_with("/amaranth/journal/");
+}
+
+void FakeMembers::set(const Member &Entry) {
+  std::lock_guard Lock(Mutex_);
+  Member &Listed = Members_[Entry.Host_];
+  if (Entry.Incarnation_ >= Listed.Incarnation_)
+    Listed = Entry;
+}
+
+void FakeMembers::setStatus(const std::string &Host, MemberStatus Status) {
+  std::lock_guard Lock(Mutex_);
+  Members_[Host].Status_ = Status;
+}
+
+std::vector<Member> FakeMembers::members() const {
+  std::lock_guard Lock(Mutex_);
+  std::vector<Member> All;
+  for (const auto &[Host, Listed] : Members_)
+    All.push_back(Listed);
+  return All;
+}
+
+void Judge::ran(const ForwardedRequest &Request) {
+  std::lock_guard Lock(Mutex_);
+  Record &Found = Records_[Request.Account_ + '/' + Request.IdempotencyKey_];
+  ++Found.Runs_;
+  Found.Bodies_.push_back(Request.Body_);
+}
+
+int Judge::runs(const std::string &Key) const {
+  std::lock_guard Lock(Mutex_);
+  auto Found = Records_.find("guild/" + Key);
+  return Found == Records_.end() ? 0 : Found->second.Runs_;
+}
+
+std::map<std::string, Judge::Record> Judge::records() const {
+  std::lock_guard Lock(Mutex_);
+  return Records_;
+}
+
+std::string Judge::answerTo(const std::string &Body) {
+  return "{\"done\":" + Body + "}";
+}
+
+Node::Node(Fleet &Owner, std::string Name, OnceRunnerSettings Settings)
+    : Fleet_(Owner), Name_(std::move(Name)), Store_(Owner.Store_) {
+  SessionSettings ForSession;
+  ForSession.Self_ = {Name_, "dc", "caller:" + Name_, "peer:" + Name_, 0};
+  // A number above that of every earlier process, without waiting for the
+  // clock.
+  static std::atomic<std::uint64_t> Last{0};
+  auto Now = static_cast<std::uint64_t>(wallNow().count());
+  ForSession.Self_.Incarnation_ = std::max(Now, Last + 1);
+  Last = ForSession.Self_.Incarnation_;
+  ForSession.RetryDelay_ = Milliseconds(5);
+  onSessionOpen(ForSession.Self_.Incarnation_);
+  Session_ = std::make_unique<Session>(ForSession, Store_, this);
+  Runner_ = std::make_unique<OnceRunner>(
+      std::move(Settings),
+      OnceRunnerParts{Store_, *this, *this, *this, *Session_});
+}
+
+Node::~Node() { Runner_.reset(); }
+
+RequestOutcome Node::submit(const std::string &Key, const std::string &Body,
+                            Milliseconds Timeout) {
+  return Runner_->submit(makeRequest(Key, Body, Timeout));
+}
+
+std::string Node::key(const std::string &Suffix, bool AllowVolatile) {
+  if (!AllowVolatile)
+    REQUIRE(Session_->waitOpen(EventLimit));
+  auto Ticket = capture([&] { return Runner_->issueTicket(AllowVolatile); });
+  REQUIRE(Ticket);
+  return *Ticket + "." + Suffix;
+}
+
+Member Node::self() const { return *find(Name_); }
+
+std::vector<Member> Node::members() const { return Fleet_.Members_.members(); }
+
+std::optional<Member> Node::find(const std::string &Host) const {
+  for (const Member &Listed : members())
+    if (Listed.Host_ == Host)
+      return Listed;
+  return std::nullopt;
+}
+
+Result<RequestOutcome> Node::forward(const std::string &Address,
+                                     const ForwardedRequest &Request) {
+  Node *Peer = Fleet_.at(Address);
+  Fault Next = PeerHook_ ? PeerHook_() : Fault::None;
+  if (Killed_ || !Peer || !Peer->Reachable_ || Next == Fault::Unavailable)
+    return unsent();
+  if (Next == Fault::LoseRequest)
+    return lost();
+  RequestOutcome Outcome = Peer->Runner_->onForward(Request);
+  if (Peer->Killed_ || Next == Fault::LoseReply)
+    return lost();
+  return Outcome;
+}
+
+Result<RequestOutcome> Node::lookUp(const std::string &Address,
+                                    const std::string &Key, Milliseconds) {
+  Node *Peer = Fleet_.at(Address);
+  if (Killed_ || !Peer || !Peer->Reachable_)
+    return unsent();
+  return Peer->Runner_->onLookUp(Key);
+}
+
+Result<protocol::Gossip> Node::probe(const std::string &,
+                                     const protocol::Gossip &, Milliseconds) {
+  return unsent();
+}
+Result<bool> Node::probeIndirect(const std::string &, const std::string &,
+                                 Milliseconds) {
+  return unsent();
+}
+Result<std::vector<protocol::ServiceRevision>>
+Node::revisions(const std::string &, Milliseconds) {
+  return unsent();
+}
+Result<std::vector<state::StoredDocument>>
+Node::documents(const std::string &, const std::vector<std::string> &,
+                Milliseconds) {
+  return unsent();
+}
+Result<void> Node::pushDocument(const std::string &,
+                                const state::StoredDocument &, Milliseconds) {
+  return unsent();
+}
+Result<void> Node::reportSuspect(const std::string &,
+                                 const protocol::SuspectInput &, Milliseconds) {
+  return unsent();
+}
+
+RequestOutcome Node::dispatch(const ForwardedRequest &Request, SteadyTime) {
+  std::optional<RequestOutcome> Replaced;
+  if (DispatchHook_)
+    Replaced = DispatchHook_();
+  RequestOutcome Outcome;
+  if (Killed_)
+    return Outcome;
+  if (Replaced && Replaced->Kind_ == OutcomeKind::NotRun)
+    return *Replaced;
+  Fleet_.Judge_.ran(Request);
+  if (Replaced)
+    return *Replaced;
+  Outcome.Kind_ = OutcomeKind::Completed;
+  Outcome.Status_ = 200;
+  Outcome.Body_ = Judge::answerTo(Request.Body_);
+  return Outcome;
+}
+
+void Node::onSessionOpen(std::uint64_t Incarnation) {
+  Member Listed;
+  Listed.Host_ = Name_;
+  Listed.Incarnation_ = Incarnation;
+  Listed.PeerAddress_ = "peer:" + Name_;
+  Listed.CallerAddress_ = "caller:" + Name_;
+  if (!Killed_)
+    Fleet_.Members_.set(Listed);
+}
+
+OnceRunnerSettings Fleet::settings() {
+  OnceRunnerSettings Settings;
+  Settings.FleetSecret_ = "secret";
+  Settings.Journal_.MinInterval_ = Milliseconds(1);
+  Settings.Journal_.FleetWritesPerSecond_ = 10000;
+  Settings.Journal_.OutcomeDelay_ = Milliseconds(5);
+  Settings.Journal_.RetryDelay_ = Milliseconds(2);
+  Settings.Journal_.ProbeDelay_ = Milliseconds(10);
+  return Settings;
+}
+
+Node &Fleet::start(const std::string &Name, OnceRunnerSettings Settings) {
+  auto New = std::make_unique<Node>(*this, Name, std::move(Settings));
+  std::lock_guard Lock(Mutex_);
+  Nodes_.push_back(std::move(New));
+  return *Nodes_.back();
+}
+
+void Fleet::kill(Node &Victim, bool Listed) {
+  Victim.Killed_ = true;
+  Victim.Store_.setHook([](const Transaction *) { return Fault::Unavailable; });
+  if (Listed)
+    Members_.setStatus(Victim.Name_, MemberStatus::Dead);
+}
+
+Node *Fleet::at(const std::string &Address) {
+  std::lock_guard Lock(Mutex_);
+  for (const auto &Running : Nodes_)
+    if (!Running->Killed_ && "peer:" + Running->Name_ == Address)
+      return Running.get();
+  return nullptr;
+}
+
+ForwardedRequest makeRequest(const std::string &Key, const std::string &Body,
+                             Milliseconds Timeout) {
+  ForwardedRequest Request;
+  Request.Service_ = "orders";
+  Request.Account_ = "guild";
+  Request.Call_ = "place";
+  Request.IdempotencyKey_ = Key;
+  Request.RequestId_ = "r1";
+  Request.Body_ = Body;
+  Request.Timeout_ = Timeout;
+  return Request;
+}
+
+bool eventually(const std::function<bool()> &Condition) {
+  SteadyTime Limit = SteadyClock::now() + EventLimit;
+  while (SteadyClock::now() < Limit) {
+    if (Condition())
+      return true;
+    std::this_thread::yield();
+  }
+  return false;
+}
+
+} // namespace amaranth::coordination::test
--- /dev/null
+++ b/tests/Coordination/OnceFixture.h
@@ -0,0 +1,215 @@
+/// \file
+/// A fleet in one process: a key-value store and a network with faults, a
+/// membership table, and targets that count what was run.
+#ifndef AMARANTH_TESTS_COORDINATION_ONCEFIXTURE_H
+#define AMARANTH_TESTS_COORDINATION_ONCEFIXTURE_H
+
+#include "Coordination/OnceRunner.h"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace amaranth::coordination::test {
+
+/// Limit on waiting for an event; only a failing test gets near it.
+constexpr Milliseconds EventLimit{20000};
+
+/// A point where threads wait until the test opens it.
+class Gate {
+public:
+  void wait();        ///< Called by the component under test.
+  void waitArrived(); ///< Waits until some thread has come to the gate.
+  void open();
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  int Arrived_ = 0;
+  bool Open_ = false;
+};
+
+/// What happens to one call.
+enum class Fault {
+  None,
+  Unavailable, ///< Nothing is sent.
+  LoseRequest, ///< Ambiguous, without effect.
+  LoseReply,   ///< Ambiguous, after the effect.
+  DelayEffect, ///< Ambiguous; the effect comes at releaseDelayed().
+};
+
+/// Store in memory.
+class FakeStore {
+public:
+  protocol::RangeResult range(const std::string &Key, bool Prefix);
+  protocol::TransactionResult commit(const protocol::Transaction &Request);
+  void delay(const protocol::Transaction &Request);
+  void releaseDelayed();
+  std::size_t count(const std::string &Prefix);
+
+private:
+  bool holds(const protocol::Compare &Condition) const;
+
+  std::mutex Mutex_;
+  std::map<std::string, protocol::KeyValue> Pairs_;
+  std::uint64_t Revision_ = 1;
+  std::vector<protocol::Transaction> Delayed_;
+};
+
+/// One host's access to the store. The hook chooses the fault of each call and
+/// may block to freeze the caller; reads have a null transaction.
+class StoreClient final : public protocol::KeyValueStore {
+public:
+  using Hook = std::function<Fault(const protocol::Transaction *)>;
+  explicit StoreClient(FakeStore &Store) : Store_(Store) {}
+  void setHook(Hook New);
+
+  Result<protocol::RangeResult> range(const std::string &Key, bool Prefix,
+                                      Milliseconds Timeout) override;
+  Result<protocol::TransactionResult>
+  commit(const protocol::Transaction &Request, Milliseconds Timeout) override;
+  Result<protocol::LeaseGrant> grantLease(Seconds, Milliseconds) override;
+  Result<protocol::LeaseGrant> keepAlive(std::int64_t, Milliseconds) override;
+  Result<void> revokeLease(std::int64_t, Milliseconds) override;
+  Result<std::unique_ptr<protocol::Watch>>
+  watch(const std::string &, std::uint64_t, protocol::WatchListener &) override;
+
+private:
+  Fault nextFault(const protocol::Transaction *Request);
+
+  FakeStore &Store_;
+  std::mutex Mutex_;
+  Hook Hook_;
+};
+
+/// True if \p Request writes a journal segment.
+bool isAppend(const protocol::Transaction *Request);
+
+/// Membership as the test sets it, the same for all hosts.
+class FakeMembers {
+public:
+  void set(const protocol::Member &Entry);
+  void setStatus(const std::string &Host, protocol::MemberStatus Status);
+  std::vector<protocol::Member> members() const;
+
+private:
+  mutable std::mutex Mutex_;
+  std::map<std::string, protocol::Member> Members_;
+};
+
+/// Counts executions. It is the judge: it sees what ran, whatever was answered.
+class Judge {
+public:
+  struct Record {
+    int Runs_ = 0;
+    std::vector<std::string> Bodies_;
+  };
+  void ran(const protocol::ForwardedRequest &Request);
+  int runs(const std::string &Key) const;
+  std::map<std::string, Record> records() const;
+  /// The answer of the target to \p Body.
+  static std::string answerTo(const std::string &Body);
+
+private:
+  mutable std::mutex Mutex_;
+  std::map<std::string, Record> Records_; ///< By account and key.
+};
+
+class Fleet;
+
+/// One daemon process. After kill() nothing that its threads still do has any
+/// effect outside.
+class Node final : public MemberView,
+                   public protocol::PeerNetwork,
+                   public CallDispatcher,
+                   public SessionListener {
+public:
+  Node(Fleet &Owner, std::string Name, OnceRunnerSettings Settings);
+  ~Node() override;
+
+  protocol::RequestOutcome submit(const std::string &Key,
+                                  const std::string &Body = "{}",
+                                  Milliseconds Timeout = Milliseconds(5000));
+  /// A new journaled key; waits for the session.
+  std::string key(const std::string &Suffix = "a", bool AllowVolatile = false);
+
+  protocol::Member self() const override;
+  std::vector<protocol::Member> members() const override;
+  std::optional<protocol::Member> find(const std::string &Host) const override;
+
+  Result<protocol::RequestOutcome>
+  forward(const std::string &Address,
+          const protocol::ForwardedRequest &Request) override;
+  Result<protocol::RequestOutcome> lookUp(const std::string &Address,
+                                          const std::string &Key,
+                                          Milliseconds Timeout) override;
+  Result<protocol::Gossip> probe(const std::string &, const protocol::Gossip &,
+                                 Milliseconds) override;
+  Result<bool> probeIndirect(const std::string &, const std::string &,
+                             Milliseconds) override;
+  Result<std::vector<protocol::ServiceRevision>>
+  revisions(const std::string &, Milliseconds) override;
+  Result<std::vector<state::StoredDocument>>
+  documents(const std::string &, const std::vector<std::string> &,
+            Milliseconds) override;
+  Result<void> pushDocument(const std::string &, const state::StoredDocument &,
+                            Milliseconds) override;
+  Result<void> reportSuspect(const std::string &,
+                             const protocol::SuspectInput &,
+                             Milliseconds) override;
+
+  protocol::RequestOutcome dispatch(const protocol::ForwardedRequest &Request,
+                                    SteadyTime Deadline) override;
+  void onSessionOpen(std::uint64_t Incarnation) override;
+
+  Fleet &Fleet_;
+  std::string Name_;
+  std::atomic<bool> Killed_{false};
+  std::atomic<bool> Reachable_{true}; ///< By its peers.
+  /// Fault of each call to a peer; set before traffic.
+  std::function<Fault()> PeerHook_;
+  /// Runs in each dispatch, before it is counted; may replace the answer.
+  std::function<std::optional<protocol::RequestOutcome>()> DispatchHook_;
+  StoreClient Store_;
+  std::unique_ptr<Session> Session_;
+  std::unique_ptr<OnceRunner> Runner_;
+};
+
+/// All daemons with what they share.
+class Fleet {
+public:
+  /// Settings with short times for tests.
+  static OnceRunnerSettings settings();
+
+  Node &start(const std::string &Name,
+              OnceRunnerSettings Settings = settings());
+  /// Crashes \p Victim; membership lists it as dead if \p Listed.
+  void kill(Node &Victim, bool Listed = true);
+  /// The running daemon at \p Address, or null.
+  Node *at(const std::string &Address);
+
+  FakeStore Store_;
+  FakeMembers Members_;
+  Judge Judge_;
+
+private:
+  std::mutex Mutex_;
+  std::vector<std::unique_ptr<Node>> Nodes_;
+};
+
+/// Request number \p Id of the fixture's service and account.
+protocol::ForwardedRequest makeRequest(const std::string &Key,
+                                       const std::string &Body,
+                                       Milliseconds Timeout);
+
+/// Polls \p Condition until it holds; false after EventLimit.
+bool eventually(const std::function<bool()> &Condition);
+
+} // namespace amaranth::coordination::test
+
+#endif
