--- a/source/Protocol/Peer.capnp
+++ b/source/Protocol/Peer.capnp
@@ -80,8 +80,9 @@
   reportSuspect @7 (suspect :SuspectInput) -> ();
 }
 
-# The first object of a connection: proves knowledge of the fleet secret.
+# The first object of a connection. Both sides prove knowledge of the fleet
+# secret: the macs are HMACs over both nonces and the side's role.
 interface Gate {
   challenge @0 () -> (nonce :Text);
-  authenticate @1 (mac :Text) -> (peer :Peer);
+  authenticate @1 (mac :Text, nonce :Text) -> (peer :Peer, mac :Text);
 }
--- a/source/Protocol/Peer.capnp.h
+++ b/source/Protocol/Peer.capnp.h
@@ -509,7 +509,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88a9e1f2ad945b1a, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(88a9e1f2ad945b1a, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -524,7 +524,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b54fa9025784e1f5, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b54fa9025784e1f5, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3033,6 +3033,9 @@
   inline bool hasMac() const;
   inline  ::capnp::Text::Reader getMac() const;
 
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3068,6 +3071,13 @@
   inline void adoptMac(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownMac();
 
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3116,6 +3126,9 @@
   inline  ::amaranth::protocol::wire::Peer::Client getPeer() const;
 #endif  // !CAPNP_LITE
 
+  inline bool hasMac() const;
+  inline  ::capnp::Text::Reader getMac() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3153,6 +3166,13 @@
   inline ::capnp::Orphan< ::amaranth::protocol::wire::Peer> disownPeer();
 #endif  // !CAPNP_LITE
 
+  inline bool hasMac();
+  inline  ::capnp::Text::Builder getMac();
+  inline void setMac( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMac(unsigned int size);
+  inline void adoptMac(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMac();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4868,6 +4888,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Gate::AuthenticateParams::Reader::hasNonce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gate::AuthenticateParams::Builder::hasNonce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Gate::AuthenticateParams::Reader::getNonce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Gate::AuthenticateParams::Builder::getNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Gate::AuthenticateParams::Builder::setNonce( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Gate::AuthenticateParams::Builder::initNonce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Gate::AuthenticateParams::Builder::adoptNonce(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Gate::AuthenticateParams::Builder::disownNonce() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Gate::AuthenticateResults::Reader::hasPeer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4907,6 +4961,40 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Gate::AuthenticateResults::Reader::hasMac() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Gate::AuthenticateResults::Builder::hasMac() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Gate::AuthenticateResults::Reader::getMac() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Gate::AuthenticateResults::Builder::getMac() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Gate::AuthenticateResults::Builder::setMac( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Gate::AuthenticateResults::Builder::initMac(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Gate::AuthenticateResults::Builder::adoptMac(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Gate::AuthenticateResults::Builder::disownMac() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
