--- a/source/Daemon/Main.cpp
+++ b/source/Daemon/Main.cpp
@@ -54,8 +54,8 @@
     std::fprintf(stderr, "amaranthd: %s\n", Started.error().Message_.c_str());
     return ExitFailure;
   }
-  std::printf("listening caller=%s peer=%s\n",
-              Runtime.callerAddress().c_str(), Runtime.peerAddress().c_str());
+  std::printf("listening caller=%s peer=%s\n", Runtime.callerAddress().c_str(),
+              Runtime.peerAddress().c_str());
   std::fflush(stdout);
   std::thread SignalThread([&] {
     int Signal = 0;
@@ -72,8 +72,8 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  daemon::OptionsReading Reading = daemon::readOptions(
-      ArgumentCount, const_cast<const char **>(Arguments));
+  daemon::OptionsReading Reading =
+      daemon::readOptions(ArgumentCount, const_cast<const char **>(Arguments));
   if (!Reading.Options_)
     return Reading.ExitStatus_;
   std::optional<state::DaemonSettings> Settings =
--- a/source/Protocol/Problem.cpp
+++ b/source/Protocol/Problem.cpp
@@ -10,8 +10,8 @@
   switch (Way) {
   case RetryWith::None:
     return "none";
-  case RetryWith::SameKey:
-    return "same_key";
+  case RetryWith::SameRequest:
+    return "same_request";
   case RetryWith::NewKey:
     return "new_key";
   }
--- a/source/Protocol/Problem.h
+++ b/source/Protocol/Problem.h
@@ -14,9 +14,9 @@
 
 /// How a caller may try again.
 enum class RetryWith {
-  None,    ///< Trying again does not help.
-  SameKey, ///< Send the same idempotency key again.
-  NewKey,  ///< The key is spent; take a new ticket and a new key.
+  None,        ///< Trying again does not help.
+  SameRequest, ///< Send the same request, with the same idempotency key.
+  NewKey,      ///< The key is spent; take a new ticket and a new key.
 };
 
 /// An application/problem+json body (RFC 7807) with the fields of
