--- /dev/null
+++ b/source/Coordination/GossipParticipant.h
@@ -0,0 +1,25 @@
+/// \file
+/// Components that exchange data on membership probes.
+#ifndef AMARANTH_COORDINATION_GOSSIPPARTICIPANT_H
+#define AMARANTH_COORDINATION_GOSSIPPARTICIPANT_H
+
+#include "Protocol/PeerMessages.h"
+
+namespace amaranth::coordination {
+
+/// Supplies and consumes a part of the probe payload: configuration digest,
+/// load, account usage, suspect inputs. Each part must be bounded in size,
+/// because probes are sent several times a second. Thread-safe; called without
+/// locks of Membership.
+class GossipParticipant {
+public:
+  virtual ~GossipParticipant() = default;
+  /// Adds this component's part to \p Mine; Sender_.Load_ may be set too.
+  virtual void contribute(protocol::Gossip &Mine) = 0;
+  /// Takes this component's part from a peer's gossip.
+  virtual void receive(const protocol::Gossip &FromPeer) = 0;
+};
+
+} // namespace amaranth::coordination
+
+#endif
