--- /dev/null
+++ b/source/Control/Command.h
@@ -0,0 +1,53 @@
+/// \file
+/// What all commands of amaranthctl share.
+#ifndef AMARANTH_CONTROL_COMMAND_H
+#define AMARANTH_CONTROL_COMMAND_H
+
+#include "Control/OptionParser.h"
+#include "Support/Error.h"
+
+#include <ostream>
+#include <string>
+
+namespace amaranth::control {
+
+/// Exit codes of the program.
+enum class ExitCode {
+  Done = 0,
+  Failed = 1,
+  UsageError = 2,
+  Conflict = 3, ///< Someone else changed the document first.
+  TimedOut = 4, ///< The change was made, but the wait for it ended first.
+};
+
+/// What a command takes from and gives to its surroundings.
+struct CommandContext {
+  const Options &Options_;
+  std::ostream &Output_;   ///< Results.
+  std::ostream &Messages_; ///< Progress and errors.
+  /// The operator key from the environment, or empty.
+  std::string OperatorKey_;
+};
+
+/// One command. run() returns an error for anything that it has not explained
+/// on Messages_ itself; its code decides the exit code.
+class Command {
+public:
+  virtual ~Command() = default;
+
+  virtual const char *name() const = 0;
+  /// One line for the list of commands.
+  virtual const char *summary() const = 0;
+  /// Positional arguments, as in "FILE|DIR".
+  virtual const char *arguments() const { return ""; }
+  virtual int argumentCount() const { return 0; }
+  /// Lines of examples, without the program name.
+  virtual const char *examples() const = 0;
+
+  virtual void declare(OptionParser &Parser) const = 0;
+  virtual Result<ExitCode> run(const CommandContext &Context) = 0;
+};
+
+} // namespace amaranth::control
+
+#endif
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -25,3 +25,9 @@
   add_dependencies(integration_test amaranthd amaranthctl amaranth-standin)
   set_tests_properties(integration_test PROPERTIES RUN_SERIAL TRUE)
 endif()
+
+# The command line is a program, so its test compiles its sources.
+amaranth_test(control_test Control 120 amaranth_coordination PkgConfig::POPT)
+file(GLOB ControlSources CONFIGURE_DEPENDS source/Control/*.cpp)
+list(FILTER ControlSources EXCLUDE REGEX "/Main\\.cpp$")
+target_sources(control_test PRIVATE ${ControlSources})
