--- a/tests/Coordination/OnceFixture.cpp
+++ b/tests/Coordination/OnceFixture.cpp
@@ -123,6 +123,32 @@
   Hook_ = std::move(New);
 }
 
+void StoreClient::setAfterCommit(std::function<void()> New) {
+  std::lock_guard Lock(Mutex_);
+  AfterCommit_ = std::move(New);
+}
+
+void StoreClient::setUnconditional(std::string Prefix) {
+  std::lock_guard Lock(Mutex_);
+  Unconditional_ = std::move(Prefix);
+}
+
+protocol::TransactionResult StoreClient::effect(const Transaction &Request) {
+  std::function<void()> After;
+  Transaction Sent = Request;
+  {
+    std::lock_guard Lock(Mutex_);
+    After = AfterCommit_;
+    if (!Unconditional_.empty() &&
+        Sent.Writes_.front().Key_.starts_with(Unconditional_))
+      Sent.Conditions_.clear();
+  }
+  auto Result = Store_.commit(Sent);
+  if (After)
+    After();
+  return Result;
+}
+
 Fault StoreClient::nextFault(const Transaction *Request) {
   Hook Current;
   {
@@ -146,13 +172,13 @@
 StoreClient::commit(const Transaction &Request, Milliseconds) {
   switch (nextFault(&Request)) {
   case Fault::None:
-    return Store_.commit(Request);
+    return effect(Request);
   case Fault::Unavailable:
     return unsent();
   case Fault::LoseRequest:
     return lost();
   case Fault::LoseReply:
-    Store_.commit(Request);
+    effect(Request);
     return lost();
   case Fault::DelayEffect:
     Store_.delay(Request);
@@ -274,7 +300,9 @@
   Fault Next = PeerHook_ ? PeerHook_() : Fault::None;
   if (Killed_ || !Peer || !Peer->Reachable_ || Next == Fault::Unavailable)
     return unsent();
-  if (Next == Fault::LoseRequest)
+  if (Next == Fault::DelayEffect)
+    Fleet_.delayForward(*Peer, Request);
+  if (Next == Fault::LoseRequest || Next == Fault::DelayEffect)
     return lost();
   RequestOutcome Outcome = Peer->Runner_->onForward(Request);
   if (Peer->Killed_ || Next == Fault::LoseReply)
@@ -371,12 +399,36 @@
 
 Node *Fleet::at(const std::string &Address) {
   std::lock_guard Lock(Mutex_);
-  for (const auto &Running : Nodes_)
-    if (!Running->Killed_ && "peer:" + Running->Name_ == Address)
-      return Running.get();
+  // The newest process has the address, also while an older one still runs.
+  for (auto It = Nodes_.rbegin(); It != Nodes_.rend(); ++It)
+    if ("peer:" + (*It)->Name_ == Address)
+      return (*It)->Killed_ ? nullptr : It->get();
   return nullptr;
 }
 
+void Fleet::delayForward(Node &Peer, const ForwardedRequest &Request) {
+  std::lock_guard Lock(Mutex_);
+  DelayedForwards_.push_back(
+      [&Peer, Request] { Peer.Runner_->onForward(Request); });
+}
+
+void Fleet::releaseForwards() {
+  std::lock_guard Lock(Mutex_);
+  for (auto &Deliver : DelayedForwards_)
+    Forwards_.push_back(std::async(std::launch::async, std::move(Deliver)));
+  DelayedForwards_.clear();
+}
+
+void Fleet::joinForwards() {
+  std::vector<std::future<void>> Started;
+  {
+    std::lock_guard Lock(Mutex_);
+    Started.swap(Forwards_);
+  }
+  for (auto &Forward : Started)
+    Forward.get();
+}
+
 ForwardedRequest makeRequest(const std::string &Key, const std::string &Body,
                              Milliseconds Timeout) {
   ForwardedRequest Request;
--- a/tests/Coordination/OnceFixture.h
+++ b/tests/Coordination/OnceFixture.h
@@ -68,6 +68,10 @@
   using Hook = std::function<Fault(const protocol::Transaction *)>;
   explicit StoreClient(FakeStore &Store) : Store_(Store) {}
   void setHook(Hook New);
+  /// Called after each commit that took effect, before its reply is seen.
+  void setAfterCommit(std::function<void()> New);
+  /// Drops the conditions of writes under \p Prefix, as a naive writer would.
+  void setUnconditional(std::string Prefix);
 
   Result<protocol::RangeResult> range(const std::string &Key, bool Prefix,
                                       Milliseconds Timeout) override;
@@ -81,10 +85,13 @@
 
 private:
   Fault nextFault(const protocol::Transaction *Request);
+  protocol::TransactionResult effect(const protocol::Transaction &Request);
 
   FakeStore &Store_;
   std::mutex Mutex_;
   Hook Hook_;
+  std::function<void()> AfterCommit_;
+  std::string Unconditional_;
 };
 
 /// True if \p Request writes a journal segment.
@@ -171,7 +178,8 @@
   std::string Name_;
   std::atomic<bool> Killed_{false};
   std::atomic<bool> Reachable_{true}; ///< By its peers.
-  /// Fault of each call to a peer; set before traffic.
+  /// Fault of each call to a peer; set before traffic. DelayEffect makes a
+  /// request arrive at Fleet::releaseForwards().
   std::function<Fault()> PeerHook_;
   /// Runs in each dispatch, before it is counted; may replace the answer.
   std::function<std::optional<protocol::RequestOutcome>()> DispatchHook_;
@@ -193,11 +201,20 @@
   /// The running daemon at \p Address, or null.
   Node *at(const std::string &Address);
 
+  /// Keeps a forwarded request on its way.
+  void delayForward(Node &Peer, const protocol::ForwardedRequest &Request);
+  /// Delivers them, each on its own thread.
+  void releaseForwards();
+  /// Waits for what releaseForwards() started.
+  void joinForwards();
+
   FakeStore Store_;
   FakeMembers Members_;
   Judge Judge_;
 
 private:
+  std::vector<std::function<void()>> DelayedForwards_;
+  std::vector<std::future<void>> Forwards_;
   std::mutex Mutex_;
   std::vector<std::unique_ptr<Node>> Nodes_;
 };
