--- a/source/Daemon/PeerEndpoint.h
+++ b/source/Daemon/PeerEndpoint.h
@@ -10,21 +10,30 @@
 #include "Protocol/PeerHandler.h"
 #include "State/DocumentStore.h"
 
+#include <condition_variable>
+#include <mutex>
+
 namespace amaranth::daemon {
 
-/// What the peer interface works with; all must outlive it.
+/// What the peer interface works with; all must outlive the endpoint's use.
 struct PeerParts {
-  coordination::Membership &Membership_;
-  coordination::ConfigurationSync &Configuration_;
-  coordination::OnceRunner &Once_;
-  coordination::SuspectRegistry &Suspects_;
-  state::DocumentStore &Documents_;
+  coordination::Membership *Membership_ = nullptr;
+  coordination::ConfigurationSync *Configuration_ = nullptr;
+  coordination::OnceRunner *Once_ = nullptr;
+  coordination::SuspectRegistry *Suspects_ = nullptr;
+  state::DocumentStore *Documents_ = nullptr;
 };
 
-/// Passes each call to the component that owns the state.
+/// Passes each call to the component that owns the state. The RPC port must be
+/// known before those components exist, so calls that come earlier wait for
+/// attach(). Thread-safe.
 class PeerEndpoint final : public protocol::PeerHandler {
 public:
-  explicit PeerEndpoint(const PeerParts &Parts);
+  /// Lets calls through to \p Parts.
+  void attach(const PeerParts &Parts);
+
+  /// Gives waiting and further calls empty answers; the start failed.
+  void abandon();
 
   protocol::Gossip onProbe(const protocol::Gossip &FromPeer) override;
   bool onProbeIndirect(const std::string &PeerAddress) override;
@@ -38,6 +47,13 @@
   void onSuspect(const protocol::SuspectInput &Suspect) override;
 
 private:
+  /// Waits for attach(); null after abandon().
+  const PeerParts *parts();
+
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  bool Attached_ = false;
+  bool Abandoned_ = false;
   PeerParts Parts_;
 };
 
--- a/source/Transport/HttpServer.cpp
+++ b/source/Transport/HttpServer.cpp
@@ -129,7 +129,7 @@
     assert(false && "unsupported HTTP method");
 }
 
-Result<void> HttpServer::start() {
+Result<void> HttpServer::bind() {
   auto &Server = Implementation_->Server_;
   Port_ = Settings_.Port_;
   bool Bound = true;
@@ -145,10 +145,20 @@
                                             std::to_string(Settings_.Port_));
   // The library listened with a backlog of 5; listening again raises it.
   ::listen(Implementation_->Descriptor_, ListenBacklog);
+  return {};
+}
+
+void HttpServer::serve() {
+  auto &Server = Implementation_->Server_;
   Thread_ = std::thread([&Server] { Server.listen_after_bind(); });
   // stop() before the accept loop runs would have no effect.
   while (!Server.is_running())
     std::this_thread::yield();
+}
+
+Result<void> HttpServer::start() {
+  BOOST_LEAF_CHECK(bind());
+  serve();
   return {};
 }
 
--- a/source/Transport/HttpServer.h
+++ b/source/Transport/HttpServer.h
@@ -37,14 +37,21 @@
   HttpServer &operator=(const HttpServer &) = delete;
 
   /// Adds a route; \p Pattern is a regular expression over the whole path, and
-  /// its groups become HttpRequest::PathParameters_. Call before start().
+  /// its groups become HttpRequest::PathParameters_. Call before serve().
   void route(std::string_view Method, const std::string &Pattern,
              Handler Handle);
 
-  /// Binds and begins to accept; Unavailable if the address cannot be bound.
+  /// Binds the address; Unavailable if that fails. Connections wait until
+  /// serve(), so that the port is known before the routes exist.
+  Result<void> bind();
+
+  /// Begins to accept, after bind() and the last route().
+  void serve();
+
+  /// bind() and serve().
   Result<void> start();
 
-  /// The port in use, after start().
+  /// The port in use, after bind().
   int port() const { return Port_; }
 
   /// Stops accepting, and waits for the requests being served.
