--- /dev/null
+++ b/source/Coordination/PipelineRunner.h
@@ -0,0 +1,120 @@
+/// \file
+/// Execution of pipelines.
+#ifndef AMARANTH_COORDINATION_PIPELINERUNNER_H
+#define AMARANTH_COORDINATION_PIPELINERUNNER_H
+
+#include "Coordination/RetryBudget.h"
+#include "Coordination/Router.h"
+#include "Coordination/StageStatistics.h"
+#include "Coordination/SuspectRegistry.h"
+#include "Coordination/TargetTable.h"
+#include "Protocol/PeerMessages.h"
+#include "Protocol/StageClient.h"
+#include "Transport/TimerService.h"
+#include "Transport/WorkArena.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace amaranth::coordination {
+
+/// Settings of PipelineRunner.
+struct PipelineRunnerSettings {
+  int MaxAttempts_ = 6;          ///< For each stage, refused ones included.
+  Milliseconds BackoffBase_{10}; ///< Doubles with each retry of a stage.
+  Milliseconds BackoffLimit_{200};
+  Milliseconds ProgressTimeout_{2000};
+  bool Hedge_ = true;
+  int MaxHedges_ = 64;           ///< Running at once, over all requests.
+  Milliseconds HedgeMinimum_{5}; ///< Shortest wait before a hedge.
+  /// Extra attempts that hedges leave in the budget for retries.
+  double HedgeReserve_ = 15;
+  /// Waits out a backoff; a test replaces it.
+  std::function<void(Milliseconds)> Wait_;
+  /// True if \p Target accepts connections; decides after a reset whether the
+  /// target crashed. Without it only later refused connections tell.
+  std::function<bool(const state::Target &Target)> Answers_;
+  std::uint64_t Seed_ = std::random_device{}();
+};
+
+/// What a PipelineRunner works with; all must outlive it.
+struct PipelineParts {
+  protocol::StageClient &Engines_; ///< Runs Generate stages.
+  protocol::StageClient &Pools_;   ///< Runs the other stages.
+  Router &Router_;
+  TargetTable &Targets_;
+  RetryBudget &Budget_;
+  StageStatistics &Statistics_;
+  SuspectRegistry &Suspects_;
+  transport::TimerService &Timers_;
+};
+
+/// One request to a pipeline.
+struct PipelineRequest {
+  std::string RequestId_;
+  std::string TraceParent_;
+  std::string Input_;
+  int MaxTokens_ = 64;
+  /// Tokens that the output is expected to have; 0 takes MaxTokens_.
+  double PredictedTokens_ = 0;
+  int Priority_ = 0;
+  SteadyTime Deadline_;
+  protocol::TokenListener *Listener_ = nullptr;
+};
+
+/// What one stage cost.
+struct StageCost {
+  std::string Stage_;
+  std::string Target_; ///< The target whose result was used.
+  int Attempts_ = 0;
+  int Hedges_ = 0;
+  Microseconds Useful_{0}; ///< Duration of the attempt that succeeded.
+  Microseconds Wasted_{0}; ///< Duration of all others.
+};
+
+/// A whole output, or a refusal.
+struct PipelineResult {
+  /// Completed, NotRun (no stage ran) or Failed.
+  protocol::OutcomeKind Outcome_ = protocol::OutcomeKind::Failed;
+  int Status_ = 200;   ///< HTTP status for the caller.
+  std::string Detail_; ///< Why it was refused.
+  /// Time after which another attempt can succeed; zero if it cannot.
+  Milliseconds RetryAfter_{0};
+  protocol::PipelineData Data_; ///< Whole with Completed, else partial.
+  std::vector<StageCost> Stages_;
+};
+
+/// Runs the stages of a pipeline in order, under one deadline, on the caller's
+/// thread. Thread-safe.
+class PipelineRunner final {
+public:
+  PipelineRunner(const PipelineParts &Parts, PipelineRunnerSettings Settings);
+  /// Waits for hedges that lost and have not ended yet.
+  ~PipelineRunner();
+  PipelineRunner(const PipelineRunner &) = delete;
+  PipelineRunner &operator=(const PipelineRunner &) = delete;
+
+  PipelineResult run(const state::ServiceDocument &Document,
+                     const PipelineRequest &Request);
+
+private:
+  class StageRun;
+  friend class StageRun;
+
+  Milliseconds backoff(int Retry);
+
+  PipelineParts Parts_;
+  PipelineRunnerSettings Settings_;
+  std::mutex Mutex_;
+  std::mt19937_64 Random_;
+  transport::WorkArena Hedges_;
+};
+
+} // namespace amaranth::coordination
+
+#endif
--- /dev/null
+++ b/source/Coordination/PlainCallRunner.h
@@ -0,0 +1,71 @@
+/// \file
+/// Execution of calls of plain services.
+#ifndef AMARANTH_COORDINATION_PLAINCALLRUNNER_H
+#define AMARANTH_COORDINATION_PLAINCALLRUNNER_H
+
+#include "Coordination/CallDispatcher.h"
+#include "Coordination/RetryBudget.h"
+#include "Coordination/Router.h"
+#include "Coordination/TargetTable.h"
+#include "Protocol/PlainServiceClient.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+
+namespace amaranth::coordination {
+
+/// Settings of PlainCallRunner.
+struct PlainCallRunnerSettings {
+  int MaxAttempts_ = 6;
+  Milliseconds BackoffBase_{10}; ///< Doubles with each retry.
+  Milliseconds BackoffLimit_{200};
+  Milliseconds ProgressTimeout_{2000};
+  /// Waits out a backoff; a test replaces it.
+  std::function<void(Milliseconds)> Wait_;
+  std::uint64_t Seed_ = std::random_device{}();
+};
+
+/// What a PlainCallRunner works with; all must outlive it.
+struct PlainCallParts {
+  protocol::PlainServiceClient &Client_;
+  Router &Router_;
+  TargetTable &Targets_;
+  RetryBudget &Budget_;
+  /// The document in force of a service, or null.
+  std::function<std::shared_ptr<const state::ServiceDocument>(
+      const std::string &Service)>
+      Documents_;
+};
+
+/// Runs plain calls. Idempotent ones are repeated like stages; the others only
+/// after a target certainly did not run them. Blocks. Thread-safe.
+class PlainCallRunner final : public CallDispatcher {
+public:
+  PlainCallRunner(PlainCallParts Parts, PlainCallRunnerSettings Settings);
+
+  /// Runs an idempotent call; its outcome is Completed, NotRun or Failed.
+  protocol::RequestOutcome
+  runIdempotent(const protocol::ForwardedRequest &Request, SteadyTime Deadline);
+
+  protocol::RequestOutcome dispatch(const protocol::ForwardedRequest &Request,
+                                    SteadyTime Deadline) override;
+
+private:
+  protocol::RequestOutcome run(const protocol::ForwardedRequest &Request,
+                               SteadyTime Deadline, bool Repeatable);
+  protocol::PlainServiceReply attempt(const protocol::ForwardedRequest &Request,
+                                      const state::Target &Target, int Attempt,
+                                      SteadyTime Deadline, bool Repeatable);
+  Milliseconds backoff(int Retry);
+
+  PlainCallParts Parts_;
+  PlainCallRunnerSettings Settings_;
+  std::mutex Mutex_;
+  std::mt19937_64 Random_;
+};
+
+} // namespace amaranth::coordination
+
+#endif
--- /dev/null
+++ b/source/Coordination/PredictedRouter.cpp
@@ -0,0 +1,110 @@
+#include "Coordination/PredictedRouter.h"
+
+#include <algorithm>
+
+namespace amaranth::coordination {
+
+namespace {
+
+constexpr std::size_t CandidateCount = 2;
+
+bool contains(const std::vector<std::string> &Names, const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+} // namespace
+
+PredictedRouter::PredictedRouter(TargetTable &Table,
+                                 const PredictedRouterSettings &Settings)
+    : Table_(Table), Settings_(Settings), Random_(Settings.Seed_) {}
+
+std::optional<Route> PredictedRouter::choose(const RouteQuery &Query) {
+  Microseconds Median{0};
+  std::vector<Option> Usable = usableOptions(Query, Median);
+  auto Candidates =
+      rankedCandidates(Query.Targets_, Query.InputDigest_, CandidateCount);
+  auto IsCandidate = [&](const Option &One) {
+    return std::find(Candidates.begin(), Candidates.end(), One.Target_) !=
+           Candidates.end();
+  };
+  // A target that is avoided ranks after every other; it is still better than
+  // no target at all.
+  auto Better = [](const Option &Left, const Option &Right) {
+    if (Left.Estimate_.Avoided_ != Right.Estimate_.Avoided_)
+      return Right.Estimate_.Avoided_;
+    return Left.Estimate_.Completion_ < Right.Estimate_.Completion_;
+  };
+  auto Middle =
+      std::stable_partition(Usable.begin(), Usable.end(), IsCandidate);
+  std::vector<Option> Others(Middle, Usable.end());
+  Usable.erase(Middle, Usable.end());
+  auto Best = std::min_element(Usable.begin(), Usable.end(), Better);
+  bool AllLate = Best == Usable.end() || late(*Best, Query, Median);
+  if (AllLate && !Query.Suspect_) {
+    std::optional<Option> Kept;
+    if (Best != Usable.end())
+      Kept = *Best;
+    Usable = takeTwoRandom(std::move(Others));
+    if (Kept)
+      Usable.push_back(*Kept);
+    Best = std::min_element(Usable.begin(), Usable.end(), Better);
+  }
+  if (Best == Usable.end())
+    return std::nullopt;
+  return Route{Best->Target_, Best->Estimate_.Completion_};
+}
+
+std::vector<PredictedRouter::Option>
+PredictedRouter::usableOptions(const RouteQuery &Query, Microseconds &Median) {
+  std::vector<std::string> Addresses;
+  for (const state::Target *Target : Query.Targets_)
+    Addresses.push_back(Target->Address_);
+  auto Estimates = Table_.estimate(Addresses, Query.Class_, Query.Work_);
+  std::vector<Option> Usable;
+  std::vector<Microseconds> Completions;
+  for (std::size_t I = 0; I < Estimates.size(); ++I) {
+    if (Estimates[I].Leaving_)
+      continue;
+    Completions.push_back(Estimates[I].Completion_);
+    if (!contains(Query.Tried_, Query.Targets_[I]->Name_))
+      Usable.push_back({Query.Targets_[I], Estimates[I]});
+  }
+  if (!Completions.empty()) {
+    auto Middle = Completions.begin() +
+                  static_cast<std::ptrdiff_t>((Completions.size() - 1) / 2);
+    std::nth_element(Completions.begin(), Middle, Completions.end());
+    Median = *Middle;
+  }
+  return Usable;
+}
+
+bool PredictedRouter::late(const Option &Candidate, const RouteQuery &Query,
+                           Microseconds Median) const {
+  if (Candidate.Estimate_.Avoided_)
+    return true;
+  Microseconds Completion = Candidate.Estimate_.Completion_;
+  if (Completion > Query.TimeLeft_)
+    return true;
+  auto Limit = std::chrono::duration_cast<Microseconds>(
+      std::chrono::duration<double, std::micro>(Median) *
+      Settings_.LateFactor_);
+  return Completion > Limit + Settings_.LateFloor_;
+}
+
+std::vector<PredictedRouter::Option>
+PredictedRouter::takeTwoRandom(std::vector<Option> Others) {
+  // Avoided targets are drawn only when nothing else is left.
+  bool AnyGood =
+      std::any_of(Others.begin(), Others.end(),
+                  [](const Option &One) { return !One.Estimate_.Avoided_; });
+  if (AnyGood)
+    std::erase_if(Others,
+                  [](const Option &One) { return One.Estimate_.Avoided_; });
+  std::vector<Option> Drawn;
+  std::lock_guard Lock(Mutex_);
+  std::sample(Others.begin(), Others.end(), std::back_inserter(Drawn),
+              CandidateCount, Random_);
+  return Drawn;
+}
+
+} // namespace amaranth::coordination
--- /dev/null
+++ b/source/Coordination/RandomRouter.cpp
@@ -0,0 +1,26 @@
+#include "Coordination/RandomRouter.h"
+
+#include <algorithm>
+
+namespace amaranth::coordination {
+
+RandomRouter::RandomRouter(TargetTable &Table, std::uint64_t Seed)
+    : Table_(Table), Random_(Seed) {}
+
+std::optional<Route> RandomRouter::choose(const RouteQuery &Query) {
+  auto Usable = Query.Targets_;
+  if (Query.Suspect_)
+    Usable = rankedCandidates(Query.Targets_, Query.InputDigest_, 2);
+  std::erase_if(Usable, [&](const state::Target *Target) {
+    bool Tried = std::find(Query.Tried_.begin(), Query.Tried_.end(),
+                           Target->Name_) != Query.Tried_.end();
+    return Tried || Table_.isLeaving(Target->Address_);
+  });
+  if (Usable.empty())
+    return std::nullopt;
+  std::lock_guard Lock(Mutex_);
+  std::uniform_int_distribution<std::size_t> Pick(0, Usable.size() - 1);
+  return Route{Usable[Pick(Random_)], Microseconds{0}};
+}
+
+} // namespace amaranth::coordination
--- a/source/Coordination/RetryBudget.cpp
+++ b/source/Coordination/RetryBudget.cpp
@@ -12,9 +12,11 @@
   Available_ = std::min(Settings_.Burst_, Available_ + Settings_.Ratio_);
 }
 
-bool RetryBudget::tryTake() {
+bool RetryBudget::tryTake() { return tryTakeKeeping(0); }
+
+bool RetryBudget::tryTakeKeeping(double Reserve) {
   std::lock_guard Lock(Mutex_);
-  if (Available_ < 1)
+  if (Available_ < 1 + Reserve)
     return false;
   Available_ -= 1;
   return true;
--- a/source/Coordination/RetryBudget.h
+++ b/source/Coordination/RetryBudget.h
@@ -27,6 +27,10 @@
   /// Takes one extra attempt; false when the budget is used up.
   bool tryTake();
 
+  /// Takes one extra attempt if \p Reserve would remain. Hedges leave a reserve
+  /// because retries keep requests from failing and hedges only speed them up.
+  bool tryTakeKeeping(double Reserve);
+
 private:
   RetryBudgetSettings Settings_;
   std::mutex Mutex_;
