--- /dev/null
+++ b/source/State/TomlLibrary.h
@@ -0,0 +1,30 @@
+/// \file
+/// toml++ with its assertions as exceptions. Include it instead of the library
+/// itself: its inline functions must be the same everywhere.
+#ifndef AMARANTH_STATE_TOMLLIBRARY_H
+#define AMARANTH_STATE_TOMLLIBRARY_H
+
+#include <exception>
+
+namespace amaranth::state::detail {
+
+/// A failed assertion of the TOML parser.
+struct TomlAssertion final : std::exception {
+  const char *what() const noexcept override { return "TOML assertion failed"; }
+};
+
+constexpr void assertToml(bool Condition) {
+  if (!Condition)
+    throw TomlAssertion();
+}
+
+} // namespace amaranth::state::detail
+
+// toml++ 3.3 asserts that a table header starts with a key, so that a line
+// such as "[!" in a document would stop the process.
+#define TOML_ASSERT(Condition)                                                 \
+  ::amaranth::state::detail::assertToml(static_cast<bool>(Condition))
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+#endif
--- a/source/State/TomlReader.cpp
+++ b/source/State/TomlReader.cpp
@@ -58,6 +58,29 @@
   return Range.BelowMaximum_ ? Value < Range.Maximum_ : Value <= Range.Maximum_;
 }
 
+bool startsKey(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || C == '_' || C == '-' || C == '"' ||
+         C == '\'';
+}
+
+/// The first line that looks like a table header without a key, or 1.
+int lineOfBadHeader(std::string_view Text) {
+  int Line = 1;
+  for (std::size_t At = 0; At < Text.size(); ++Line) {
+    std::size_t End = std::min(Text.find('\n', At), Text.size());
+    std::string_view Content = Text.substr(At, End - At);
+    std::size_t Bracket = Content.find_first_not_of(" \t");
+    std::size_t Key = Content.find_first_not_of(" \t[");
+    bool IsHeader =
+        Bracket != std::string_view::npos && Content[Bracket] == '[';
+    if (IsHeader && (Key == std::string_view::npos || !startsKey(Content[Key])))
+      return Line;
+    At = End + 1;
+  }
+  return 1;
+}
+
 std::string elementPath(std::string_view Key, std::size_t Index) {
   return std::string(Key) + "[" + std::to_string(Index) + "]";
 }
@@ -66,12 +89,17 @@
 
 std::optional<toml::table> parseToml(std::string_view Text,
                                      std::vector<DocumentFault> &Faults) {
-  toml::parse_result Parsed = toml::parse(Text);
-  if (Parsed.succeeded())
-    return std::move(Parsed).table();
-  const toml::parse_error &Failure = Parsed.error();
-  Faults.push_back({lineAt(Failure.source()), "",
-                    std::string(Failure.description()), "valid TOML"});
+  // The library reports errors by exceptions; they end here.
+  try {
+    return toml::parse(Text);
+  } catch (const toml::parse_error &Failure) {
+    Faults.push_back({lineAt(Failure.source()), "",
+                      std::string(Failure.description()), "valid TOML"});
+  } catch (const detail::TomlAssertion &) {
+    Faults.push_back({lineOfBadHeader(Text), "",
+                      "a table header that does not start with a key",
+                      "valid TOML"});
+  }
   return std::nullopt;
 }
 
--- a/source/State/TomlReader.h
+++ b/source/State/TomlReader.h
@@ -5,9 +5,7 @@
 
 #include "State/ServiceDocument.h"
 #include "State/TextRule.h"
-
-#define TOML_EXCEPTIONS 0
-#include <toml++/toml.h>
+#include "State/TomlLibrary.h"
 
 #include <cstdint>
 #include <limits>
--- /dev/null
+++ b/tests/State/ConfigurationTest.cpp
@@ -0,0 +1,88 @@
+#include "State/ServiceDocument.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+using namespace amaranth::state;
+
+namespace {
+
+std::vector<ServiceDocument> readAll(const std::string &Deployment) {
+  std::vector<ServiceDocument> Documents;
+  std::filesystem::path Folder =
+      std::filesystem::path(AMARANTH_SOURCE_DIR) / "config" / Deployment;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
+    std::ostringstream Text;
+    Text << std::ifstream(Entry.path()).rdbuf();
+    DocumentReading Reading = readServiceDocument(Text.str());
+    for (const DocumentFault &Fault : Reading.Faults_)
+      UNSCOPED_INFO(toString(Entry.path().string(), Fault));
+    REQUIRE(Reading.Document_);
+    CHECK(Reading.Document_->Name_ + ".toml" == Entry.path().filename());
+    Documents.push_back(std::move(*Reading.Document_));
+  }
+  return Documents;
+}
+
+} // namespace
+
+// Guards against an example that the daemon refuses, or that does not describe
+// the machines of its deployment.
+TEST_CASE("the documents of each deployment are valid and agree") {
+  struct Case {
+    std::string Deployment_;
+    std::set<std::string> Services_;
+    std::size_t DataCentres_;
+    std::map<std::string, long> Targets_; ///< Count by name prefix.
+  };
+  auto Expected = GENERATE(values<Case>({
+      {"casita-taller",
+       {"guides", "questions", "tags", "shop-orders", "wood-inventory",
+        "shipping", "bench-scheduling"},
+       4,
+       {{"model-", 12},
+        {"shop-order-", 4},
+        {"wood-inventory-", 4},
+        {"shipping-", 5},
+        {"bench-scheduling-", 5}}},
+      {"mnimi-kartes",
+       {"verses", "greetings", "tone-labels", "calendar", "florist-bookings",
+        "print-queue", "legacy-bridge", "cards"},
+       3,
+       {{"model-", 18},
+        {"order-calendar-", 3},
+        {"florist-", 5},
+        {"print-queue-", 5},
+        {"legacy-bridge-", 5}}},
+  }));
+  CAPTURE(Expected.Deployment_);
+  std::map<std::string, std::string> Addresses;
+  std::set<std::string> Services, DataCentres, Accounts;
+  for (const ServiceDocument &Document : readAll(Expected.Deployment_)) {
+    Services.insert(Document.Name_);
+    for (const Target &Each : Document.Targets_) {
+      DataCentres.insert(Each.DataCentre_);
+      auto Known = Addresses.emplace(Each.Name_, Each.Address_).first;
+      CHECK(Known->second == Each.Address_);
+    }
+    for (const ClientAccount &Account : Document.Accounts_)
+      Accounts.insert(Account.Name_ + Account.KeyDigest_);
+  }
+  CHECK(Services == Expected.Services_);
+  CHECK(DataCentres.size() == Expected.DataCentres_);
+  CHECK(Accounts.size() == 5);
+  for (const auto &[Prefix, Count] : Expected.Targets_)
+    CHECK(std::count_if(Addresses.begin(), Addresses.end(),
+                        [&](const auto &Entry) {
+                          return Entry.first.starts_with(Prefix);
+                        }) == Count);
+  std::set<std::string> Distinct;
+  for (const auto &[Name, Address] : Addresses)
+    CHECK(Distinct.insert(Address).second);
+}
--- a/tests/State/ServiceDocumentTest.cpp
+++ b/tests/State/ServiceDocumentTest.cpp
@@ -138,6 +138,8 @@
       {"[objective]", "[[call]]\nname = \"c\"\ntargets = [\"m1\"]\n[objective]",
        "call", 5},
       {"[objective]", "[objective", "", 5},
+      // toml++ asserts that a header starts with a key.
+      {"[objective]", "[!objective]", "", 5},
   }));
   CAPTURE(Old, New);
   DocumentFault Fault = faultOf(replaced(Pipeline, Old, New));
