--- a/source/Protocol/EtcdClient.h
+++ b/source/Protocol/EtcdClient.h
@@ -41,7 +41,7 @@
   /// A watch that receives nothing for this long is ended, because a connection
   /// that stopped delivering looks like one without changes. Shorter than the
   /// 12 s within which a configuration must be in force.
-  Milliseconds WatchSilence_{8000};
+  Milliseconds WatchSilence_{10000};
   /// Longest message of a watch; a longer one ends the watch.
   std::size_t MaxWatchMessageBytes_ = 32 * 1024 * 1024;
 };
--- /dev/null
+++ b/tests/Coordination/FakeKeyValueStore.h
@@ -0,0 +1,222 @@
+/// \file
+/// A key-value service in memory, with outages and lost replies.
+#ifndef AMARANTH_TESTS_COORDINATION_FAKEKEYVALUESTORE_H
+#define AMARANTH_TESTS_COORDINATION_FAKEKEYVALUESTORE_H
+
+#include "Protocol/KeyValueStore.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace amaranth::coordination {
+
+/// Watches are delivered by the thread that writes. Leases expire by the clock
+/// given. Tests change the public members to inject faults.
+class FakeKeyValueStore final : public protocol::KeyValueStore {
+public:
+  explicit FakeKeyValueStore(std::function<SteadyTime()> Now = SteadyClock::now)
+      : Now_(std::move(Now)) {}
+
+  Result<protocol::RangeResult> range(const std::string &Key, bool Prefix,
+                                      Milliseconds) override {
+    std::lock_guard Lock(Mutex_);
+    BOOST_LEAF_CHECK(begin());
+    protocol::RangeResult Found{{}, Revision_};
+    for (const auto &[Name, Pair] : Pairs_)
+      if (Name == Key || (Prefix && Name.starts_with(Key)))
+        Found.Pairs_.push_back(Pair);
+    return Found;
+  }
+
+  Result<protocol::TransactionResult>
+  commit(const protocol::Transaction &Request, Milliseconds) override {
+    std::vector<protocol::WatchEvent> Events;
+    protocol::TransactionResult Outcome;
+    bool Lost = false;
+    {
+      std::lock_guard Lock(Mutex_);
+      BOOST_LEAF_CHECK(begin());
+      if (LoseRequest_) {
+        LoseRequest_ = false;
+        return fail(ErrorCode::Ambiguous, "request lost");
+      }
+      Outcome = apply(Request, Events);
+      Lost = std::exchange(LoseReply_, false);
+    }
+    if (!Events.empty())
+      publish(Events);
+    if (Lost)
+      return fail(ErrorCode::Ambiguous, "reply lost");
+    return Outcome;
+  }
+
+  Result<protocol::LeaseGrant> grantLease(Seconds TimeToLive,
+                                          Milliseconds) override {
+    std::lock_guard Lock(Mutex_);
+    BOOST_LEAF_CHECK(begin());
+    Leases_[++LastLease_] = Now_() + TimeToLive;
+    return protocol::LeaseGrant{LastLease_, TimeToLive};
+  }
+
+  Result<protocol::LeaseGrant> keepAlive(std::int64_t LeaseId,
+                                         Milliseconds) override {
+    std::lock_guard Lock(Mutex_);
+    BOOST_LEAF_CHECK(begin());
+    if (!Leases_.count(LeaseId))
+      return fail(ErrorCode::NotFound, "expired");
+    Leases_[LeaseId] = Now_() + LeaseTime_;
+    if (std::exchange(LoseReply_, false))
+      return fail(ErrorCode::Ambiguous, "reply lost");
+    return protocol::LeaseGrant{LeaseId, LeaseTime_};
+  }
+
+  Result<void> revokeLease(std::int64_t LeaseId, Milliseconds) override {
+    std::lock_guard Lock(Mutex_);
+    BOOST_LEAF_CHECK(begin());
+    Leases_[LeaseId] = Now_();
+    expire();
+    return {};
+  }
+
+  Result<std::unique_ptr<protocol::Watch>>
+  watch(const std::string &Prefix, std::uint64_t FromRevision,
+        protocol::WatchListener &Listener) override {
+    std::lock_guard Lock(Mutex_);
+    BOOST_LEAF_CHECK(begin());
+    const int Id = ++LastWatch_;
+    Watches_[Id] = {Prefix, &Listener};
+    (void)FromRevision;
+    return std::make_unique<OpenWatch>(*this, Id);
+  }
+
+  /// Ends all watches, as an outage does. \p Tell false leaves their listeners
+  /// in the belief that they are open.
+  void endWatches(bool Tell) {
+    std::map<int, Watcher> Ended;
+    {
+      std::lock_guard Lock(Mutex_);
+      Ended.swap(Watches_);
+    }
+    if (Tell)
+      for (auto &[Id, Each] : Ended)
+        Each.Listener_->onWatchEnd();
+  }
+
+  std::size_t watchCount() {
+    std::lock_guard Lock(Mutex_);
+    return Watches_.size();
+  }
+
+  bool Outage_ = false;      ///< Every call is Unavailable.
+  bool LoseReply_ = false;   ///< The next write takes effect, but is Ambiguous.
+  bool LoseRequest_ = false; ///< The next commit is Ambiguous without effect.
+  Seconds LeaseTime_{15};
+  int Calls_ = 0;
+
+private:
+  struct Watcher {
+    std::string Prefix_;
+    protocol::WatchListener *Listener_;
+  };
+
+  class OpenWatch final : public protocol::Watch {
+  public:
+    OpenWatch(FakeKeyValueStore &Store, int Id) : Store_(Store), Id_(Id) {}
+    ~OpenWatch() override {
+      std::lock_guard Lock(Store_.Mutex_);
+      Store_.Watches_.erase(Id_);
+    }
+
+  private:
+    FakeKeyValueStore &Store_;
+    int Id_;
+  };
+
+  Result<void> begin() {
+    ++Calls_;
+    expire();
+    if (Outage_)
+      return fail(ErrorCode::Unavailable, "outage");
+    return {};
+  }
+
+  void expire() {
+    std::erase_if(Leases_, [&](const auto &Item) {
+      if (Item.second > Now_())
+        return false;
+      std::erase_if(Pairs_, [&](const auto &Pair) {
+        return Pair.second.LeaseId_ == Item.first;
+      });
+      return true;
+    });
+  }
+
+  bool holds(const protocol::Compare &Condition) const {
+    auto Found = Pairs_.find(Condition.Key_);
+    std::uint64_t Actual = 0;
+    if (Found != Pairs_.end())
+      Actual = Condition.Field_ == protocol::Compare::Field::CreateRevision
+                   ? Found->second.CreateRevision_
+                   : Found->second.ModRevision_;
+    return Condition.Relation_ == protocol::Compare::Relation::Equal
+               ? Actual == Condition.Revision_
+               : Actual > Condition.Revision_;
+  }
+
+  protocol::TransactionResult apply(const protocol::Transaction &Request,
+                                    std::vector<protocol::WatchEvent> &Events) {
+    protocol::TransactionResult Outcome;
+    Outcome.Succeeded_ =
+        std::all_of(Request.Conditions_.begin(), Request.Conditions_.end(),
+                    [this](const auto &Each) { return holds(Each); });
+    if (Outcome.Succeeded_) {
+      ++Revision_;
+      for (const protocol::Mutation &Write : Request.Writes_)
+        Events.push_back({false, put(Write)});
+    } else {
+      for (const std::string &Key : Request.ReadOnFailure_)
+        if (Pairs_.count(Key))
+          Outcome.Found_.push_back(Pairs_[Key]);
+    }
+    Outcome.StoreRevision_ = Revision_;
+    return Outcome;
+  }
+
+  protocol::KeyValue put(const protocol::Mutation &Write) {
+    protocol::KeyValue &Pair = Pairs_[Write.Key_];
+    Pair.Key_ = Write.Key_;
+    Pair.Value_ = Write.Value_;
+    Pair.LeaseId_ = Write.LeaseId_;
+    Pair.ModRevision_ = Revision_;
+    if (Pair.CreateRevision_ == 0)
+      Pair.CreateRevision_ = Revision_;
+    return Pair;
+  }
+
+  void publish(const std::vector<protocol::WatchEvent> &Events) {
+    std::vector<Watcher> Told;
+    {
+      std::lock_guard Lock(Mutex_);
+      for (auto &[Id, Each] : Watches_)
+        if (Events.front().Pair_.Key_.starts_with(Each.Prefix_))
+          Told.push_back(Each);
+    }
+    for (Watcher &Each : Told)
+      Each.Listener_->onEvents(Events);
+  }
+
+  std::function<SteadyTime()> Now_;
+  std::mutex Mutex_;
+  std::map<std::string, protocol::KeyValue> Pairs_;
+  std::map<std::int64_t, SteadyTime> Leases_;
+  std::map<int, Watcher> Watches_;
+  std::uint64_t Revision_ = 1;
+  std::int64_t LastLease_ = 0;
+  int LastWatch_ = 0;
+};
+
+} // namespace amaranth::coordination
+
+#endif
