--- a/source/Coordination/ClaimTable.cpp
+++ b/source/Coordination/ClaimTable.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <thread>
 
 namespace amaranth::coordination {
 
@@ -82,6 +83,8 @@
     // An ambiguous attempt that took effect is found by the next one.
     if (!Reply && Reply.error().Code_ != ErrorCode::Ambiguous)
       break;
+    std::this_thread::sleep_for(
+        std::min(Settings_.RetryDelay_, remaining(Deadline)));
   }
   return {ClaimStatus::Unavailable, std::nullopt};
 }
--- a/source/Coordination/ClaimTable.h
+++ b/source/Coordination/ClaimTable.h
@@ -43,7 +43,8 @@
 struct ClaimTableSettings {
   /// Claim writes per second that all alive hosts share.
   double FleetWritesPerSecond_ = 50;
-  double Burst_ = 20; ///< Claim writes available at once.
+  double Burst_ = 20;           ///< Claim writes available at once.
+  Milliseconds RetryDelay_{10}; ///< After an ambiguous reply.
   Milliseconds CallTimeout_{1000};
 };
 
--- a/source/Coordination/ClosedJournals.cpp
+++ b/source/Coordination/ClosedJournals.cpp
@@ -23,17 +23,24 @@
                                              bool MayClose,
                                              SteadyTime Deadline) {
   Name Home(Host, Incarnation);
+  std::unique_lock Lock(Mutex_);
   auto Found = slotOf(Home);
-  std::unique_lock Lock(Found->Mutex_, Deadline);
-  if (!Lock.owns_lock())
+  if (!Loaded_.wait_until(Lock, Deadline, [&] { return !Found->Loading_; }))
     return nullptr;
-  if (!Found->Content_)
-    Found->Content_ = load(Home, MayClose, Deadline);
-  return Found->Content_;
+  if (Found->Content_)
+    return Found->Content_;
+  Found->Loading_ = true;
+  Lock.unlock();
+  Content Read = load(Home, MayClose, Deadline);
+  Lock.lock();
+  Found->Loading_ = false;
+  Found->Content_ = Read;
+  Loaded_.notify_all();
+  return Read;
 }
 
+/// The slot of \p Home, made if needed; the mutex is held.
 std::shared_ptr<ClosedJournals::Slot> ClosedJournals::slotOf(const Name &Home) {
-  std::lock_guard Lock(Mutex_);
   auto &Found = Slots_[Home];
   if (Found)
     return Found;
--- a/source/Coordination/ClosedJournals.h
+++ b/source/Coordination/ClosedJournals.h
@@ -7,6 +7,7 @@
 #include "Protocol/KeyValueStore.h"
 #include "Support/Time.h"
 
+#include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -42,9 +43,9 @@
 private:
   using Name = std::pair<std::string, std::uint64_t>;
 
-  /// One journal; the mutex lets one thread read it for all.
+  /// One journal; one thread reads it for all.
   struct Slot {
-    std::timed_mutex Mutex_;
+    bool Loading_ = false;
     Content Content_;
   };
 
@@ -55,6 +56,7 @@
   ClosedJournalsSettings Settings_;
   protocol::KeyValueStore &Store_;
   std::mutex Mutex_;
+  std::condition_variable Loaded_;
   std::map<Name, std::shared_ptr<Slot>> Slots_;
   std::deque<Name> Order_; ///< Oldest first.
 };
--- a/source/Coordination/Session.cpp
+++ b/source/Coordination/Session.cpp
@@ -17,6 +17,8 @@
 using protocol::Mutation;
 
 constexpr char SessionPrefix[] = "/amaranth/sessions/";
+/// Between attempts to delete the session at exit.
+constexpr Milliseconds CloseRetryDelay{20};
 
 /// \p Instance tells processes apart that chose the same incarnation.
 std::string toJson(const SessionRecord &Record, const std::string &Instance) {
@@ -142,6 +144,7 @@
     if (Reply.error().Code_ != ErrorCode::Ambiguous ||
         remaining(Deadline) == Milliseconds{0})
       return fail(Reply.error().Code_, Reply.error().Message_);
+    std::this_thread::sleep_for(std::min(CloseRetryDelay, remaining(Deadline)));
   }
 }
 
--- a/tests/Coordination/OnceFixture.cpp
+++ b/tests/Coordination/OnceFixture.cpp
@@ -19,6 +19,12 @@
 namespace {
 
 auto lost() { return fail(ErrorCode::Ambiguous, "the reply was lost"); }
+/// A service that accepts the call and never answers.
+auto hang(Milliseconds Timeout) {
+  std::this_thread::sleep_for(Timeout);
+  return lost();
+}
+
 auto unsent() { return fail(ErrorCode::Unavailable, "not reachable"); }
 
 } // namespace
@@ -158,9 +164,11 @@
   return Current ? Current(Request) : Fault::None;
 }
 
-Result<protocol::RangeResult> StoreClient::range(const std::string &Key,
-                                                 bool Prefix, Milliseconds) {
+Result<protocol::RangeResult>
+StoreClient::range(const std::string &Key, bool Prefix, Milliseconds Timeout) {
   Fault Next = nextFault(nullptr);
+  if (Next == Fault::Hang)
+    return hang(Timeout);
   if (Next == Fault::Unavailable)
     return unsent();
   if (Next != Fault::None)
@@ -169,7 +177,7 @@
 }
 
 Result<protocol::TransactionResult>
-StoreClient::commit(const Transaction &Request, Milliseconds) {
+StoreClient::commit(const Transaction &Request, Milliseconds Timeout) {
   switch (nextFault(&Request)) {
   case Fault::None:
     return effect(Request);
@@ -177,6 +185,8 @@
     return unsent();
   case Fault::LoseRequest:
     return lost();
+  case Fault::Hang:
+    return hang(Timeout);
   case Fault::LoseReply:
     effect(Request);
     return lost();
--- a/tests/Coordination/OnceFixture.h
+++ b/tests/Coordination/OnceFixture.h
@@ -41,6 +41,7 @@
   LoseRequest, ///< Ambiguous, without effect.
   LoseReply,   ///< Ambiguous, after the effect.
   DelayEffect, ///< Ambiguous; the effect comes at releaseDelayed().
+  Hang,        ///< Ambiguous without effect, after the whole timeout.
 };
 
 /// Store in memory.
--- a/tests/Coordination/OnceRandomTest.cpp
+++ b/tests/Coordination/OnceRandomTest.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <random>
+#include <set>
 
 using namespace amaranth;
 using namespace amaranth::coordination;
@@ -72,7 +73,6 @@
   std::string Body_;
   bool Ticketed_ = false;
   int RunsBefore_ = 0;
-  Milliseconds Late_{0};
   RequestOutcome Outcome_;
 };
 
@@ -96,7 +96,9 @@
     int Steps = 20 + static_cast<int>(next(Random_, 40));
     for (int I = 0; I < Steps; ++I) {
       step();
-      for (std::uint64_t Turn = next(Random_, 400); Turn > 0; --Turn)
+      // Some pauses are as long as the timeouts, most are much shorter.
+      std::uint64_t Longest = next(Random_, 10) == 0 ? 20000 : 400;
+      for (std::uint64_t Turn = next(Random_, Longest); Turn > 0; --Turn)
         std::this_thread::yield();
     }
     heal();
@@ -164,7 +166,7 @@
   }
 
   void step() {
-    switch (next(Random_, 16)) {
+    switch (next(Random_, 17)) {
     case 0:
       kill(pick());
       break;
@@ -206,8 +208,12 @@
       sendNewPlain();
       break;
     case 12:
+    case 13:
       resend();
       break;
+    case 14:
+      retire(pick());
+      break;
     default:
       sendNew();
       break;
@@ -222,6 +228,19 @@
       All_.Members_.setStatus(Victim.Node_->Name_, MemberStatus::Dead);
   }
 
+  /// Stops a process in the regular way.
+  void retire(Process &Leaving) {
+    Node &Stopped = *Leaving.Node_;
+    if (next(Random_, 3) != 0 || Stopped.Killed_ ||
+        !Retired_.insert(&Stopped).second)
+      return;
+    All_.Members_.setStatus(Stopped.Name_, MemberStatus::Draining);
+    Submissions_.push_back(std::async(std::launch::async, [&Stopped] {
+      Stopped.Runner_->stop(Milliseconds(50));
+      Stopped.Killed_ = true;
+    }));
+  }
+
   /// Starts a process under a host name whose older process may still run.
   void replace() {
     if (Processes_.size() < 7)
@@ -280,7 +299,7 @@
   void submit(Node &At, const std::string &Key, bool Ticketed,
               const std::string &Body, Milliseconds Timeout) {
     auto Task = [this, &At, Key, Ticketed, Body, Timeout] {
-      Answer Got{Key, Body, Ticketed, All_.Judge_.runs(Key), {}, {}};
+      Answer Got{Key, Body, Ticketed, All_.Judge_.runs(Key), {}};
       if (At.Killed_)
         return;
       Got.Outcome_ = At.submit(Key, Body, Timeout);
@@ -362,6 +381,7 @@
   Fleet All_;
   std::vector<Process> Processes_;
   std::vector<std::pair<std::string, bool>> Keys_; ///< With "is ticketed".
+  std::set<Node *> Retired_;
   std::vector<std::future<void>> Submissions_;
   std::mutex Mutex_;
   std::vector<Answer> Answers_;
