--- a/source/Coordination/LoadPoller.cpp
+++ b/source/Coordination/LoadPoller.cpp
@@ -13,7 +13,7 @@
 /// Bounds above which a report is taken for a fault of the target.
 constexpr double MaxQueuedWork = 1e9;
 constexpr double MaxRunning = 1e6;
-constexpr double MaxWorkPerSecond = 1e8;
+constexpr double MaxWorkPerSecond = 1e10;
 constexpr double MaxAgeMs = 60'000;
 
 /// A number under \p Key between 0 and \p Limit; none if it is anything else.
--- /dev/null
+++ b/source/Coordination/PipelineEstimator.cpp
@@ -0,0 +1,34 @@
+#include "Coordination/PipelineEstimator.h"
+
+#include <algorithm>
+
+namespace amaranth::coordination {
+
+Microseconds estimatePipeline(TargetTable &Table,
+                              const state::ServiceDocument &Document,
+                              double Tokens) {
+  Microseconds Total{0};
+  for (const state::Stage &Stage : Document.Stages_) {
+    std::vector<std::string> Addresses;
+    for (const std::string &Name : Stage.Targets_)
+      if (const state::Target *Found = Document.findTarget(Name))
+        Addresses.push_back(Found->Address_);
+    std::vector<Microseconds> Completions;
+    double Work = stageWork(Stage.Kind_, Tokens);
+    for (const TargetEstimate &One :
+         Table.estimate(Addresses, workClass(Stage.Kind_), Work))
+      if (!One.Leaving_ && !One.Avoided_)
+        Completions.push_back(One.Completion_);
+    if (Completions.empty())
+      continue;
+    // The router takes the better of two candidates, which is on average at the
+    // lower third.
+    auto Third = Completions.begin() +
+                 static_cast<std::ptrdiff_t>(Completions.size() / 3);
+    std::nth_element(Completions.begin(), Third, Completions.end());
+    Total += *Third;
+  }
+  return Total;
+}
+
+} // namespace amaranth::coordination
--- /dev/null
+++ b/source/Coordination/PipelineEstimator.h
@@ -0,0 +1,20 @@
+/// \file
+/// Prediction of the duration of pipelines.
+#ifndef AMARANTH_COORDINATION_PIPELINEESTIMATOR_H
+#define AMARANTH_COORDINATION_PIPELINEESTIMATOR_H
+
+#include "Coordination/TargetTable.h"
+#include "State/ServiceDocument.h"
+
+namespace amaranth::coordination {
+
+/// Predicted time of all stages of a request with \p Tokens output tokens that
+/// starts now, from the load and pace of their targets; for admission. Zero
+/// for what is not known yet.
+Microseconds estimatePipeline(TargetTable &Table,
+                              const state::ServiceDocument &Document,
+                              double Tokens);
+
+} // namespace amaranth::coordination
+
+#endif
--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -24,10 +24,6 @@
 /// Share of stage durations after which a hedge is started.
 constexpr double HedgeQuantile = 0.95;
 
-/// Fixed part of a Generate attempt in tokens (prompt and first token), so that
-/// paces of short and long outputs can be compared.
-constexpr double GenerateOverheadTokens = 8;
-
 /// Shortest progress timeout of an attempt.
 constexpr Milliseconds MinProgressTimeout{50};
 
@@ -35,12 +31,6 @@
   return std::chrono::duration_cast<Microseconds>(SteadyClock::now() - Start);
 }
 
-double stageWork(StageKind Kind, double Tokens) {
-  if (Kind != StageKind::Generate)
-    return 1;
-  return std::max(0.0, Tokens) + GenerateOverheadTokens;
-}
-
 /// Passes each token on once. When a stage starts again from its first token
 /// after a corrupt attempt, the tokens already passed on must come again.
 class TokenRelay final : public protocol::TokenListener {
--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -63,6 +63,14 @@
   return WorkClass::Generate;
 }
 
+double stageWork(state::StageKind Kind, double Tokens) {
+  // The prompt and the first token cost about as much as this many tokens.
+  constexpr double GenerateOverheadTokens = 8;
+  if (Kind != state::StageKind::Generate)
+    return 1;
+  return std::max(0.0, Tokens) + GenerateOverheadTokens;
+}
+
 TargetTable::TargetTable(TargetTableSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_) {}
 
@@ -265,6 +273,24 @@
   return std::max(Target.OwnWork_, Left + Target.SentSinceReport_);
 }
 
+double TargetTable::queueDelay(const Entry &Target, double UnloadedPace,
+                               SteadyTime Now) const {
+  double Pending = pendingWork(Target, Now);
+  if (!Target.Report_ || Target.Report_->WorkPerSecond_ <= 0)
+    return Pending * UnloadedPace * QueueShare;
+  // A batching engine runs as many requests at once as its rate exceeds that of
+  // one request; new work waits only when all these places are taken.
+  double Rate = Target.Report_->WorkPerSecond_;
+  double Places = std::max(1.0, Rate * UnloadedPace);
+  double Running = Target.Report_->Running_;
+  for (const auto &[Id, Attempt] : Target.InFlight_)
+    if (Attempt.Start_ >= Target.ReportMeasured_)
+      ++Running;
+  Running = std::max(Running, static_cast<double>(Target.InFlight_.size()));
+  double Busy = UnloadedPace > 0 ? std::min(1.0, Running / Places) : 1;
+  return Pending / Rate * Busy * Busy;
+}
+
 double TargetTable::overdue(const Entry &Target, WorkClass Class,
                             double Typical, SteadyTime Now) const {
   double Worst = 1;
@@ -324,10 +350,7 @@
       Target.SlowWait_ = Milliseconds{0};
     }
     Estimate.Slowdown_ = Slowdown;
-    double Pending = pendingWork(Target, Now);
-    double QueueDelay = Pending * UnloadedPace * QueueShare;
-    if (Target.Report_ && Target.Report_->WorkPerSecond_ > 0)
-      QueueDelay = Pending / Target.Report_->WorkPerSecond_;
+    double QueueDelay = queueDelay(Target, UnloadedPace, Now);
     double Forgotten =
         std::exp2(-seconds(Now - Target.FailureTime_) / FailureHalfLifeSeconds);
     double FailureDelay = Target.FailureRate_ * Forgotten * FailureDelaySeconds;
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -24,6 +24,10 @@
 /// The class of a stage's work.
 WorkClass workClass(state::StageKind Kind);
 
+/// Work of an attempt: output tokens and a fixed part for a Generate stage, so
+/// that the paces of short and long outputs can be compared; 1 for others.
+double stageWork(state::StageKind Kind, double Tokens);
+
 /// Settings of TargetTable.
 struct TargetTableSettings {
   /// Time source; a simulation replaces it.
@@ -171,6 +175,8 @@
   Milliseconds recheckWait(int Streak);
   bool leaving(const Entry &Target, SteadyTime Now) const;
   double pendingWork(const Entry &Target, SteadyTime Now) const;
+  double queueDelay(const Entry &Target, double UnloadedPace,
+                    SteadyTime Now) const;
   double overdue(const Entry &Target, WorkClass Class, double Typical,
                  SteadyTime Now) const;
 
--- /dev/null
+++ b/tests/Coordination/AdmissionTest.cpp
@@ -0,0 +1,196 @@
+#include "Coordination/Admission.h"
+#include "Coordination/OpenAdmission.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace amaranth;
+using namespace amaranth::coordination;
+
+namespace {
+
+AdmissionRequest request(std::string Id, int MaxTokens = 10,
+                         std::string Account = "a") {
+  AdmissionRequest Request;
+  Request.RequestId_ = std::move(Id);
+  Request.Service_ = "guides";
+  Request.Account_ = std::move(Account);
+  Request.MaxTokens_ = MaxTokens;
+  Request.Deadline_ = SteadyClock::now() + Seconds{20};
+  return Request;
+}
+
+AdmissionSettings places(double Short, double Long) {
+  AdmissionSettings Settings;
+  Settings.MaxShort_ = Short;
+  Settings.MaxLong_ = Long;
+  return Settings;
+}
+
+constexpr int LongTokens = 1000;
+
+using Decision = AdmissionPolicy::Decision;
+
+std::future<Decision> admitAsync(AdmissionPolicy &Policy,
+                                 AdmissionRequest Request) {
+  return std::async(std::launch::async,
+                    [&Policy, Request] { return Policy.admit(Request); });
+}
+
+/// Waits until \p Count requests are queued.
+void waitQueued(Admission &Policy, std::size_t Count) {
+  SteadyTime Limit = SteadyClock::now() + Seconds{20};
+  while (SteadyClock::now() < Limit) {
+    AdmissionLoad Load = Policy.load();
+    if (Load.ShortQueued_ + Load.LongQueued_ == Count)
+      return;
+    std::this_thread::yield();
+  }
+  FAIL("the requests were not queued");
+}
+
+} // namespace
+
+// Guards against places lost when a request ends by an exception or a move.
+TEST_CASE("a permit gives its place back exactly once") {
+  Admission Policy(places(4, 4));
+  for (int I = 0; I < 100; ++I) {
+    try {
+      Decision First = Policy.admit(request("r"));
+      REQUIRE(First.Permit_);
+      Permit Moved = std::move(First.Permit_);
+      if (I % 2 == 0)
+        throw std::runtime_error("fault");
+      Moved.release();
+      Moved = Permit();
+    } catch (const std::runtime_error &) {
+    }
+  }
+  CHECK(Policy.load().ShortRunning_ == 0);
+}
+
+// Guards against places or queue entries lost when callers go while queued.
+TEST_CASE("a queued request can be cancelled") {
+  Admission Policy(places(4, 0));
+  std::vector<Decision> Running;
+  for (int I = 0; I < 4; ++I)
+    Running.push_back(Policy.admit(request("running")));
+  for (int I = 0; I < 20; ++I) {
+    auto Queued = admitAsync(Policy, request("queued"));
+    waitQueued(Policy, 1);
+    Policy.cancel("queued");
+    Decision Ended = Queued.get();
+    CHECK_FALSE(Ended.Permit_);
+    CHECK(Ended.Status_ == 499);
+  }
+  waitQueued(Policy, 0);
+  Running.clear();
+  CHECK(Policy.admit(request("later")).Permit_);
+  CHECK(Policy.load().ShortRunning_ == 0);
+}
+
+// Guards against short work held up behind long work.
+TEST_CASE("short work borrows from long work and not the reverse") {
+  Admission Policy(places(4, 4));
+  std::vector<Decision> Running;
+  for (int I = 0; I < 8; ++I)
+    Running.push_back(Policy.admit(request("short")));
+  for (const Decision &One : Running)
+    CHECK(One.Permit_);
+  Running.clear();
+  for (int I = 0; I < 4; ++I)
+    Running.push_back(Policy.admit(request("long", LongTokens)));
+  auto Fifth = admitAsync(Policy, request("fifth", LongTokens));
+  waitQueued(Policy, 1);
+  Decision Short = Policy.admit(request("short"));
+  REQUIRE(Short.Permit_);
+  CHECK(Short.Permit_.grant().Priority_ > Running[0].Permit_.grant().Priority_);
+  Running.pop_back();
+  CHECK(Fifth.get().Permit_);
+}
+
+// Guards against running a request that is predicted to miss its deadline, and
+// against a refusal without a time to come back.
+TEST_CASE("a request that cannot meet its deadline is refused before it runs") {
+  AdmissionSettings Settings = places(4, 4);
+  Settings.Estimate_ = [](const std::string &, double Tokens) {
+    return Microseconds{static_cast<Microseconds::rep>(Tokens * 1000)};
+  };
+  Admission Policy(Settings);
+  AdmissionRequest Late = request("late", LongTokens);
+  Late.Deadline_ = SteadyClock::now() + Milliseconds{500};
+  Decision Refused = Policy.admit(Late);
+  CHECK_FALSE(Refused.Permit_);
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.RetryAfter_ >= Milliseconds{400});
+  CHECK(Policy.admit(request("in time", 100)).Permit_);
+}
+
+// Guards against a request that stays queued past the time at which it could
+// still be answered.
+TEST_CASE("a queued request is refused when it is too late to start") {
+  Admission Policy(places(4, 0));
+  std::vector<Decision> Running;
+  for (int I = 0; I < 4; ++I)
+    Running.push_back(Policy.admit(request("running")));
+  AdmissionRequest Short = request("queued");
+  Short.Deadline_ = SteadyClock::now() + Milliseconds{20};
+  CHECK(Policy.admit(Short).Status_ == 503);
+  OpenAdmission Baseline(1);
+  Decision First = Baseline.admit(request("first"));
+  Short.Deadline_ = SteadyClock::now() + Milliseconds{20};
+  CHECK(Baseline.admit(Short).Status_ == 503);
+}
+
+// Guards against treating requests of an account that sets max_tokens high but
+// uses little as long work for ever.
+TEST_CASE("account history changes the predicted size") {
+  SizePredictor Sizes({});
+  CHECK(Sizes.predict("a", 0, 400).Class_ == SizeClass::Long);
+  for (int I = 0; I < 60; ++I)
+    Sizes.record("a", 400, 20);
+  CHECK(Sizes.predict("a", 0, 400).Class_ == SizeClass::Short);
+  CHECK(Sizes.predict("b", 0, 400).Class_ == SizeClass::Long);
+}
+
+// Guards against a large account taking the share of a small one.
+TEST_CASE("accounts share by weight whatever their number of requests") {
+  FairQueue Queue;
+  SteadyTime Now{};
+  std::uint64_t Id = 0;
+  for (int I = 0; I < 1000; ++I)
+    Queue.push({++Id, "large", 1, 10, Now});
+  for (int I = 0; I < 10; ++I)
+    Queue.push({++Id, "small", 1, 10, Now});
+  // Ten own requests, and one of the large account beside each and the next.
+  CHECK(Queue.costAhead("small") == 210);
+  CHECK(Queue.costAhead("large") == 10100);
+  int Small = 0;
+  for (int I = 0; I < 20; ++I)
+    Small += Queue.pop(Now, Seconds{1})->Account_ == "small";
+  CHECK(Small >= 9);
+  // Waiting long enough overrides the tags at every second turn.
+  Queue.push({++Id, "costly", 0.001, 10, Now});
+  Queue.push({++Id, "costly", 0.001, 10, Now});
+  bool Served = false;
+  SteadyTime Later = Now + Seconds{5};
+  for (int I = 0; I < 2000 && !Queue.empty(); ++I)
+    Served = Served || Queue.pop(Later, Seconds{1})->Account_ == "costly";
+  CHECK(Served);
+}
+
+// Guards against a queue order that a cancelled request keeps distorting.
+TEST_CASE("a removed request gives its cost back to its account") {
+  FairQueue Queue;
+  SteadyTime Now{};
+  Queue.push({1, "a", 1, 100, Now});
+  Queue.push({2, "a", 1, 1, Now});
+  Queue.push({3, "b", 1, 1, Now});
+  CHECK(Queue.remove(1));
+  CHECK_FALSE(Queue.remove(1));
+  CHECK(Queue.pop(Now, Seconds{1})->Id_ == 2);
+  CHECK(Queue.pop(Now, Seconds{1})->Id_ == 3);
+  CHECK(Queue.empty());
+}
