--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -28,3 +28,9 @@
     source/Standin/DeterministicRetrieval.cpp)
   set_tests_properties(integration_test PROPERTIES RUN_SERIAL TRUE)
 endif()
+
+# The command line is a program, so its test compiles its sources.
+amaranth_test(control_test Control 120 amaranth_coordination PkgConfig::POPT)
+file(GLOB ControlSources CONFIGURE_DEPENDS source/Control/*.cpp)
+list(FILTER ControlSources EXCLUDE REGEX "/Main\\.cpp$")
+target_sources(control_test PRIVATE ${ControlSources})
