--- a/source/Standin/KeyValueMessages.cpp
+++ b/source/Standin/KeyValueMessages.cpp
@@ -124,15 +124,15 @@
 }
 
 Json toJson(const OperationAnswer &Answer, std::int64_t Revision) {
-  auto withHeader = [&](Json Body) {
+  auto WithHeader = [&](Json Body) {
     Body["header"] = Json{{"revision", std::to_string(Revision)}};
     return Body;
   };
   if (const auto *Range = std::get_if<RangeAnswer>(&Answer))
-    return {{"response_range", withHeader(standin::toJson(*Range))}};
+    return {{"response_range", WithHeader(standin::toJson(*Range))}};
   if (const auto *Delete = std::get_if<DeleteAnswer>(&Answer))
-    return {{"response_delete_range", withHeader(standin::toJson(*Delete))}};
-  return {{"response_put", withHeader(Json::object())}};
+    return {{"response_delete_range", WithHeader(standin::toJson(*Delete))}};
+  return {{"response_put", WithHeader(Json::object())}};
 }
 
 } // namespace
--- a/source/Standin/ProxyStandin.cpp
+++ b/source/Standin/ProxyStandin.cpp
@@ -117,17 +117,17 @@
     Open_.push_back(Opened);
   }
   auto Left = std::make_shared<std::atomic<int>>(TasksPerConnection);
-  auto end = [this, Opened, Left] {
+  auto End = [this, Opened, Left] {
     if (--*Left == 0)
       close(Opened);
   };
-  Arena_.enqueue([Opened, end] {
+  Arena_.enqueue([Opened, End] {
     Opened->pumpToTarget();
-    end();
+    End();
   });
-  Arena_.enqueue([Opened, end] {
+  Arena_.enqueue([Opened, End] {
     Opened->pumpToClient();
-    end();
+    End();
   });
 }
 
--- a/source/Standin/Socket.cpp
+++ b/source/Standin/Socket.cpp
@@ -68,17 +68,28 @@
     close(Descriptor_);
 }
 
-Result<Socket> Socket::listenOn(const SocketAddress &Address) {
+Result<Socket> Socket::bindTo(const SocketAddress &Address) {
   Socket Made(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   setOption(Made.Descriptor_, SOL_SOCKET, SO_REUSEADDR);
   sockaddr_in Native = toNative(Address);
   if (bind(Made.Descriptor_, reinterpret_cast<sockaddr *>(&Native),
-           sizeof(Native)) != 0 ||
-      listen(Made.Descriptor_, Backlog) != 0)
+           sizeof(Native)) != 0)
     return fail(ErrorCode::Unavailable, "cannot bind " + toText(Address));
   return Made;
 }
 
+Result<Socket> Socket::listenOn(const SocketAddress &Address) {
+  BOOST_LEAF_AUTO(Made, bindTo(Address));
+  // The kernel keeps a port over shutdown() only if it was bound by number, so
+  // a port that the system chose is bound a second time by its number.
+  if (Address.Port_ == 0) {
+    BOOST_LEAF_ASSIGN(Made, bindTo({Address.Ip_, Made.localPort()}));
+  }
+  if (!Made.listenAgain())
+    return fail(ErrorCode::Unavailable, "cannot listen on " + toText(Address));
+  return Made;
+}
+
 Result<Socket> Socket::connectTo(const SocketAddress &Address) {
   Socket Made(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   setOption(Made.Descriptor_, IPPROTO_TCP, TCP_NODELAY);
--- a/source/Standin/Socket.h
+++ b/source/Standin/Socket.h
@@ -60,6 +60,8 @@
   void shutdownBoth() const;
 
 private:
+  static Result<Socket> bindTo(const SocketAddress &Address);
+
   int Descriptor_ = -1;
 };
 
