--- a/source/Coordination/Membership.h
+++ b/source/Coordination/Membership.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_COORDINATION_MEMBERSHIP_H
 #define AMARANTH_COORDINATION_MEMBERSHIP_H
 
+#include "Coordination/ContactView.h"
 #include "Coordination/GossipParticipant.h"
 #include "Coordination/MemberView.h"
 #include "Protocol/PeerNetwork.h"
@@ -54,7 +55,7 @@
 /// the peer does not answer, others probe it; if they fail too it is suspect,
 /// and dead when it has not refuted in time. A dead member that was only frozen
 /// or cut off refutes when it is heard again. Thread-safe.
-class Membership final : public MemberView {
+class Membership final : public MemberView, public ContactView {
 public:
   /// Told about changes, without locks held. Two changes of one host may be
   /// reported by two threads at once; find() gives the current state.
@@ -106,9 +107,7 @@
   /// A newer process runs under this host's name.
   bool superseded() const;
 
-  /// This host was in contact with more than half of its peers within
-  /// \p Window, or knows none. Dead peers count unless they left by draining.
-  bool contactedMajorityWithin(Milliseconds Window) const;
+  bool contactedMajorityWithin(Milliseconds Window) const override;
 
   protocol::Member self() const override;
   std::vector<protocol::Member> members() const override;
--- a/tests/Coordination/FakeKeyValueStore.h
+++ b/tests/Coordination/FakeKeyValueStore.h
@@ -86,22 +86,27 @@
     std::lock_guard Lock(Mutex_);
     BOOST_LEAF_CHECK(begin());
     const int Id = ++LastWatch_;
-    Watches_[Id] = {Prefix, &Listener};
+    Watches_[Id] = {Prefix, &Listener, false};
     (void)FromRevision;
     return std::make_unique<OpenWatch>(*this, Id);
   }
 
-  /// Ends all watches, as an outage does. \p Tell false leaves their listeners
-  /// in the belief that they are open.
-  void endWatches(bool Tell) {
+  /// Stops delivery to all open watches, like connections that went dead.
+  void silenceWatches() {
+    std::lock_guard Lock(Mutex_);
+    for (auto &[Id, Each] : Watches_)
+      Each.Silent_ = true;
+  }
+
+  /// Ends all open watches and tells their listeners.
+  void endWatches() {
     std::map<int, Watcher> Ended;
     {
       std::lock_guard Lock(Mutex_);
       Ended.swap(Watches_);
     }
-    if (Tell)
-      for (auto &[Id, Each] : Ended)
-        Each.Listener_->onWatchEnd();
+    for (auto &[Id, Each] : Ended)
+      Each.Listener_->onWatchEnd();
   }
 
   std::size_t watchCount() {
@@ -119,6 +124,7 @@
   struct Watcher {
     std::string Prefix_;
     protocol::WatchListener *Listener_;
+    bool Silent_ = false;
   };
 
   class OpenWatch final : public protocol::Watch {
@@ -200,7 +206,8 @@
     {
       std::lock_guard Lock(Mutex_);
       for (auto &[Id, Each] : Watches_)
-        if (Events.front().Pair_.Key_.starts_with(Each.Prefix_))
+        if (!Each.Silent_ &&
+            Events.front().Pair_.Key_.starts_with(Each.Prefix_))
           Told.push_back(Each);
     }
     for (Watcher &Each : Told)
