Assemble configuration sync, admission, membership and the janitor

HttpServer::stop() took the keep-alive timeout (15 s) whenever a client kept an idle connection: protocol_test needed 109 s. Ruled out: a shorter keep-alive, which would close connections that callers are about to reuse. stop() now ends the reading side of the accepted connections.

--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -389,6 +389,10 @@
           std::chrono::ceil<Milliseconds>(Target.AvoidUntil_ - Now);
     View.Leaving_ = leaving(Target, Now);
     View.FailureRate_ = Target.FailureRate_;
+    for (const Pace &Class : Target.Pace_)
+      if (Class.Samples_ > 0)
+        View.RecentPace_ = std::chrono::duration_cast<Microseconds>(
+            std::chrono::duration<double>(Class.Recent_));
     View.BadReports_ = Target.BadReports_;
     Views.push_back(std::move(View));
   }
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -89,6 +89,9 @@
   Milliseconds RecheckIn_{0};
   bool Leaving_ = false;
   double FailureRate_ = 0;
+  /// Recent duration of a unit of work (a token or a call), zero if the target
+  /// has completed none.
+  Microseconds RecentPace_{0};
   std::uint64_t BadReports_ = 0;
 };
 
--- a/source/Daemon/AdminHandlers.cpp
+++ b/source/Daemon/AdminHandlers.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/AdminHandlers.h"
 
+#include "Coordination/DocumentChange.h"
 #include "Protocol/Problem.h"
 #include "Support/Digest.h"
 #include "Support/Log.h"
@@ -69,8 +70,7 @@
   return List;
 }
 
-[[maybe_unused]] Json
-faultsJson(const std::vector<state::DocumentFault> &Faults) {
+Json faultsJson(const std::vector<state::DocumentFault> &Faults) {
   Json List = Json::array();
   for (const state::DocumentFault &Fault : Faults)
     List.push_back({{"line", Fault.Line_},
@@ -99,11 +99,27 @@
           {"in_flight", View.InFlight_},
           {"queued_tokens", Queued},
           {"load_age_ms", View.Report_ ? View.ReportAge_.count() : -1},
-          {"latency_ms", 0}};
+          {"latency_ms", View.RecentPace_.count() / 1000.0}};
 }
 
-[[maybe_unused]] std::optional<std::uint64_t>
-readRevision(const std::string &Text) {
+/// Longest time for a change, repetitions after lost replies included.
+constexpr Milliseconds ChangeTimeout{5000};
+
+/// Timeout of the read that shows whether the key-value service answers.
+constexpr Milliseconds ReachTimeout{500};
+
+HttpReply changeFailure(const Error &Failure) {
+  if (Failure.Code_ == ErrorCode::InvalidArgument)
+    return problem(400, "bad-request", Failure.Message_);
+  // After an ambiguous end, repeating with the same Change-Id shows whether
+  // the change took effect.
+  const char *Type = Failure.Code_ == ErrorCode::Ambiguous
+                         ? "change-ambiguous"
+                         : "key-value-unavailable";
+  return problem(503, Type, Failure.Message_);
+}
+
+std::optional<std::uint64_t> readRevision(const std::string &Text) {
   std::uint64_t Value = 0;
   auto [End, Failure] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Value);
@@ -164,18 +180,24 @@
   return toString(Parts_.Gate_.phase());
 }
 
+bool AdminHandlers::isKeyValueReachable() {
+  auto Read = capture(
+      [&] { return Parts_.Store_.range("/amaranth/", false, ReachTimeout); });
+  return static_cast<bool>(Read);
+}
+
 HttpReply AdminHandlers::onStatus(const HttpRequest &) {
   protocol::Member Self = Parts_.Members_.self();
-  return jsonReply(
-      {{"host", Self.Host_},
-       {"data_centre", Self.DataCentre_},
-       {"incarnation", Self.Incarnation_},
-       {"state", serviceState()},
-       {"in_flight", Parts_.Gate_.inFlight()},
-       {"members", membersJson(Parts_.Members_.members())},
-       {"services", servicesJson(Parts_.Documents_.all())},
-       {"key_value",
-        {{"reachable", true}, {"calls", Parts_.KeyValueCalls_.counts()}}}});
+  return jsonReply({{"host", Self.Host_},
+                    {"data_centre", Self.DataCentre_},
+                    {"incarnation", Self.Incarnation_},
+                    {"state", serviceState()},
+                    {"in_flight", Parts_.Gate_.inFlight()},
+                    {"members", membersJson(Parts_.Members_.members())},
+                    {"services", servicesJson(Parts_.Documents_.all())},
+                    {"key_value",
+                     {{"reachable", isKeyValueReachable()},
+                      {"calls", Parts_.KeyValueCalls_.counts()}}}});
 }
 
 HttpReply AdminHandlers::onServices(const HttpRequest &) {
@@ -194,11 +216,49 @@
                     {"document", Document.Text_}});
 }
 
-HttpReply AdminHandlers::onApply(const HttpRequest &) {
-  return problem(503, "unavailable", "not assembled yet");
+HttpReply AdminHandlers::onApply(const HttpRequest &Request) {
+  state::DocumentReading Reading = state::readServiceDocument(Request.Body_);
+  if (!Reading.Document_)
+    return jsonReply(faultsJson(Reading.Faults_), 422);
+  const std::string &Name = Request.PathParameters_.at(0);
+  if (Reading.Document_->Name_ != Name)
+    return jsonReply(faultsJson({{1, "name", Reading.Document_->Name_, Name}}),
+                     422);
+  return change(Request, coordination::applyDocument);
 }
-HttpReply AdminHandlers::onDelete(const HttpRequest &) {
-  return problem(503, "unavailable", "not assembled yet");
+
+HttpReply AdminHandlers::onDelete(const HttpRequest &Request) {
+  return change(Request, coordination::deleteDocument);
+}
+
+HttpReply AdminHandlers::change(const HttpRequest &Request, Writer Write) {
+  auto Expected = readRevision(Request.Headers_.get("If-Match"));
+  std::string ChangeId = Request.Headers_.get("Change-Id");
+  if (!Expected || ChangeId.empty())
+    return problem(400, "bad-request",
+                   "If-Match (a revision, 0 to create) and Change-Id are "
+                   "required");
+  coordination::DocumentChange Change;
+  Change.Name_ = Request.PathParameters_.at(0);
+  Change.ExpectedRevision_ = *Expected;
+  Change.ChangeId_ = ChangeId;
+  Change.Text_ = Request.Body_;
+  auto Outcome =
+      capture([&] { return Write(Parts_.Store_, Change, ChangeTimeout); });
+  if (!Outcome)
+    return changeFailure(Outcome.error());
+  const state::StoredDocument &Current = Outcome->Current_;
+  if (!Outcome->Applied_)
+    return jsonReply({{"revision", Current.Revision_},
+                      {"deleted", Current.Deleted_},
+                      {"document", Current.Text_}},
+                     409);
+  Parts_.Publish_(Current);
+  LogEvent(LogLevel::Info, "document_changed")
+      .field("service", Current.Name_)
+      .field("revision", Current.Revision_)
+      .field("change", ChangeId);
+  return jsonReply({{"name", Current.Name_}, {"revision", Current.Revision_}});
 }
 
 HttpReply AdminHandlers::onTargets(const HttpRequest &) {
--- a/source/Daemon/AdminHandlers.h
+++ b/source/Daemon/AdminHandlers.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_DAEMON_ADMINHANDLERS_H
 #define AMARANTH_DAEMON_ADMINHANDLERS_H
 
+#include "Coordination/DocumentChange.h"
 #include "Coordination/MemberView.h"
 #include "Coordination/RequestGate.h"
 #include "Coordination/TargetTable.h"
@@ -31,6 +32,8 @@
   state::BurnReport &Burn_;
   std::function<bool()> Isolated_;
   std::function<void()> RequestDrain_;
+  /// Puts a document that was just written in force here and at peers.
+  std::function<void(const state::StoredDocument &)> Publish_;
 };
 
 /// Serves operators and probes of the host. Everything under /v1/admin needs
@@ -59,6 +62,12 @@
   transport::HttpReply onDrain(const transport::HttpRequest &Request);
   transport::HttpReply onBurn(const transport::HttpRequest &Request);
   transport::HttpReply onLogLevel(const transport::HttpRequest &Request);
+  using Writer = Result<coordination::ChangeOutcome> (*)(
+      protocol::KeyValueStore &, const coordination::DocumentChange &,
+      Milliseconds);
+  transport::HttpReply change(const transport::HttpRequest &Request,
+                              Writer Write);
+  bool isKeyValueReachable();
   transport::HttpReply onMetrics();
   transport::HttpReply onReady();
 
--- a/source/Daemon/CallerHandlers.cpp
+++ b/source/Daemon/CallerHandlers.cpp
@@ -125,6 +125,7 @@
   protocol::CallerHeaders Headers_;
   protocol::PipelineRequest Pipeline_;
   std::optional<coordination::RequestPermit> Permit_;
+  coordination::Permit Place_; ///< Among the running requests.
 
   RequestRecord toRecord() const {
     RequestRecord Record;
@@ -133,6 +134,8 @@
     Record.Account_ = Account_->Name_;
     Record.Start_ = Start_;
     Record.Deadline_ = Timeout_;
+    Record.Short_ =
+        Place_ && Place_.grant().Size_.Class_ == coordination::SizeClass::Short;
     return Record;
   }
 
@@ -265,6 +268,37 @@
   return submitPlain(*Made, Request.Body_);
 }
 
+std::optional<Problem> CallerHandlers::admit(Call &Made, std::size_t InputBytes,
+                                             int MaxTokens) {
+  coordination::AdmissionRequest Asked;
+  Asked.RequestId_ = Made.RequestId_;
+  Asked.Service_ = Made.Document_->Name_;
+  Asked.Account_ = Made.Account_->Name_;
+  Asked.Weight_ = Made.Account_->Weight_;
+  Asked.FleetLimit_ = Made.Account_->RequestsPerSecond_;
+  Asked.InputBytes_ = InputBytes;
+  Asked.MaxTokens_ = MaxTokens;
+  Asked.Deadline_ = Made.Deadline_;
+  auto Decision = Parts_.Admission_.admit(Asked);
+  if (Decision.Permit_) {
+    Made.Place_ = std::move(Decision.Permit_);
+    return std::nullopt;
+  }
+  constexpr int TooManyRequests = 429;
+  bool OverLimit = Decision.Status_ == TooManyRequests;
+  Problem Refused =
+      refusal(Decision.Status_, OverLimit ? "over-limit" : "overloaded",
+              "The request was not admitted", Decision.Detail_);
+  Refused.RetryWith_ = RetryWith::SameRequest;
+  Refused.RetryAfter_ = Decision.RetryAfter_;
+  Refused.RequestId_ = Made.RequestId_;
+  RequestRecord Record = Made.toRecord();
+  Record.Outcome_ = OutcomeKind::NotRun;
+  Record.Detail_ = Decision.Detail_;
+  Parts_.Recorder_.record(Record);
+  return Refused;
+}
+
 HttpReply CallerHandlers::submitPipeline(std::shared_ptr<Call> Made,
                                          const std::string &Body) {
   auto Read =
@@ -272,14 +306,15 @@
   if (!Read)
     return toReply(badRequest(Read.error()));
   Made->Pipeline_ = *Read;
+  if (auto Refused = admit(*Made, Read->Input_.size(), Read->MaxTokens_))
+    return toReply(*Refused);
   if (Made->Pipeline_.Stream_)
     return answerStream(std::move(Made));
   return answerWhole(*Made);
 }
 
 coordination::PipelineResult
-CallerHandlers::runPipeline(const Call &Made,
-                            protocol::TokenListener *Listener) {
+CallerHandlers::runPipeline(Call &Made, protocol::TokenListener *Listener) {
   coordination::PipelineRequest Request;
   Request.RequestId_ = Made.RequestId_;
   Request.TraceParent_ = Made.Headers_.TraceParent_;
@@ -287,16 +322,21 @@
   Request.MaxTokens_ = Made.Pipeline_.MaxTokens_;
   Request.Deadline_ = Made.Deadline_;
   Request.Listener_ = Listener;
+  Request.Priority_ = Made.Place_.grant().Priority_;
+  Request.PredictedTokens_ = Made.Place_.grant().Size_.Tokens_;
   auto Result = Parts_.Pipelines_.run(*Made.Document_, Request);
   RequestRecord Record = Made.toRecord();
   Record.Outcome_ = Result.Outcome_;
   Record.Detail_ = Result.Detail_;
   Record.Stages_ = Result.Stages_;
   Parts_.Recorder_.record(Record);
+  if (Result.Outcome_ == OutcomeKind::Completed)
+    Made.Place_.complete(Result.Data_.Tokens_);
+  Made.Place_.release();
   return Result;
 }
 
-HttpReply CallerHandlers::answerWhole(const Call &Made) {
+HttpReply CallerHandlers::answerWhole(Call &Made) {
   coordination::PipelineResult Result = runPipeline(Made, nullptr);
   if (Result.Outcome_ != OutcomeKind::Completed)
     return toReply(Made.toProblem(Result));
@@ -322,8 +362,7 @@
   return Reply;
 }
 
-HttpReply CallerHandlers::submitPlain(const Call &Made,
-                                      const std::string &Body) {
+HttpReply CallerHandlers::submitPlain(Call &Made, const std::string &Body) {
   auto Read = capture([&] { return protocol::readPlainRequest(Body); });
   if (!Read)
     return toReply(badRequest(Read.error()));
@@ -336,30 +375,41 @@
     return toReply(refusal(400, "key-required", "Idempotency-Key required",
                            "this call runs at most once, so that its key must "
                            "be known"));
+  // A keyed call is admitted by its home, whose refusal is final.
+  if (Target->Idempotent_)
+    if (auto Refused = admit(Made, Body.size(), 0))
+      return toReply(*Refused);
+  protocol::RequestOutcome Outcome = runPlain(Made, *Target, *Read);
+  if (Outcome.Kind_ == OutcomeKind::Completed)
+    return jsonReply({{"request_id", Made.RequestId_},
+                      {"result", Json::parse(Outcome.Body_, nullptr, false)}});
+  bool Ticketed =
+      !Target->Idempotent_ && coordination::TicketAuthority::looksLikeTicket(
+                                  Key.substr(0, Key.rfind('.')));
+  return toReply(outcomeProblem(Outcome, Ticketed, Made.RequestId_));
+}
+
+protocol::RequestOutcome
+CallerHandlers::runPlain(Call &Made, const state::PlainCall &Target,
+                         const protocol::PlainRequest &Read) {
   protocol::ForwardedRequest Request;
   Request.Service_ = Made.Document_->Name_;
   Request.Account_ = Made.Account_->Name_;
-  Request.Call_ = Read->Call_;
-  Request.IdempotencyKey_ = Key;
+  Request.Call_ = Read.Call_;
+  Request.IdempotencyKey_ = Made.Headers_.IdempotencyKey_;
   Request.RequestId_ = Made.RequestId_;
   Request.TraceParent_ = Made.Headers_.TraceParent_;
-  Request.Body_ = Read->Body_;
+  Request.Body_ = Read.Body_;
   Request.Timeout_ = remaining(Made.Deadline_);
   protocol::RequestOutcome Outcome =
-      Target->Idempotent_ ? Parts_.Calls_.runIdempotent(Request, Made.Deadline_)
-                          : Parts_.Once_.submit(Request);
+      Target.Idempotent_ ? Parts_.Calls_.runIdempotent(Request, Made.Deadline_)
+                         : Parts_.Once_.submit(Request);
   RequestRecord Record = Made.toRecord();
   Record.Outcome_ = Outcome.Kind_;
   Record.Detail_ = Outcome.Detail_;
   Record.Short_ = true;
   Parts_.Recorder_.record(Record);
-  if (Outcome.Kind_ == OutcomeKind::Completed)
-    return jsonReply({{"request_id", Made.RequestId_},
-                      {"result", Json::parse(Outcome.Body_, nullptr, false)}});
-  bool Ticketed =
-      !Target->Idempotent_ && coordination::TicketAuthority::looksLikeTicket(
-                                  Key.substr(0, Key.rfind('.')));
-  return toReply(outcomeProblem(Outcome, Ticketed, Made.RequestId_));
+  return Outcome;
 }
 
 HttpReply CallerHandlers::onLookUp(const HttpRequest &Request) {
--- a/source/Daemon/CallerHandlers.h
+++ b/source/Daemon/CallerHandlers.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_DAEMON_CALLERHANDLERS_H
 #define AMARANTH_DAEMON_CALLERHANDLERS_H
 
+#include "Coordination/AdmissionPolicy.h"
 #include "Coordination/MemberView.h"
 #include "Coordination/OnceRunner.h"
 #include "Coordination/PipelineRunner.h"
@@ -26,6 +27,7 @@
   state::DocumentStore &Documents_;
   const coordination::MemberView &Members_;
   coordination::RequestGate &Gate_;
+  coordination::AdmissionPolicy &Admission_;
   coordination::PipelineRunner &Pipelines_;
   coordination::PlainCallRunner &Calls_;
   coordination::OnceRunner &Once_;
@@ -60,13 +62,18 @@
   bool isKnownKey(const std::string &KeyDigest) const;
   bool allowsVolatile(const std::string &KeyDigest) const;
 
+  /// Waits for a place; returns the refusal if there is none in time.
+  std::optional<protocol::Problem> admit(Call &Made, std::size_t InputBytes,
+                                         int MaxTokens);
   transport::HttpReply submitPipeline(std::shared_ptr<Call> Made,
                                       const std::string &Body);
-  transport::HttpReply answerWhole(const Call &Made);
+  transport::HttpReply answerWhole(Call &Made);
   transport::HttpReply answerStream(std::shared_ptr<Call> Made);
-  coordination::PipelineResult runPipeline(const Call &Made,
+  coordination::PipelineResult runPipeline(Call &Made,
                                            protocol::TokenListener *Listener);
-  transport::HttpReply submitPlain(const Call &Made, const std::string &Body);
+  transport::HttpReply submitPlain(Call &Made, const std::string &Body);
+  protocol::RequestOutcome runPlain(Call &Made, const state::PlainCall &Target,
+                                    const protocol::PlainRequest &Read);
 
   CallerParts Parts_;
   protocol::CallerLimits Limits_;
--- a/source/Daemon/Components.cpp
+++ b/source/Daemon/Components.cpp
@@ -1,7 +1,10 @@
 #include "Daemon/Components.h"
 
+#include "Coordination/OpenAdmission.h"
+#include "Coordination/PipelineEstimator.h"
 #include "Coordination/PredictedRouter.h"
 #include "Coordination/RandomRouter.h"
+#include "Coordination/TargetProbe.h"
 
 #include <random>
 
@@ -58,8 +61,12 @@
 }
 
 coordination::PipelineRunnerSettings
-pipelineSettings(const state::DaemonSettings &Settings) {
+pipelineSettings(const state::DaemonSettings &Settings,
+                 transport::HttpClient &Client) {
   coordination::PipelineRunnerSettings Made;
+  Made.Answers_ = [&Client](const state::Target &Target) {
+    return coordination::acceptsConnections(Client, Target);
+  };
   Made.ProgressTimeout_ = Settings.ProgressTimeout_;
   Made.Hedge_ = !Settings.BaselinePolicy_;
   return Made;
@@ -72,6 +79,32 @@
   return Made;
 }
 
+std::unique_ptr<coordination::AdmissionPolicy>
+makeAdmission(const state::DaemonSettings &Settings,
+              coordination::TargetTable &Table,
+              state::DocumentStore &Documents) {
+  if (Settings.BaselinePolicy_)
+    return std::make_unique<coordination::OpenAdmission>(Settings.MaxInFlight_);
+  coordination::AdmissionSettings Made;
+  Made.MaxShort_ = Settings.MaxInFlight_ / 2.0;
+  Made.MaxLong_ = Settings.MaxInFlight_ / 2.0;
+  Made.Estimate_ = [&Table, &Documents](const std::string &Service,
+                                        double Tokens) {
+    auto Document = Documents.find(Service);
+    return Document ? estimatePipeline(Table, *Document, Tokens)
+                    : Microseconds{0};
+  };
+  return std::make_unique<coordination::Admission>(std::move(Made));
+}
+
+std::unique_ptr<coordination::AccountGossip>
+makeAccountGossip(coordination::AdmissionPolicy &Policy) {
+  auto *Limited = dynamic_cast<coordination::Admission *>(&Policy);
+  if (!Limited)
+    return nullptr;
+  return std::make_unique<coordination::AccountGossip>(Limited->accounts());
+}
+
 std::vector<state::Target> reportingTargets(state::DocumentStore &Documents) {
   std::vector<state::Target> Targets;
   for (const auto &Service : Documents.services())
@@ -110,9 +143,70 @@
   return Made;
 }
 
+coordination::ConfigurationSyncSettings
+configurationSettings(const state::DaemonSettings &Settings) {
+  coordination::ConfigurationSyncSettings Made;
+  Made.IsolationLimit_ = Settings.IsolationLimit_;
+  return Made;
+}
+
+/// The janitor passes rarely, so its lease is long.
+coordination::LeaseSettings janitorLease() {
+  coordination::LeaseSettings Made;
+  Made.TimeToLive_ = Seconds{120};
+  Made.RenewPeriod_ = Milliseconds{40000};
+  Made.AttemptPeriod_ = Milliseconds{60000};
+  Made.Margin_ = Milliseconds{15000};
+  return Made;
+}
+
+coordination::JanitorSettings
+janitorSettings(const state::DaemonSettings &Settings) {
+  coordination::JanitorSettings Made;
+  Made.TicketLifetime_ = Settings.TicketLifetime_;
+  Made.Retention_ = Settings.Retention_;
+  return Made;
+}
+
+/// Admits a keyed request at its home. Its place is given back at once: the
+/// check is about the account's rate and the deadline.
+std::optional<protocol::RequestOutcome>
+admitKeyed(coordination::AdmissionPolicy &Policy,
+           const state::DocumentStore &Documents,
+           const protocol::ForwardedRequest &Request) {
+  auto Document = Documents.find(Request.Service_);
+  coordination::AdmissionRequest Asked;
+  Asked.RequestId_ = Request.RequestId_;
+  Asked.Service_ = Request.Service_;
+  Asked.Account_ = Request.Account_;
+  Asked.InputBytes_ = Request.Body_.size();
+  Asked.Deadline_ = SteadyClock::now() + Request.Timeout_;
+  if (Document)
+    for (const state::ClientAccount &Account : Document->Accounts_)
+      if (Account.Name_ == Request.Account_) {
+        Asked.Weight_ = Account.Weight_;
+        Asked.FleetLimit_ = Account.RequestsPerSecond_;
+      }
+  auto Decision = Policy.admit(Asked);
+  if (Decision.Permit_)
+    return std::nullopt;
+  protocol::RequestOutcome Refused;
+  Refused.Kind_ = protocol::OutcomeKind::NotRun;
+  Refused.Status_ = Decision.Status_;
+  Refused.Detail_ = Decision.Detail_;
+  Refused.RetryAfter_ = Decision.RetryAfter_;
+  return Refused;
+}
+
 coordination::OnceRunnerSettings
-onceSettings(const state::DaemonSettings &Settings) {
+onceSettings(const state::DaemonSettings &Settings,
+             coordination::AdmissionPolicy &Policy,
+             const state::DocumentStore &Documents) {
   coordination::OnceRunnerSettings Made;
+  Made.Admission_ = [&Policy,
+                     &Documents](const protocol::ForwardedRequest &Request) {
+    return admitKeyed(Policy, Documents, Request);
+  };
   Made.FleetSecret_ = Settings.FleetSecret_;
   Made.TicketLifetime_ = Settings.TicketLifetime_;
   Made.Registry_.Retention_ = Settings.Retention_;
@@ -139,12 +233,14 @@
       Plain_(Transport.Targets_),
       Pipelines_({Engines_, Pools_, *Router_, Table_, Budget_, Statistics_,
                   Suspects_, Transport.Timers_},
-                 pipelineSettings(Settings)),
+                 pipelineSettings(Settings, Transport.Targets_)),
       Calls_({Plain_, *Router_, Table_, Budget_,
               [&Documents](const std::string &Service) {
                 return Documents.find(Service);
               }},
              callSettings(Settings)),
+      Admission_(makeAdmission(Settings, Table_, Documents)),
+      Accounts_(makeAccountGossip(*Admission_)),
       LoadPoller_(
           Transport.Targets_, Transport.Timers_, Table_,
           [&Documents] { return reportingTargets(Documents); },
@@ -159,9 +255,14 @@
                                  state::DocumentStore &Documents)
     : Session_(sessionSettings(Self), Transport.Store_, nullptr),
       Membership_(membershipSettings(Settings), Self, Transport.Peers_),
-      Once_(onceSettings(Settings), {Transport.Store_, Transport.Peers_,
-                                     Membership_, Policy.Calls_, Session_}) {
-  (void)Documents;
-}
+      Configuration_(configurationSettings(Settings),
+                     {Transport.Store_, Transport.Peers_, Membership_,
+                      Membership_, Documents, Transport.Arena_}),
+      Once_(onceSettings(Settings, *Policy.Admission_, Documents),
+            {Transport.Store_, Transport.Peers_, Membership_, Policy.Calls_,
+             Session_}),
+      JanitorDuty_(janitorLease(), "janitor", Self.Host_, Transport.Store_),
+      Janitor_(janitorSettings(Settings), Transport.Store_, Membership_,
+               [this] { return JanitorDuty_.holds(); }) {}
 
 } // namespace amaranth::daemon
--- a/source/Daemon/Components.h
+++ b/source/Daemon/Components.h
@@ -3,8 +3,12 @@
 #ifndef AMARANTH_DAEMON_COMPONENTS_H
 #define AMARANTH_DAEMON_COMPONENTS_H
 
+#include "Coordination/AccountGossip.h"
+#include "Coordination/Admission.h"
+#include "Coordination/ConfigurationSync.h"
 #include "Coordination/HostListPoller.h"
 #include "Coordination/Janitor.h"
+#include "Coordination/Lease.h"
 #include "Coordination/LoadPoller.h"
 #include "Coordination/Membership.h"
 #include "Coordination/OnceRunner.h"
@@ -20,6 +24,7 @@
 #include "Coordination/TargetTable.h"
 #include "Daemon/AdminHandlers.h"
 #include "Daemon/CallerHandlers.h"
+#include "Daemon/DocumentFollower.h"
 #include "Daemon/KeyValueCallCounter.h"
 #include "Daemon/LoadGossip.h"
 #include "Daemon/PeerEndpoint.h"
@@ -78,6 +83,9 @@
   protocol::PlainServiceClient Plain_;
   coordination::PipelineRunner Pipelines_;
   coordination::PlainCallRunner Calls_;
+  std::unique_ptr<coordination::AdmissionPolicy> Admission_;
+  /// Exchanges account usage; none with the baseline policy.
+  std::unique_ptr<coordination::AccountGossip> Accounts_;
   coordination::LoadPoller LoadPoller_;
   coordination::HostListPoller HostList_;
 };
@@ -90,7 +98,10 @@
 
   coordination::Session Session_;
   coordination::Membership Membership_;
+  coordination::ConfigurationSync Configuration_;
   coordination::OnceRunner Once_;
+  coordination::Lease JanitorDuty_;
+  coordination::Janitor Janitor_;
 };
 
 } // namespace amaranth::daemon
--- a/source/Daemon/PeerEndpoint.cpp
+++ b/source/Daemon/PeerEndpoint.cpp
@@ -45,13 +45,10 @@
 }
 
 std::vector<protocol::ServiceRevision> PeerEndpoint::onRevisions() {
-  std::vector<protocol::ServiceRevision> Revisions;
   const PeerParts *Parts = parts();
   if (!Parts)
-    return Revisions;
-  for (const auto &Entry : Parts->Documents_->revisions())
-    Revisions.push_back({Entry.Name_, Entry.Revision_});
-  return Revisions;
+    return {};
+  return Parts->Configuration_->onRevisions();
 }
 
 std::vector<state::StoredDocument>
@@ -64,7 +61,7 @@
 
 void PeerEndpoint::onPushDocument(const state::StoredDocument &Document) {
   if (const PeerParts *Parts = parts())
-    Parts->Documents_->accept(Document);
+    Parts->Configuration_->onPushDocument(Document);
 }
 
 void PeerEndpoint::onSuspect(const protocol::SuspectInput &Suspect) {
--- a/source/Daemon/PeerEndpoint.h
+++ b/source/Daemon/PeerEndpoint.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_DAEMON_PEERENDPOINT_H
 #define AMARANTH_DAEMON_PEERENDPOINT_H
 
+#include "Coordination/ConfigurationSync.h"
 #include "Coordination/Membership.h"
 #include "Coordination/OnceRunner.h"
 #include "Coordination/SuspectRegistry.h"
@@ -17,6 +18,7 @@
 /// What the peer interface works with; all must outlive the endpoint's use.
 struct PeerParts {
   coordination::Membership *Membership_ = nullptr;
+  coordination::ConfigurationSync *Configuration_ = nullptr;
   coordination::OnceRunner *Once_ = nullptr;
   coordination::SuspectRegistry *Suspects_ = nullptr;
   state::DocumentStore *Documents_ = nullptr;
--- a/source/Daemon/Runtime.h
+++ b/source/Daemon/Runtime.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_DAEMON_RUNTIME_H
 #define AMARANTH_DAEMON_RUNTIME_H
 
+#include "Protocol/PeerMessages.h"
 #include "State/DaemonSettings.h"
 #include "Support/Error.h"
 
@@ -39,6 +40,13 @@
 private:
   struct Components;
 
+  protocol::Member makeSelf() const;
+  void connectFleet();
+  void installHandlers();
+  void startBackgroundWork();
+  /// Finds peers by their sessions in the key-value service.
+  void learnSessions();
+  void startJanitorPass();
   void drain();
 
   state::DaemonSettings Settings_;
--- a/source/Transport/HttpServer.cpp
+++ b/source/Transport/HttpServer.cpp
@@ -4,10 +4,13 @@
 
 #include <httplib.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <atomic>
 #include <cassert>
+#include <filesystem>
 
 namespace amaranth::transport {
 
@@ -77,6 +80,34 @@
   Sink.set_chunked_content_provider(Reply.ContentType_, std::move(Provider));
 }
 
+/// True if \p Descriptor is a connection accepted on \p Port.
+bool isAcceptedOn(int Descriptor, int Port) {
+  sockaddr_in Local{};
+  sockaddr_in Peer{};
+  socklen_t LocalSize = sizeof(Local);
+  socklen_t PeerSize = sizeof(Peer);
+  auto *LocalAddress = reinterpret_cast<sockaddr *>(&Local);
+  auto *PeerAddress = reinterpret_cast<sockaddr *>(&Peer);
+  if (getsockname(Descriptor, LocalAddress, &LocalSize) != 0 ||
+      getpeername(Descriptor, PeerAddress, &PeerSize) != 0)
+    return false;
+  return Local.sin_family == AF_INET && ntohs(Local.sin_port) == Port;
+}
+
+/// Ends the reading side of the connections accepted on \p Port. The library
+/// keeps idle connections until their keep-alive timeout and gives no access to
+/// them, so that stopping would otherwise take that long. Replies being written
+/// are not affected.
+void endIdleConnections(int Port) {
+  std::error_code Ignored;
+  for (const auto &Entry :
+       std::filesystem::directory_iterator("/proc/self/fd", Ignored)) {
+    int Descriptor = std::atoi(Entry.path().filename().c_str());
+    if (isAcceptedOn(Descriptor, Port))
+      ::shutdown(Descriptor, SHUT_RD);
+  }
+}
+
 } // namespace
 
 struct HttpServer::Implementation {
@@ -166,6 +197,7 @@
   if (!Thread_.joinable())
     return;
   Implementation_->Server_.stop();
+  endIdleConnections(Port_);
   Thread_.join();
 }
 
