--- a/source/Standin/KeyValueStandin.cpp
+++ b/source/Standin/KeyValueStandin.cpp
@@ -67,7 +67,8 @@
 
 KeyValueStandin::KeyValueStandin(const KeyValueSettings &Settings)
     : State_(static_cast<std::size_t>(Settings.HistoryLimit_)),
-      Hosts_(Settings.HostListLag_), Server_(Settings.Server_) {
+      Hosts_(Settings.HostListLag_), Reads_(Settings.ReadsPerSecond_),
+      Writes_(Settings.WritesPerSecond_), Server_(Settings.Server_) {
   Server_.switches().add("outage", Outage_);
   Server_.switches().add("hang", Hang_);
   Server_.switches().add("delay_ms", DelayMs_);
@@ -176,17 +177,19 @@
 
 void KeyValueStandin::apiRoute(const std::string &Path, const std::string &Kind,
                                StandinServer::Handler Handle) {
+  RateLimiter &Rate = Kind == "range" ? Reads_ : Writes_;
   Server_.route("POST", Path, Kind,
-                [this, Handle = std::move(Handle)](StandinCall &Call) {
+                [this, &Rate, Handle = std::move(Handle)](StandinCall &Call) {
                   HttpReply Reply;
-                  if (!passFaults(Call, Reply))
+                  if (!passFaults(Call, Rate, Reply))
                     return Reply;
                   return Handle(Call);
                 });
 }
 
 /// False if the call ends here, with \p Reply.
-bool KeyValueStandin::passFaults(StandinCall &Call, HttpReply &Reply) {
+bool KeyValueStandin::passFaults(StandinCall &Call, RateLimiter &Rate,
+                                 HttpReply &Reply) {
   Reply = unavailable();
   if (Hang_) {
     Server_.interruption().waitFor(
@@ -197,8 +200,8 @@
   }
   if (Outage_)
     return false;
-  return DelayMs_ == 0 || Server_.interruption().sleepUntil(
-                              SteadyClock::now() + Milliseconds{DelayMs_});
+  return Server_.interruption().sleepUntil(Rate.reserve() +
+                                           Milliseconds{DelayMs_});
 }
 
 HttpReply KeyValueStandin::commit(StandinCall &Call, const Reader &Read,
--- a/source/Standin/KeyValueStandin.h
+++ b/source/Standin/KeyValueStandin.h
@@ -5,6 +5,7 @@
 
 #include "Standin/HostList.h"
 #include "Standin/KeyValueMessages.h"
+#include "Standin/RateLimiter.h"
 #include "Standin/Standin.h"
 #include "Standin/StandinServer.h"
 #include "Transport/TimerService.h"
@@ -17,6 +18,8 @@
   Milliseconds HostListLag_{0};
   /// Revisions kept for watches; an older start is answered as compacted.
   int HistoryLimit_ = 100000;
+  int ReadsPerSecond_ = 0;  ///< Sustained rate of range calls; 0 for no limit.
+  int WritesPerSecond_ = 0; ///< The same for all other calls.
 };
 
 /// Serves the HTTP/JSON form of the etcd v3 API. Faults concern /v3 only, so
@@ -40,7 +43,8 @@
   void addControlRoutes();
   void apiRoute(const std::string &Path, const std::string &Kind,
                 StandinServer::Handler Handle);
-  bool passFaults(StandinCall &Call, transport::HttpReply &Reply);
+  bool passFaults(StandinCall &Call, RateLimiter &Rate,
+                  transport::HttpReply &Reply);
   transport::HttpReply commit(StandinCall &Call, const Reader &Read,
                               const Writer &Write);
   bool losesReply(const TransactionAnswer &Answer);
@@ -53,6 +57,8 @@
 
   KeyValueState State_;
   HostList Hosts_;
+  RateLimiter Reads_;
+  RateLimiter Writes_;
   std::atomic<bool> Outage_ = false;
   std::atomic<bool> Hang_ = false;
   std::atomic<std::int64_t> DelayMs_ = 0;
--- a/source/Standin/Main.cpp
+++ b/source/Standin/Main.cpp
@@ -115,6 +115,10 @@
                   "Time until a new host list is visible");
   Options.integer("history", Settings.HistoryLimit_,
                   "Revisions kept for watches");
+  Options.integer("reads-per-second", Settings.ReadsPerSecond_,
+                  "Sustained rate of range calls; 0 for no limit");
+  Options.integer("writes-per-second", Settings.WritesPerSecond_,
+                  "Sustained rate of all other calls; 0 for no limit");
   if (auto Code = parse(Options, Common, Count, Values))
     return {Code, {}, false};
   Settings.HostListLag_ = Milliseconds{LagMs};
--- a/tests/Integration/FailureArtifacts.cpp
+++ b/tests/Integration/FailureArtifacts.cpp
@@ -3,6 +3,7 @@
 #define CATCH_CONFIG_EXTERNAL_INTERFACES
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <mutex>
@@ -15,11 +16,16 @@
 std::mutex PathsMutex;
 std::vector<std::string> Paths;
 
-/// Prints or removes the artifacts at the end of each test case.
+/// Prints or removes the artifacts at the end of each test case, and ignores
+/// SIGPIPE, which the HTTP library ignores only in processes with a server.
 class ArtifactListener final : public Catch::TestEventListenerBase {
 public:
   using TestEventListenerBase::TestEventListenerBase;
 
+  void testRunStarting(const Catch::TestRunInfo &) override {
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
   void testCaseEnded(const Catch::TestCaseStats &Stats) override {
     bool Failed = Stats.totals.assertions.failed > 0;
     std::lock_guard Lock(PathsMutex);
