Refuse TOML that overflows the stack of the parser or of its destructor

A dotted key of some 100,000 parts crashed the process that read it, and some non-ASCII characters outside strings reach undefined behaviour in toml++ 3.3. A scan before parsing refuses both; the list of faults is bounded.

--- a/source/State/ServiceDocumentReader.cpp
+++ b/source/State/ServiceDocumentReader.cpp
@@ -80,6 +80,7 @@
 
   TomlReader Root_;
   ServiceDocument Document_;
+  std::set<std::string> TargetNames_;
   bool KindsKnown_ = true; ///< Every stage so far has a readable kind.
 };
 
@@ -113,6 +114,7 @@
     Reader.readFlag("checks_fencing", Entry.ChecksFencing_);
     Reader.readFlag("reports_load", Entry.ReportsLoad_);
     Reader.rejectUnknown();
+    TargetNames_.insert(Entry.Name_);
     Document_.Targets_.push_back(std::move(Entry));
   }
 }
@@ -211,7 +213,7 @@
   if (!Reader.readTexts("targets", Presence::Required, NameRule, Names))
     return;
   for (std::size_t I = 0; I < Names.size(); ++I)
-    if (!Document_.findTarget(Names[I]))
+    if (!TargetNames_.contains(Names[I]))
       Reader.addElementFault("targets", I, quoteFound(Names[I]),
                              "the name of a [[target]] of this document");
 }
--- a/source/State/TomlLibrary.h
+++ b/source/State/TomlLibrary.h
@@ -25,6 +25,8 @@
 #define TOML_ASSERT(Condition)                                                 \
   ::amaranth::state::detail::assertToml(static_cast<bool>(Condition))
 #define TOML_EXCEPTIONS 1
+// Documents nest arrays and tables three deep; more only uses stack.
+#define TOML_MAX_NESTED_VALUES 16
 #include <toml++/toml.h>
 
 #endif
--- a/source/State/TomlReader.cpp
+++ b/source/State/TomlReader.cpp
@@ -1,5 +1,7 @@
 #include "State/TomlReader.h"
 
+#include "State/TomlScan.h"
+
 #include <cmath>
 #include <sstream>
 
@@ -8,6 +10,8 @@
 namespace {
 
 constexpr std::size_t MaxQuotedBytes = 80;
+/// Faults listed for one document, so that the list is not larger than it.
+constexpr std::size_t MaxFaults = 1000;
 
 int lineAt(const toml::source_region &Region) {
   return static_cast<int>(Region.begin.line);
@@ -89,6 +93,10 @@
 
 std::optional<toml::table> parseToml(std::string_view Text,
                                      std::vector<DocumentFault> &Faults) {
+  if (std::optional<DocumentFault> Fault = scanToml(Text)) {
+    Faults.push_back(std::move(*Fault));
+    return std::nullopt;
+  }
   // The library reports errors by exceptions; they end here.
   try {
     return toml::parse(Text);
@@ -162,32 +170,32 @@
     addFault(Key, "an empty array", "at least one entry");
     return false;
   }
-  bool Ok = true;
+  std::set<std::string> Seen;
   for (std::size_t I = 0; I < Array->size(); ++I)
-    Ok = readElement(Key, I, *Array->get(I), Rule, Values) && Ok;
-  return Ok;
+    readElement(Key, I, *Array->get(I), Rule, Seen, Values);
+  return Values.size() == Array->size();
 }
 
-bool TomlReader::readElement(const char *Key, std::size_t Index,
+void TomlReader::readElement(const char *Key, std::size_t Index,
                              const toml::node &Node, const TextRule &Rule,
+                             std::set<std::string> &Seen,
                              std::vector<std::string> &Values) {
   const auto *Text = Node.as_string();
   if (!Text) {
     addElementFault(Key, Index, typeName(Node), "a string");
-    return false;
+    return;
   }
   const std::string &Value = Text->get();
   if (!Rule.Accepts_(Value)) {
     addElementFault(Key, Index, showText(Value, Rule), Rule.Allowed_);
-    return false;
+    return;
   }
-  if (std::find(Values.begin(), Values.end(), Value) != Values.end()) {
+  if (!Seen.insert(Value).second) {
     addElementFault(Key, Index, showText(Value, Rule) + " a second time",
                     "each entry once");
-    return false;
+    return;
   }
   Values.push_back(Value);
-  return true;
 }
 
 bool TomlReader::readChecked(const char *Key, IntegerRange Range,
@@ -298,15 +306,14 @@
     if (Known_.contains(Key.str()))
       continue;
     std::string Quoted = quoteFound(Key.str());
-    Faults_->push_back({lineAt(Key.source()), pathOf(Quoted),
-                        "an unknown key " + Quoted, Allowed});
+    record({lineAt(Key.source()), pathOf(Quoted), "an unknown key " + Quoted,
+            Allowed});
   }
 }
 
 void TomlReader::addFault(const char *Key, std::string Found,
                           std::string Allowed) {
-  Faults_->push_back(
-      {lineOf(Key), pathOf(Key), std::move(Found), std::move(Allowed)});
+  record({lineOf(Key), pathOf(Key), std::move(Found), std::move(Allowed)});
 }
 
 void TomlReader::addElementFault(const char *Key, std::size_t Index,
@@ -316,8 +323,16 @@
   const toml::array *Array = Node ? Node->as_array() : nullptr;
   if (Array && Index < Array->size())
     Line = lineAt(Array->get(Index)->source());
-  Faults_->push_back({Line, pathOf(elementPath(Key, Index)), std::move(Found),
-                      std::move(Allowed)});
+  record({Line, pathOf(elementPath(Key, Index)), std::move(Found),
+          std::move(Allowed)});
+}
+
+void TomlReader::record(DocumentFault Fault) {
+  if (Faults_->size() < MaxFaults)
+    Faults_->push_back(std::move(Fault));
+  else if (Faults_->size() == MaxFaults)
+    Faults_->push_back({Fault.Line_, "", "further faults",
+                        "a list of " + std::to_string(MaxFaults) + " faults"});
 }
 
 int TomlReader::lineOf(const char *Key) const {
--- a/source/State/TomlReader.h
+++ b/source/State/TomlReader.h
@@ -76,8 +76,10 @@
 private:
   const toml::node *find(const char *Key, Presence Needed);
   bool readChecked(const char *Key, IntegerRange Range, std::int64_t &Value);
-  bool readElement(const char *Key, std::size_t Index, const toml::node &Node,
-                   const TextRule &Rule, std::vector<std::string> &Values);
+  void readElement(const char *Key, std::size_t Index, const toml::node &Node,
+                   const TextRule &Rule, std::set<std::string> &Seen,
+                   std::vector<std::string> &Values);
+  void record(DocumentFault Fault);
   int lineOf(const char *Key) const;
   std::string pathOf(std::string_view Key) const;
 
