--- a/source/Control/BenchCaller.cpp
+++ b/source/Control/BenchCaller.cpp
@@ -39,17 +39,17 @@
   BenchRecord Record;
   Record.Request_ = &Request;
   Record.OrderId_ = OrderId;
-  Record.Lateness_ = std::chrono::duration_cast<Microseconds>(
-      SteadyClock::now() - Intended);
+  Record.Lateness_ =
+      std::chrono::duration_cast<Microseconds>(SteadyClock::now() - Intended);
   SteadyTime Deadline = Intended + Kind.Timeout_;
-  Sending State{Kind,     Request, Record,
-                Deadline, Deadline + Settings_.Grace_};
+  Sending State{Kind, Request, Record, Deadline, Deadline + Settings_.Grace_,
+                ""};
   takeKey(State);
   do
     Record.Answer_ = attempt(State);
   while (wantsRepeat(State, Record.Answer_));
-  Record.Latency_ = std::chrono::duration_cast<Microseconds>(
-      SteadyClock::now() - Intended);
+  Record.Latency_ =
+      std::chrono::duration_cast<Microseconds>(SteadyClock::now() - Intended);
   Record.Outcome_ = classify(Record.Answer_.Kind_, Record.Latency_,
                              Kind.Timeout_, Kind.Order_);
   return Record;
--- /dev/null
+++ b/source/Control/BenchCommand.cpp
@@ -0,0 +1,298 @@
+#include "Control/BenchRun.h"
+#include "Control/Commands.h"
+#include "Control/InputFile.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <sstream>
+
+namespace amaranth::control {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MaxFaultsShown = 10;
+
+std::vector<std::string> splitList(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    if (!Part.empty())
+      Parts.push_back(Part);
+  return Parts;
+}
+
+Result<double> readNumber(const Options &Given, const std::string &Name,
+                          double Default, double Minimum, double Maximum) {
+  if (!Given.has(Name))
+    return Default;
+  std::string Text = Given.text(Name);
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Failure] = std::from_chars(Text.data(), End, Value);
+  if (Failure != std::errc() || Stop != End || Value < Minimum ||
+      Value > Maximum)
+    return fail(ErrorCode::InvalidArgument,
+                "--" + Name + ": found \"" + Text +
+                    "\"; expected a number from " + std::to_string(Minimum) +
+                    " to " + std::to_string(Maximum));
+  return Value;
+}
+
+/// The environment variable with the key of \p Account.
+std::string keyVariable(const std::string &Account) {
+  std::string Name = "AMARANTH_KEY_";
+  for (char C : Account)
+    Name +=
+        C == '-' || C == '.'
+            ? '_'
+            : static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
+  return Name;
+}
+
+Result<std::map<std::string, std::string>>
+readKeys(const BenchScenario &Scenario) {
+  std::map<std::string, std::string> Keys;
+  for (const BenchAccount &Account : Scenario.Accounts_) {
+    std::string Variable = keyVariable(Account.Name_);
+    const char *Key = std::getenv(Variable.c_str());
+    if (!Key || !*Key)
+      return fail(ErrorCode::InvalidArgument,
+                  "the environment has no " + Variable +
+                      "; expected the key of client account " + Account.Name_);
+    Keys[Account.Name_] = Key;
+  }
+  return Keys;
+}
+
+/// Reads the scenario; the faults of a bad one are shown on \p Messages.
+Result<BenchScenario> readScenario(const std::string &Path,
+                                   std::ostream &Messages) {
+  BOOST_LEAF_AUTO(Text, readInputFile(Path));
+  BenchScenarioReading Reading = readBenchScenario(Text);
+  for (const state::DocumentFault &Fault : Reading.Faults_)
+    Messages << toString(Path, Fault) << "\n";
+  if (!Reading.Scenario_)
+    return fail(ErrorCode::InvalidArgument, Path + " is not a valid scenario");
+  return std::move(*Reading.Scenario_);
+}
+
+Json demandJson(const BenchScenario &Scenario) {
+  Json Requests = Json::array();
+  for (const KindDemand &Demand : demandOf(Scenario)) {
+    const BenchRequestKind &Kind = Scenario.Kinds_[Demand.Kind_];
+    Json Entry = {{"name", Kind.Name_},
+                  {"service", Kind.Service_},
+                  {"share", Demand.Share_},
+                  {"mean_words", Demand.MeanWords_},
+                  {"mean_tokens", Demand.MeanTokens_}};
+    if (!Kind.Call_.empty())
+      Entry["call"] = Kind.Call_;
+    Requests.push_back(std::move(Entry));
+  }
+  return {{"deployment", Scenario.Deployment_},
+          {"load_lag_ms", Scenario.LoadLag_.count()},
+          {"requests", Requests}};
+}
+
+/// One fleet under test, with its results.
+struct Side {
+  const char *Name_;
+  BenchRunSettings Settings_;
+  BenchReport Report_;
+  BenchVerifier Verifier_;
+};
+
+/// Sends load to real daemons and reports what became of every request.
+class BenchCommand final : public Command {
+public:
+  const char *name() const override { return "bench"; }
+  const char *summary() const override {
+    return "Send a load scenario to daemons and measure it";
+  }
+  const char *arguments() const override { return "SCENARIO"; }
+  int argumentCount() const override { return 1; }
+  const char *examples() const override {
+    return "  bench --daemons 127.0.0.1:8101,127.0.0.1:8102 "
+           "config/scenarios/demo-casita-taller.toml\n"
+           "  bench --daemons 127.0.0.1:8101 --compare 127.0.0.1:9101 "
+           "--capacity 120 --rounds 2 peak.toml\n"
+           "  bench --demand peak.toml\n";
+  }
+  void declare(OptionParser &Parser) const override;
+  Result<ExitCode> run(const CommandContext &Context) override;
+
+private:
+  using Sides = std::vector<std::unique_ptr<Side>>;
+
+  Result<Sides> readSides(const CommandContext &Context,
+                          const BenchScenario &Scenario) const;
+  Result<BenchRunSettings> readSettings(const CommandContext &Context,
+                                        const BenchScenario &Scenario) const;
+  std::vector<BenchOrder> runRounds(const CommandContext &Context,
+                                    const BenchScenario &Scenario, Sides &All,
+                                    int Rounds) const;
+  void printResults(const CommandContext &Context,
+                    const BenchScenario &Scenario, const Sides &All) const;
+  bool explainFaults(const CommandContext &Context, const Sides &All) const;
+};
+
+void BenchCommand::declare(OptionParser &Parser) const {
+  Parser.addValue("daemons", "LIST", "Caller addresses, by commas");
+  Parser.addValue("compare", "LIST",
+                  "Daemons of a second fleet (baseline); both get the same "
+                  "load in turn");
+  Parser.addValue("rounds", "N", "Runs of each fleet, with other seeds");
+  Parser.addValue("capacity", "RATE",
+                  "Requests/s that the targets sustain; phases with a load "
+                  "need it");
+  Parser.addValue("seed", "N", "Replaces the seed of the scenario");
+  Parser.addValue("concurrency", "N", "Requests in flight at once");
+  Parser.addValue("standins", "LIST", "Stand-ins that phases can slow");
+  Parser.addValue("compare-standins", "LIST", "The same for the second fleet");
+  Parser.addValue("orders", "FILE", "Writes what became of each order");
+  Parser.addFlag("demand", "Only show the mix as JSON");
+  Parser.addFlag("json", "Results as JSON");
+}
+
+Result<BenchRunSettings>
+BenchCommand::readSettings(const CommandContext &Context,
+                           const BenchScenario &Scenario) const {
+  const Options &Given = Context.Options_;
+  BenchRunSettings Settings;
+  BOOST_LEAF_AUTO(Capacity, readNumber(Given, "capacity", 0, 0.1, 1e6));
+  BOOST_LEAF_AUTO(Concurrency, readNumber(Given, "concurrency",
+                                          Settings.Concurrency_, 1, 2000));
+  BOOST_LEAF_AUTO(
+      Seed,
+      readNumber(Given, "seed", static_cast<double>(Scenario.Seed_), 0, 2e9));
+  BOOST_LEAF_ASSIGN(Settings.Keys_, readKeys(Scenario));
+  Settings.Capacity_ = Capacity;
+  Settings.Concurrency_ = static_cast<int>(Concurrency);
+  Settings.Seed_ = static_cast<std::uint64_t>(Seed);
+  if (Scenario.needsCapacity() && Capacity == 0)
+    return fail(ErrorCode::InvalidArgument,
+                "the scenario gives loads as shares of the capacity; expected "
+                "--capacity RATE");
+  return Settings;
+}
+
+Result<BenchCommand::Sides>
+BenchCommand::readSides(const CommandContext &Context,
+                        const BenchScenario &Scenario) const {
+  const Options &Given = Context.Options_;
+  BOOST_LEAF_AUTO(Settings, readSettings(Context, Scenario));
+  double Capacity = Settings.Capacity_;
+  Settings.Hosts_ = splitList(Given.text("daemons"));
+  Settings.Standins_ = splitList(Given.text("standins"));
+  if (Settings.Hosts_.empty())
+    return fail(ErrorCode::InvalidArgument,
+                "found no --daemons; expected the caller address of at least "
+                "one daemon");
+  Sides All;
+  All.push_back(std::unique_ptr<Side>(
+      new Side{"policy", Settings, BenchReport(Scenario, Capacity), {}}));
+  if (!Given.has("compare"))
+    return All;
+  Settings.Hosts_ = splitList(Given.text("compare"));
+  Settings.Standins_ = splitList(Given.text("compare-standins"));
+  if (Settings.Hosts_.empty())
+    return fail(ErrorCode::InvalidArgument,
+                "found an empty --compare; expected caller addresses");
+  All.push_back(std::unique_ptr<Side>(
+      new Side{"baseline", Settings, BenchReport(Scenario, Capacity), {}}));
+  return All;
+}
+
+Result<ExitCode> BenchCommand::run(const CommandContext &Context) {
+  const Options &Given = Context.Options_;
+  BOOST_LEAF_AUTO(Scenario,
+                  readScenario(Given.arguments().at(0), Context.Messages_));
+  if (Given.has("demand")) {
+    Context.Output_ << demandJson(Scenario).dump(2) << "\n";
+    return ExitCode::Done;
+  }
+  BOOST_LEAF_AUTO(Rounds, readNumber(Given, "rounds", 1, 1, 100));
+  BOOST_LEAF_AUTO(All, readSides(Context, Scenario));
+  std::vector<BenchOrder> Orders =
+      runRounds(Context, Scenario, All, static_cast<int>(Rounds));
+  if (Given.has("orders")) {
+    Json List = Json::array();
+    for (const BenchOrder &Order : Orders)
+      List.push_back({{"order_id", Order.OrderId_},
+                      {"service", Order.Service_},
+                      {"outcome", toString(Order.Outcome_)},
+                      {"keys", Order.Keys_}});
+    BOOST_LEAF_CHECK(writeOutputFile(Given.text("orders"), List.dump() + "\n"));
+  }
+  printResults(Context, Scenario, All);
+  return explainFaults(Context, All) ? ExitCode::Done : ExitCode::Failed;
+}
+
+std::vector<BenchOrder> BenchCommand::runRounds(const CommandContext &Context,
+                                                const BenchScenario &Scenario,
+                                                Sides &All, int Rounds) const {
+  std::vector<BenchOrder> Orders;
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (auto &Each : All) {
+      BenchRunSettings Settings = Each->Settings_;
+      // Both fleets get the same load in a round.
+      Settings.Seed_ += static_cast<std::uint64_t>(Round);
+      Context.Messages_ << Each->Name_ << ": round " << Round + 1 << " of "
+                        << Rounds << ", seed " << Settings.Seed_ << std::endl;
+      BenchRun Run(Scenario, std::move(Settings), Context.Messages_);
+      Run.run(Each->Report_, Each->Verifier_, Orders);
+    }
+  return Orders;
+}
+
+void BenchCommand::printResults(const CommandContext &Context,
+                                const BenchScenario &Scenario,
+                                const Sides &All) const {
+  if (Context.Options_.has("json")) {
+    Json Body = {{"scenario", Scenario.Name_}};
+    for (const auto &Each : All) {
+      Body[Each->Name_] = Each->Report_.toJson();
+      Body[Each->Name_]["faults"] = Each->Verifier_.faults();
+    }
+    Context.Output_ << Body.dump(2) << "\n";
+    return;
+  }
+  for (const auto &Each : All)
+    Context.Output_ << "== " << Scenario.Name_ << ", " << Each->Name_ << "\n"
+                    << Each->Report_.toText() << "\n";
+  if (All.size() == 2)
+    Context.Output_ << "== comparison\n"
+                    << compareReports(All[0]->Report_, All[1]->Report_);
+}
+
+/// True if every table adds up and every answer belongs to its request.
+bool BenchCommand::explainFaults(const CommandContext &Context,
+                                 const Sides &All) const {
+  bool Sound = true;
+  for (const auto &Each : All) {
+    if (!Each->Report_.addsUp()) {
+      Context.Messages_ << Each->Name_
+                        << ": the outcomes do not add up to the requests\n";
+      Sound = false;
+    }
+    std::vector<std::string> Faults = Each->Verifier_.faults();
+    for (std::size_t I = 0; I < std::min(Faults.size(), MaxFaultsShown); ++I)
+      Context.Messages_ << Each->Name_ << ": wrong answer: " << Faults[I]
+                        << "\n";
+    if (Faults.size() > MaxFaultsShown)
+      Context.Messages_ << Each->Name_ << ": " << Faults.size()
+                        << " wrong answers in all\n";
+    Sound = Sound && Faults.empty();
+  }
+  return Sound;
+}
+
+} // namespace
+
+std::unique_ptr<Command> makeBenchCommand() {
+  return std::make_unique<BenchCommand>();
+}
+
+} // namespace amaranth::control
--- a/source/Control/BenchPlan.cpp
+++ b/source/Control/BenchPlan.cpp
@@ -49,9 +49,15 @@
 }
 
 bool isActive(const BenchRequestKind &Kind, const BenchPhase &Phase) {
-  return Kind.Phases_.empty() || std::find(Kind.Phases_.begin(),
-                                           Kind.Phases_.end(),
-                                           Phase.Name_) != Kind.Phases_.end();
+  return Kind.Phases_.empty() ||
+         std::find(Kind.Phases_.begin(), Kind.Phases_.end(), Phase.Name_) !=
+             Kind.Phases_.end();
+}
+
+bool sends(const BenchRequestKind &Kind, const BenchAccount &Account) {
+  return Kind.Accounts_.empty() ||
+         std::find(Kind.Accounts_.begin(), Kind.Accounts_.end(),
+                   Account.Name_) != Kind.Accounts_.end();
 }
 
 std::string drawWords(PlanRandom &Random, int Count) {
@@ -71,9 +77,9 @@
   void add(std::size_t Phase, std::size_t Kind, Microseconds Start,
            double Rate) {
     PlanRandom Random(mixSeed(Seed_, Phase, Kind));
-    double End = std::chrono::duration<double>(
-                     Scenario_.Phases_[Phase].Duration_)
-                     .count();
+    double End =
+        std::chrono::duration<double>(Scenario_.Phases_[Phase].Duration_)
+            .count();
     for (double At = Random.exponential(Rate); At < End;
          At += Random.exponential(Rate))
       Plan_.push_back(draw(Random, Phase, Kind,
@@ -88,9 +94,9 @@
     Request.Offset_ = Offset;
     Request.Phase_ = Phase;
     Request.Kind_ = Kind;
-    Request.Account_ = Source.Accounts_[Random.below(Source.Accounts_.size())];
-    Request.Caller_ = static_cast<int>(Random.below(
-        static_cast<std::size_t>(Scenario_.CallersPerAccount_)));
+    Request.Account_ = drawAccount(Random, Source);
+    Request.Caller_ = static_cast<int>(
+        Random.below(static_cast<std::size_t>(Scenario_.CallersPerAccount_)));
     if (Source.Call_.empty()) {
       Request.Text_ = drawWords(Random, Random.length(Source.Words_));
       Request.Tokens_ = Random.length(Source.Tokens_);
@@ -98,6 +104,25 @@
     return Request;
   }
 
+  /// One of the kind's accounts by weight.
+  const std::string &drawAccount(PlanRandom &Random,
+                                 const BenchRequestKind &Kind) const {
+    std::vector<const BenchAccount *> Senders;
+    double Sum = 0;
+    for (const BenchAccount &Account : Scenario_.Accounts_)
+      if (sends(Kind, Account)) {
+        Senders.push_back(&Account);
+        Sum += Account.Weight_;
+      }
+    double Drawn = Random.unit() * Sum;
+    for (const BenchAccount *Account : Senders) {
+      Drawn -= Account->Weight_;
+      if (Drawn <= 0)
+        return Account->Name_;
+    }
+    return Senders.back()->Name_;
+  }
+
   const BenchScenario &Scenario_;
   std::uint64_t Seed_;
   std::vector<PlannedRequest> &Plan_;
--- a/source/Control/BenchPlan.h
+++ b/source/Control/BenchPlan.h
@@ -13,8 +13,8 @@
   std::size_t Phase_ = 0;
   std::size_t Kind_ = 0;
   std::string Account_;
-  int Caller_ = 0;  ///< Which of the account's callers sends it.
-  int Number_ = 0;  ///< Position in the plan.
+  int Caller_ = 0;   ///< Which of the account's callers sends it.
+  int Number_ = 0;   ///< Position in the plan.
   std::string Text_; ///< Input of a pipeline; unique within the plan.
   int Tokens_ = 0;
 };
--- /dev/null
+++ b/source/Control/BenchReport.cpp
@@ -0,0 +1,351 @@
+#include "Control/BenchReport.h"
+
+#include "State/TextTable.h"
+
+#include <cstdio>
+
+namespace amaranth::control {
+
+using Json = nlohmann::json;
+using state::TextTable;
+
+namespace {
+
+/// A generator later than this in one request of a hundred distorts latencies.
+constexpr double SaturatedMs = 20;
+
+std::string formatNumber(std::optional<double> Value, int Decimals) {
+  if (!Value)
+    return "-";
+  std::array<char, 64> Buffer{};
+  std::snprintf(Buffer.data(), Buffer.size(), "%.*f", Decimals, *Value);
+  return Buffer.data();
+}
+
+std::string formatPercent(std::optional<double> Value) {
+  return Value ? formatNumber(*Value * 100, 2) + "%" : "-";
+}
+
+void addRow(TextTable &Table, const std::string &Group, const std::string &Name,
+            const BenchTally &Tally) {
+  std::vector<std::string> Cells = {Group, Name, std::to_string(Tally.sent())};
+  for (BenchOutcome Outcome : AllBenchOutcomes)
+    Cells.push_back(std::to_string(Tally.count(Outcome)));
+  Cells.push_back(formatPercent(Tally.attainment()));
+  for (BenchSize Size : {BenchSize::Short, BenchSize::Long})
+    for (double Rank : {0.5, 0.99})
+      Cells.push_back(formatNumber(Tally.quantile(Rank, Size), 1));
+  Table.addRow(std::move(Cells));
+}
+
+Json toJson(std::optional<double> Value) {
+  return Value ? Json(*Value) : Json();
+}
+
+Json toJson(const BenchTally &Tally) {
+  Json Body = {{"sent", Tally.sent()},
+               {"attainment", toJson(Tally.attainment())},
+               {"p50_short_ms", toJson(Tally.quantile(0.5, BenchSize::Short))},
+               {"p99_short_ms", toJson(Tally.quantile(0.99, BenchSize::Short))},
+               {"p50_long_ms", toJson(Tally.quantile(0.5, BenchSize::Long))},
+               {"p99_long_ms", toJson(Tally.quantile(0.99, BenchSize::Long))},
+               {"caller_repeats", Tally.callerRepeats()}};
+  for (BenchOutcome Outcome : AllBenchOutcomes)
+    Body["outcomes"][toString(Outcome)] = Tally.count(Outcome);
+  return Body;
+}
+
+template <typename Groups> Json toJson(const Groups &Source) {
+  Json Body = Json::object();
+  for (const auto &[Name, Tally] : Source)
+    Body[Name] = toJson(Tally);
+  return Body;
+}
+
+double milliseconds(Microseconds Time) {
+  return std::chrono::duration<double, std::milli>(Time).count();
+}
+
+bool isMet(const BenchGoal &Goal, double Value) {
+  return (!Goal.AtLeast_ || Value >= *Goal.AtLeast_) &&
+         (!Goal.AtMost_ || Value <= *Goal.AtMost_);
+}
+
+std::string boundOf(const BenchGoal &Goal) {
+  std::string Text;
+  if (Goal.AtLeast_)
+    Text = "at least " + formatNumber(Goal.AtLeast_, 3);
+  if (Goal.AtMost_)
+    Text += (Text.empty() ? "at most " : ", at most ") +
+            formatNumber(Goal.AtMost_, 3);
+  return Text;
+}
+
+std::optional<double> divide(std::optional<double> Above,
+                             std::optional<double> Below) {
+  if (!Above || !Below || *Below == 0)
+    return std::nullopt;
+  return *Above / *Below;
+}
+
+} // namespace
+
+BenchReport::BenchReport(const BenchScenario &Scenario, double Capacity)
+    : Scenario_(&Scenario), Capacity_(Capacity) {}
+
+void BenchReport::add(const BenchRecord &Record) {
+  const PlannedRequest &Request = *Record.Request_;
+  const BenchRequestKind &Kind = Scenario_->Kinds_[Request.Kind_];
+  const std::string &Phase = Scenario_->Phases_[Request.Phase_].Name_;
+  Total_.add(Kind, Record);
+  Phases_[Phase].add(Kind, Record);
+  Kinds_[Kind.Name_].add(Kind, Record);
+  Accounts_[Request.Account_].add(Kind, Record);
+  PhaseAccounts_[{Phase, Request.Account_}].add(Kind, Record);
+  LatenessMs_.push_back(milliseconds(Record.Lateness_));
+}
+
+void BenchReport::finishRun(std::size_t Planned) {
+  ++Runs_;
+  Planned_ += Planned;
+}
+
+void BenchReport::merge(const BenchReport &Other) {
+  Total_.merge(Other.Total_);
+  for (const auto &[Name, Tally] : Other.Phases_)
+    Phases_[Name].merge(Tally);
+  for (const auto &[Name, Tally] : Other.Kinds_)
+    Kinds_[Name].merge(Tally);
+  for (const auto &[Name, Tally] : Other.Accounts_)
+    Accounts_[Name].merge(Tally);
+  for (const auto &[Names, Tally] : Other.PhaseAccounts_)
+    PhaseAccounts_[Names].merge(Tally);
+  LatenessMs_.insert(LatenessMs_.end(), Other.LatenessMs_.begin(),
+                     Other.LatenessMs_.end());
+  Runs_ += Other.Runs_;
+  Planned_ += Other.Planned_;
+}
+
+const BenchTally *BenchReport::phase(const std::string &Name) const {
+  auto Found = Phases_.find(Name);
+  return Found == Phases_.end() ? nullptr : &Found->second;
+}
+
+double BenchReport::goodput(const std::string &Phase) const {
+  Milliseconds Duration{0};
+  for (const BenchPhase &Each : Scenario_->Phases_)
+    if (Phase.empty() || Each.Name_ == Phase)
+      Duration += Each.Duration_;
+  const BenchTally *Tally = Phase.empty() ? &Total_ : phase(Phase);
+  if (!Tally || Duration.count() == 0)
+    return 0;
+  double Elapsed = std::chrono::duration<double>(Duration).count() *
+                   static_cast<double>(runs());
+  return static_cast<double>(Tally->count(BenchOutcome::InTime)) / Elapsed;
+}
+
+bool BenchReport::saturated() const {
+  return quantileOf(LatenessMs_, 0.99).value_or(0) > SaturatedMs;
+}
+
+const BenchTally *BenchReport::tallyOf(const BenchGoal &Goal,
+                                       const std::string &Phase) const {
+  if (Goal.Account_.empty())
+    return Phase.empty() ? &Total_ : phase(Phase);
+  if (Phase.empty()) {
+    auto Found = Accounts_.find(Goal.Account_);
+    return Found == Accounts_.end() ? nullptr : &Found->second;
+  }
+  auto Found = PhaseAccounts_.find({Phase, Goal.Account_});
+  return Found == PhaseAccounts_.end() ? nullptr : &Found->second;
+}
+
+std::optional<double> BenchReport::measure(const BenchGoal &Goal,
+                                           const std::string &Phase) const {
+  const BenchTally *Tally = tallyOf(Goal, Phase);
+  if (!Tally)
+    return std::nullopt;
+  switch (Goal.Measure_) {
+  case BenchMeasure::Attainment:
+    return Tally->attainment();
+  case BenchMeasure::P99Short:
+    return Tally->quantile(0.99, BenchSize::Short);
+  case BenchMeasure::P99:
+    return Tally->quantile(0.99, std::nullopt);
+  case BenchMeasure::ExtraShare:
+    return Tally->extraShare();
+  case BenchMeasure::GoodputShare:
+    break;
+  }
+  return divide(goodput(Phase), Capacity_);
+}
+
+GoalResult BenchReport::evaluate(const BenchGoal &Goal) const {
+  GoalResult Result;
+  Result.Goal_ = &Goal;
+  Result.Value_ = measure(Goal, Goal.Phase_);
+  if (Goal.Relation_ != BenchRelation::None && Result.Value_) {
+    std::optional<double> Reference = measure(Goal, Goal.Reference_);
+    if (Goal.Relation_ == BenchRelation::Ratio)
+      Result.Value_ = divide(Result.Value_, Reference);
+    else if (Reference)
+      Result.Value_ = *Result.Value_ - *Reference;
+    else
+      Result.Value_ = std::nullopt;
+  }
+  Result.Met_ = Result.Value_ && isMet(Goal, *Result.Value_);
+  return Result;
+}
+
+std::vector<GoalResult> BenchReport::goals() const {
+  std::vector<GoalResult> Results;
+  for (const BenchGoal &Goal : Scenario_->Goals_)
+    Results.push_back(evaluate(Goal));
+  return Results;
+}
+
+bool BenchReport::addsUp() const {
+  for (const Group *Each : {&Phases_, &Kinds_, &Accounts_}) {
+    std::size_t Outcomes = 0;
+    for (const auto &[Name, Tally] : *Each)
+      Outcomes += Tally.outcomes();
+    if (Outcomes != Planned_)
+      return false;
+  }
+  return Total_.outcomes() == Planned_ && Total_.sent() == Planned_;
+}
+
+std::string BenchReport::outcomeTable() const {
+  TextTable Table({"group", "name", "sent", "in_time", "late", "not_run",
+                   "unknown", "failed", "cut", "attainment", "short p50 ms",
+                   "short p99 ms", "long p50 ms", "long p99 ms"});
+  for (const BenchPhase &Phase : Scenario_->Phases_)
+    if (const BenchTally *Tally = phase(Phase.Name_))
+      addRow(Table, "phase", Phase.Name_, *Tally);
+  for (const auto &[Name, Tally] : Kinds_)
+    addRow(Table, "request", Name, Tally);
+  for (const auto &[Name, Tally] : Accounts_)
+    addRow(Table, "account", Name, Tally);
+  addRow(Table, "total", "", Total_);
+  return Table.toString();
+}
+
+std::string BenchReport::stageTable() const {
+  if (Total_.stages().empty())
+    return "no answer reported the cost of its stages\n";
+  TextTable Table({"stage", "runs", "attempts", "hedges", "useful ms/run",
+                   "wasted ms/run", "wasted share"});
+  for (const auto &[Name, Cost] : Total_.stages()) {
+    double Runs = static_cast<double>(Cost.Runs_);
+    double Useful = milliseconds(Cost.Useful_);
+    double Wasted = milliseconds(Cost.Wasted_);
+    Table.addRow({Name, std::to_string(Cost.Runs_),
+                  std::to_string(Cost.Attempts_), std::to_string(Cost.Hedges_),
+                  formatNumber(Useful / Runs, 2),
+                  formatNumber(Wasted / Runs, 2),
+                  formatPercent(divide(Wasted, Useful + Wasted))});
+  }
+  return Table.toString();
+}
+
+std::string BenchReport::refusalTable() const {
+  if (Total_.refusals().empty())
+    return "";
+  TextTable Table({"outcome and type", "count"});
+  for (const auto &[Type, Count] : Total_.refusals())
+    Table.addRow({Type, std::to_string(Count)});
+  return Table.toString();
+}
+
+std::string BenchReport::goalTable() const {
+  if (Scenario_->Goals_.empty())
+    return "";
+  TextTable Table({"goal", "bound", "measured", "met"});
+  for (const GoalResult &Result : goals())
+    Table.addRow({Result.Goal_->Name_, boundOf(*Result.Goal_),
+                  formatNumber(Result.Value_, 4), Result.Met_ ? "yes" : "no"});
+  return Table.toString();
+}
+
+std::string BenchReport::toText() const {
+  std::string Text = outcomeTable() + "\n" + stageTable();
+  std::string Refusals = refusalTable();
+  if (!Refusals.empty())
+    Text += "\n" + Refusals;
+  Text += "\ngoodput requests/s: " + formatNumber(goodput(""), 1);
+  for (const BenchPhase &Phase : Scenario_->Phases_)
+    Text += ", " + Phase.Name_ + " " + formatNumber(goodput(Phase.Name_), 1);
+  if (Capacity_ > 0)
+    Text += "; capacity " + formatNumber(Capacity_, 1);
+  Text +=
+      "\nextra attempts per stage run: " + formatPercent(Total_.extraShare()) +
+      ", repeated by callers: " + std::to_string(Total_.callerRepeats()) + "\n";
+  Text += "generator lateness ms: p50 " +
+          formatNumber(quantileOf(LatenessMs_, 0.5), 2) + ", p99 " +
+          formatNumber(quantileOf(LatenessMs_, 0.99), 2) + ", max " +
+          formatNumber(quantileOf(LatenessMs_, 1), 2) +
+          (saturated() ? " -- SATURATED, latencies are not valid\n" : "\n");
+  std::string Goals = goalTable();
+  return Goals.empty() ? Text : Text + "\n" + Goals;
+}
+
+Json BenchReport::toJson() const {
+  Json Body = {{"total", control::toJson(Total_)},
+               {"phases", control::toJson(Phases_)},
+               {"requests", control::toJson(Kinds_)},
+               {"accounts", control::toJson(Accounts_)},
+               {"refusals", Total_.refusals()},
+               {"runs", Runs_},
+               {"planned", Planned_},
+               {"adds_up", addsUp()},
+               {"goodput", goodput("")},
+               {"extra_share", control::toJson(Total_.extraShare())},
+               {"stages", Json::object()},
+               {"goals", Json::array()}};
+  if (Capacity_ > 0)
+    Body["capacity"] = Capacity_;
+  for (const BenchPhase &Phase : Scenario_->Phases_)
+    if (phase(Phase.Name_))
+      Body["phases"][Phase.Name_]["goodput"] = goodput(Phase.Name_);
+  for (const auto &[Name, Cost] : Total_.stages())
+    Body["stages"][Name] = {{"runs", Cost.Runs_},
+                            {"attempts", Cost.Attempts_},
+                            {"hedges", Cost.Hedges_},
+                            {"useful_us", Cost.Useful_.count()},
+                            {"wasted_us", Cost.Wasted_.count()}};
+  for (const GoalResult &Result : goals())
+    Body["goals"].push_back({{"name", Result.Goal_->Name_},
+                             {"value", control::toJson(Result.Value_)},
+                             {"met", Result.Met_}});
+  for (const auto &[Name, Rank] :
+       {std::pair("p50", 0.5), std::pair("p99", 0.99), std::pair("max", 1.0)})
+    Body["lateness_ms"][Name] = control::toJson(quantileOf(LatenessMs_, Rank));
+  Body["saturated"] = saturated();
+  return Body;
+}
+
+std::string compareReports(const BenchReport &Policy,
+                           const BenchReport &Baseline) {
+  TextTable Table({"measure", "policy", "baseline", "policy / baseline"});
+  auto Add = [&Table](const char *Name, std::optional<double> Left,
+                      std::optional<double> Right) {
+    Table.addRow({Name, formatNumber(Left, 4), formatNumber(Right, 4),
+                  formatNumber(divide(Left, Right), 3)});
+  };
+  const BenchTally &Left = Policy.total();
+  const BenchTally &Right = Baseline.total();
+  Add("attainment of accepted", Left.attainment(), Right.attainment());
+  Add("goodput requests/s", Policy.goodput(""), Baseline.goodput(""));
+  Add("short p50 ms", Left.quantile(0.5, BenchSize::Short),
+      Right.quantile(0.5, BenchSize::Short));
+  Add("short p99 ms", Left.quantile(0.99, BenchSize::Short),
+      Right.quantile(0.99, BenchSize::Short));
+  Add("long p50 ms", Left.quantile(0.5, BenchSize::Long),
+      Right.quantile(0.5, BenchSize::Long));
+  Add("long p99 ms", Left.quantile(0.99, BenchSize::Long),
+      Right.quantile(0.99, BenchSize::Long));
+  Add("extra attempts per stage run", Left.extraShare(), Right.extraShare());
+  return Table.toString();
+}
+
+} // namespace amaranth::control
--- a/source/Control/BenchScenario.cpp
+++ b/source/Control/BenchScenario.cpp
@@ -19,6 +19,7 @@
 constexpr IntegerRange CallerRange = {1, 1000};
 /// Load tests are bounded in time.
 constexpr IntegerRange DurationRange = {100, 300000};
+constexpr IntegerRange LagRange = {0, 60000};
 constexpr IntegerRange TimeoutRange = {1, 600000};
 constexpr IntegerRange WordRange = {1, 100000};
 constexpr IntegerRange TokenRange = {1, 32768};
@@ -52,9 +53,8 @@
 }
 bool isMeasure(std::string_view Text) { return findMeasure(Text) != nullptr; }
 constexpr TextRule MeasureRule = {
-    isMeasure,
-    "\"attainment\", \"goodput_share\", \"p99_short\", \"p99\" or "
-    "\"extra_share\""};
+    isMeasure, "\"attainment\", \"goodput_share\", \"p99_short\", \"p99\" or "
+               "\"extra_share\""};
 
 bool isRelation(std::string_view Text) {
   return Text == "ratio" || Text == "difference";
@@ -76,6 +76,14 @@
                     std::string("at least ") + Low);
 }
 
+BenchAccount readAccount(TomlReader &Reader) {
+  BenchAccount Account;
+  Reader.readText("name", Presence::Required, state::NameRule, Account.Name_);
+  Reader.readNumber("weight", ShareRange, Account.Weight_);
+  Reader.rejectUnknown();
+  return Account;
+}
+
 BenchPhase readPhase(TomlReader &Reader) {
   BenchPhase Phase;
   Reader.readText("name", Presence::Required, state::NameRule, Phase.Name_);
@@ -107,8 +115,12 @@
   Reader.readText("name", Presence::Required, state::NameRule, Kind.Name_);
   Reader.readText("service", Presence::Required, state::NameRule,
                   Kind.Service_);
-  Reader.readTexts("accounts", Presence::Required, state::NameRule,
+  Reader.readTexts("accounts", Presence::Optional, state::NameRule,
                    Kind.Accounts_);
+  for (std::size_t I = 0; I < Kind.Accounts_.size(); ++I)
+    if (!Scenario.findAccount(Kind.Accounts_[I]))
+      Reader.addElementFault("accounts", I, quoteFound(Kind.Accounts_[I]),
+                             "the name of an [[account]]");
   Reader.readNumber("share", ShareRange, Kind.Share_);
   Reader.readTexts("phases", Presence::Optional, state::NameRule, Kind.Phases_);
   for (std::size_t I = 0; I < Kind.Phases_.size(); ++I)
@@ -140,8 +152,8 @@
     Reader.addFault("reference", "one of reference and relation",
                     "both of them, or neither");
   if (HasRelation)
-    Goal.Relation_ = Relation == "ratio" ? BenchRelation::Ratio
-                                         : BenchRelation::Difference;
+    Goal.Relation_ =
+        Relation == "ratio" ? BenchRelation::Ratio : BenchRelation::Difference;
   if (HasReference && !Scenario.findPhase(Goal.Reference_))
     Reader.addFault("reference", quoteFound(Goal.Reference_),
                     "the name of a [[phase]]");
@@ -158,8 +170,11 @@
       !Scenario.findPhase(Goal.Phase_))
     Reader.addFault("phase", quoteFound(Goal.Phase_),
                     "the name of a [[phase]]");
-  Reader.readText("account", Presence::Optional, state::NameRule,
-                  Goal.Account_);
+  if (Reader.readText("account", Presence::Optional, state::NameRule,
+                      Goal.Account_) &&
+      !Scenario.findAccount(Goal.Account_))
+    Reader.addFault("account", quoteFound(Goal.Account_),
+                    "the name of an [[account]]");
   readRelation(Reader, Scenario, Goal);
   double Bound = 0;
   if (Reader.readNumber("at_least", BoundRange, Bound))
@@ -194,6 +209,13 @@
   return Found == Phases_.end() ? nullptr : &*Found;
 }
 
+const BenchAccount *BenchScenario::findAccount(std::string_view Name) const {
+  auto Found =
+      std::find_if(Accounts_.begin(), Accounts_.end(),
+                   [Name](const BenchAccount &A) { return A.Name_ == Name; });
+  return Found == Accounts_.end() ? nullptr : &*Found;
+}
+
 bool BenchScenario::needsCapacity() const {
   auto ByLoad = [](const BenchPhase &P) { return P.Load_ > 0; };
   auto ByShare = [](const BenchGoal &G) {
@@ -214,14 +236,20 @@
   Root.readText("name", Presence::Required, state::NameRule, Scenario.Name_);
   Root.readInteger("seed", SeedRange, Seed);
   Scenario.Seed_ = static_cast<std::uint64_t>(Seed);
+  Root.readText("deployment", Presence::Required, state::NameRule,
+                Scenario.Deployment_);
+  Root.readMilliseconds("load_lag_ms", LagRange, Scenario.LoadLag_);
   Root.readInteger("callers_per_account", CallerRange,
                    Scenario.CallersPerAccount_);
+  for (TomlReader &Reader : Root.readTables("account"))
+    Scenario.Accounts_.push_back(readAccount(Reader));
   for (TomlReader &Reader : Root.readTables("phase"))
     Scenario.Phases_.push_back(readPhase(Reader));
   for (TomlReader &Reader : Root.readTables("request"))
     Scenario.Kinds_.push_back(readKind(Reader, Scenario));
   for (TomlReader &Reader : Root.readTables("goal"))
     Scenario.Goals_.push_back(readGoal(Reader, Scenario));
+  checkNames(Root, "account", Scenario.Accounts_);
   checkNames(Root, "phase", Scenario.Phases_);
   checkNames(Root, "request", Scenario.Kinds_);
   Root.rejectUnknown();
--- a/source/Control/BenchScenario.h
+++ b/source/Control/BenchScenario.h
@@ -24,11 +24,17 @@
   int Maximum_ = 1;
 };
 
+/// A client account that sends load.
+struct BenchAccount {
+  std::string Name_;
+  double Weight_ = 1; ///< Share of the requests, relative to the others.
+};
+
 /// One kind of request in the mix.
 struct BenchRequestKind {
   std::string Name_;
   std::string Service_;
-  std::vector<std::string> Accounts_; ///< Each request draws one.
+  std::vector<std::string> Accounts_; ///< Senders; empty for all.
   double Share_ = 1;                  ///< Rate in units of the phase's rate.
   std::vector<std::string> Phases_;   ///< Empty for all.
   BenchSize Size_ = BenchSize::Short;
@@ -41,7 +47,7 @@
   /// its digest and every single answer can be matched to its request.
   bool Direct_ = false;
   /// Plain services.
-  std::string Call_;  ///< Empty for a pipeline.
+  std::string Call_;   ///< Empty for a pipeline.
   bool Order_ = false; ///< Sent with an order id and an idempotency key.
 };
 
@@ -77,14 +83,18 @@
 struct BenchScenario {
   std::string Name_;
   std::uint64_t Seed_ = 1;
+  std::string Deployment_;    ///< Folder of documents in config.
+  Milliseconds LoadLag_{500}; ///< Age of load reports that scripts/bench sets.
   /// Callers of each account; each asks for entry hosts itself, so that an
   /// account's load spreads over the hosts as that of many clients does.
   int CallersPerAccount_ = 32;
+  std::vector<BenchAccount> Accounts_;
   std::vector<BenchPhase> Phases_;
   std::vector<BenchRequestKind> Kinds_;
   std::vector<BenchGoal> Goals_;
 
   const BenchPhase *findPhase(std::string_view Name) const;
+  const BenchAccount *findAccount(std::string_view Name) const;
   bool needsCapacity() const;
 };
 
--- a/source/Control/Commands.h
+++ b/source/Control/Commands.h
@@ -19,6 +19,7 @@
 std::unique_ptr<Command> makeDrainCommand();
 std::unique_ptr<Command> makeBurnCommand();
 std::unique_ptr<Command> makeLogLevelCommand();
+std::unique_ptr<Command> makeBenchCommand();
 
 } // namespace amaranth::control
 
--- a/source/Control/ControlProgram.cpp
+++ b/source/Control/ControlProgram.cpp
@@ -61,6 +61,7 @@
   Commands_.push_back(makeDrainCommand());
   Commands_.push_back(makeBurnCommand());
   Commands_.push_back(makeLogLevelCommand());
+  Commands_.push_back(makeBenchCommand());
 }
 
 ExitCode ControlProgram::run(const std::vector<std::string> &Arguments) {
