Run blocking tasks on threads that sleep on a oneTBB queue

Cause: an idle amaranthd used 50 % of a core and 264 threads, and members were suspected because probes ran late. Each enqueue to an idle tbb::task_arena asks for as many workers as the arena allows, so every periodic task woke 255 threads, which looked for work and left.

Ruled out: fewer periodic tasks (about 20 a second is already little), and a smaller arena (it bounds the connections served at once).

Before: 50 % of a core, 264 threads, 26 MB, suspicions within 20 s.

The arena is now a oneTBB bounded queue with threads that start when all others are busy.

--- a/source/Transport/WorkArena.cpp
+++ b/source/Transport/WorkArena.cpp
@@ -1,42 +1,34 @@
 #include "Transport/WorkArena.h"
 
-#include <oneapi/tbb/global_control.h>
-#include <oneapi/tbb/task_arena.h>
+#include <cassert>
 
 namespace amaranth::transport {
 
-namespace detail {
-
-struct WorkArenaState {
-  explicit WorkArenaState(int Concurrency)
-      : Limit_(tbb::global_control::max_allowed_parallelism, WorkerLimit),
-        Arena_(Concurrency, 0) {}
-
-  /// Bound on the workers of all arenas of a process together.
-  static constexpr std::size_t WorkerLimit = 2048;
-
-  tbb::global_control Limit_;
-  tbb::task_arena Arena_;
-};
-
-} // namespace detail
-
-WorkArena::WorkArena(const WorkArenaSettings &Settings)
-    : State_(std::make_unique<detail::WorkArenaState>(Settings.Concurrency_)) {
-  State_->Arena_.initialize();
+WorkArena::WorkArena(const WorkArenaSettings &Settings) : Settings_(Settings) {
+  assert(Settings_.Concurrency_ > 0);
 }
 
-WorkArena::~WorkArena() { waitIdle(); }
+WorkArena::~WorkArena() {
+  waitIdle();
+  // An empty task ends the thread that takes it.
+  for (std::size_t I = 0; I < Threads_.size(); ++I)
+    Queue_.push(Work());
+  for (std::thread &Worker : Threads_)
+    Worker.join();
+}
 
 void WorkArena::enqueue(std::function<void()> Task) {
+  assert(Task);
   {
     std::lock_guard Lock(Mutex_);
     ++Pending_;
+    bool AllBusy = Pending_ > Threads_.size();
+    bool MayGrow =
+        Threads_.size() < static_cast<std::size_t>(Settings_.Concurrency_);
+    if (AllBusy && MayGrow)
+      Threads_.emplace_back([this] { run(); });
   }
-  State_->Arena_.enqueue([this, Task = std::move(Task)] {
-    Task();
-    finish();
-  });
+  Queue_.push(std::move(Task));
 }
 
 void WorkArena::waitIdle() {
@@ -44,6 +36,24 @@
   Idle_.wait(Lock, [this] { return Pending_ == 0; });
 }
 
+std::size_t WorkArena::threadCount() {
+  std::lock_guard Lock(Mutex_);
+  return Threads_.size();
+}
+
+void WorkArena::run() {
+  while (true) {
+    Work Next;
+    Queue_.pop(Next);
+    if (!Next)
+      return;
+    Next();
+    // What the task holds is released before it counts as ended.
+    Next = nullptr;
+    finish();
+  }
+}
+
 void WorkArena::finish() {
   // Notifies under the lock: the waiter may destroy this object as soon as it
   // sees zero.
