Check stand-in arguments and bound the catch-up of a paused engine

An engine made up for a pause with a burst of tokens, which hid the pause from its clients; late tokens now make up for at most 50 ms. The help of each subcommand lists its control API.

--- a/source/Standin/Arguments.cpp
+++ b/source/Standin/Arguments.cpp
@@ -22,8 +22,10 @@
 
 } // namespace
 
-Arguments::Arguments(std::string Program, std::string Examples)
-    : Program_(std::move(Program)), Examples_(std::move(Examples)) {
+Arguments::Arguments(std::string Program, std::string Control,
+                     std::string Examples)
+    : Program_(std::move(Program)), Control_(std::move(Control)),
+      Examples_(std::move(Examples)) {
   add("help", POPT_ARG_NONE, nullptr, HelpCode, "Show this help and exit",
       nullptr);
   add("version", POPT_ARG_NONE, nullptr, VersionCode,
@@ -35,16 +37,13 @@
     std::free(Binding.Parsed_);
 }
 
-void Arguments::integer(std::string Name, int &Value, std::string Help) {
+void Arguments::integer(std::string Name, int &Value, std::string Help,
+                        int Least) {
+  Integers_.push_back({Name, &Value, Least});
   add(std::move(Name), POPT_ARG_INT | POPT_ARGFLAG_SHOW_DEFAULT, &Value, 0,
       std::move(Help), "N");
 }
 
-void Arguments::real(std::string Name, double &Value, std::string Help) {
-  add(std::move(Name), POPT_ARG_DOUBLE | POPT_ARGFLAG_SHOW_DEFAULT, &Value, 0,
-      std::move(Help), "X");
-}
-
 void Arguments::text(std::string Name, std::string &Value, std::string Help) {
   Texts_.push_back({nullptr, &Value});
   add(std::move(Name), POPT_ARG_STRING, &Texts_.back().Parsed_, 0,
@@ -79,15 +78,11 @@
       return 0;
     }
     poptPrintHelp(Context.get(), stdout, 0);
-    std::printf("\nExamples:\n%s", Examples_.c_str());
+    std::printf("\nControl API:\n%s\nExamples:\n%s", Control_.c_str(),
+                Examples_.c_str());
     return 0;
   }
-  std::string Fault;
-  if (Code < -1)
-    Fault = std::string(poptBadOption(Context.get(), 0)) + ": " +
-            poptStrerror(Code);
-  else if (const char *Extra = poptGetArg(Context.get()))
-    Fault = std::string("unexpected argument: ") + Extra;
+  std::string Fault = findFault(Context.get(), Code);
   if (!Fault.empty()) {
     std::fprintf(stderr, "%s: %s\n", Program_.c_str(), Fault.c_str());
     return ExitUsage;
@@ -96,6 +91,19 @@
   return std::nullopt;
 }
 
+/// The usage error after parsing ended with \p Code, or an empty string.
+std::string Arguments::findFault(poptContext_s *Context, int Code) const {
+  if (Code < -1)
+    return std::string(poptBadOption(Context, 0)) + ": " + poptStrerror(Code);
+  if (const char *Extra = poptGetArg(Context))
+    return std::string("unexpected argument: ") + Extra;
+  for (const IntegerBinding &Binding : Integers_)
+    if (*Binding.Target_ < Binding.Least_)
+      return "--" + Binding.Name_ + " must be at least " +
+             std::to_string(Binding.Least_);
+  return "";
+}
+
 void Arguments::copyBack() {
   for (TextBinding &Binding : Texts_)
     if (Binding.Parsed_)
--- a/source/Standin/Arguments.h
+++ b/source/Standin/Arguments.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 struct poptOption;
+struct poptContext_s;
 
 namespace amaranth::standin {
 
@@ -17,14 +18,15 @@
 /// hold the defaults and must outlive the object.
 class Arguments final {
 public:
-  /// \p Examples end the help text.
-  Arguments(std::string Program, std::string Examples);
+  /// \p Control describes the control API and \p Examples give calls; both end
+  /// the help text.
+  Arguments(std::string Program, std::string Control, std::string Examples);
   ~Arguments();
   Arguments(const Arguments &) = delete;
   Arguments &operator=(const Arguments &) = delete;
 
-  void integer(std::string Name, int &Value, std::string Help);
-  void real(std::string Name, double &Value, std::string Help);
+  /// Values below \p Least are usage errors.
+  void integer(std::string Name, int &Value, std::string Help, int Least = 0);
   void text(std::string Name, std::string &Value, std::string Help);
   void flag(std::string Name, bool &Value, std::string Help);
 
@@ -33,6 +35,11 @@
   std::optional<int> parse(int Count, const char **Values);
 
 private:
+  struct IntegerBinding {
+    std::string Name_;
+    int *Target_ = nullptr;
+    int Least_ = 0;
+  };
   struct TextBinding {
     char *Parsed_ = nullptr;
     std::string *Target_ = nullptr;
@@ -44,11 +51,14 @@
 
   void add(std::string Name, unsigned Kind, void *Storage, int Code,
            std::string Help, const char *ValueName);
+  std::string findFault(poptContext_s *Context, int Code) const;
   void copyBack();
 
   std::string Program_;
+  std::string Control_;
   std::string Examples_;
   std::deque<std::string> Strings_; ///< Keeps the texts in Options_ alive.
+  std::vector<IntegerBinding> Integers_;
   std::deque<TextBinding> Texts_;
   std::deque<FlagBinding> Flags_;
   std::vector<poptOption> Options_;
--- a/source/Standin/EngineStandin.cpp
+++ b/source/Standin/EngineStandin.cpp
@@ -16,6 +16,9 @@
 /// Exit code of a crash that a marked prompt causes.
 constexpr int CrashExitCode = 86;
 constexpr int MaxTokensLimit = 1000000;
+/// Delay of a late token that the next ones make up for. More would turn a
+/// pause of the process into a burst of tokens.
+constexpr Milliseconds MaxCatchUp{50};
 
 /// The prompt of a completion, or of a chat its last message.
 std::string promptOf(const Json &Body, bool Chat) {
@@ -205,7 +208,8 @@
   for (int I = Request.ResumeFrom_; I < Request.MaxTokens_; ++I) {
     if (!applyStreamFaults(I - Request.ResumeFrom_, Client))
       return false;
-    Next += slowed(Settings_.TokenTime_);
+    Next = std::max(Next, SteadyClock::now() - MaxCatchUp) +
+           slowed(Settings_.TokenTime_);
     if (!Server_.interruption().sleepUntil(Next) || Client.closed())
       return false;
     if (!Send(I, Text.token(I)))
--- a/source/Standin/Main.cpp
+++ b/source/Standin/Main.cpp
@@ -38,6 +38,56 @@
     "  amaranth-standin kv --port 2379\n"
     "  amaranth-standin engine --count 12 --slots 8 --token-us 5000\n";
 
+/// Control routes of every subcommand.
+constexpr const char *CommonControl =
+    "  GET, PUT /standin/switches     read or set fault switches\n"
+    "  GET, DELETE /standin/counters  calls by kind\n"
+    "Fault switches (counts: 0 none, N the next N calls, -1 all):\n";
+
+constexpr const char *KeyValueControl =
+    "  outage            true answers /v3 with 503 and cuts watches\n"
+    "  hang              true accepts /v3 calls and never answers them\n"
+    "  delay_ms          added to every /v3 call\n"
+    "Further routes:\n"
+    "  PUT /standin/lost-replies {\"key_prefix\",\"count\"}  apply the next\n"
+    "      writes under the prefix and cut the connection\n"
+    "  GET /standin/keys  all pairs\n"
+    "  PUT /v1/hosts      set the host list\n";
+
+constexpr const char *TargetControl =
+    "  slow_factor       multiplies every service time\n"
+    "  leaving           true refuses new work with 503 and X-Leaving\n"
+    "  silent            count of calls taken without effect or answer\n";
+
+constexpr const char *EngineControl =
+    "  cut_after_tokens     cut every stream after N tokens; -1 off\n"
+    "  silent_after_tokens  no more bytes after N tokens; -1 off\n"
+    "Further routes:\n"
+    "  GET /standin/orders  every order received\n"
+    "  GET /standin/state   running, queued and cancelled completions\n";
+
+constexpr const char *ServiceControl =
+    "  delay_ms          added before the effect\n"
+    "  late_ms           added between the effect and the answer\n"
+    "  drop_replies      count of calls cut after the effect\n"
+    "  silent_after      count of calls left unanswered after the effect\n"
+    "  stale_replies     count of calls answered with the previous answer\n"
+    "Further routes:\n"
+    "  GET /standin/executions  every effect\n";
+
+constexpr const char *ProxyControl =
+    "  refuse               true refuses new connections\n"
+    "  blackhole            true accepts new connections that stay silent\n"
+    "  drop_replies         true discards bytes to clients\n"
+    "  delay_ms             added to each read in both directions\n"
+    "  cut_after_to_target  cut a connection after N bytes; -1 off\n"
+    "  cut_after_to_client  the same for replies\n"
+    "Further routes:\n"
+    "  POST /standin/cut             cut all connections\n"
+    "  POST /standin/freeze          silence the open connections for good\n"
+    "  POST /standin/duplicate-last  send the last request again\n"
+    "  GET /standin/connections      accepted, open and frozen\n";
+
 using Instances = std::vector<std::unique_ptr<Standin>>;
 
 /// What a subcommand built from its arguments, or the exit code.
@@ -59,7 +109,7 @@
   Options.integer("port", Common.Port_,
                   "Port on 127.0.0.1; 0 lets the system choose");
   Options.integer("max-connections", Common.Connections_,
-                  "Connections that an instance serves at once");
+                  "Connections that an instance serves at once", 1);
   Options.flag("end-with-stdin", Common.EndWithStdin_,
                "Exit when standard input closes");
 }
@@ -67,16 +117,16 @@
 void addCount(Arguments &Options, CommonOptions &Common) {
   Options.integer("count", Common.Count_,
                   "Instances in this process, on consecutive ports if --port "
-                  "is given");
+                  "is given",
+                  1);
 }
 
 /// A usage error, or nothing.
 std::optional<int> checkCommon(const CommonOptions &Common) {
-  if (Common.Port_ >= 0 && Common.Port_ <= 65535 && Common.Count_ >= 1 &&
-      Common.Connections_ >= 1)
+  constexpr int MaxPort = 65535;
+  if (Common.Port_ + Common.Count_ - 1 <= MaxPort)
     return std::nullopt;
-  std::fprintf(stderr, "amaranth-standin: --port, --count or "
-                       "--max-connections is out of range\n");
+  std::fprintf(stderr, "amaranth-standin: --port is out of range\n");
   return ExitUsage;
 }
 
@@ -108,13 +158,14 @@
   KeyValueSettings Settings;
   int LagMs = 0;
   Arguments Options("amaranth-standin kv",
+                    std::string(CommonControl) + KeyValueControl,
                     "  amaranth-standin kv --port 2379 --host-list-lag-ms "
                     "2000\n");
   addCommon(Options, Common);
   Options.integer("host-list-lag-ms", LagMs,
                   "Time until a new host list is visible");
   Options.integer("history", Settings.HistoryLimit_,
-                  "Revisions kept for watches");
+                  "Revisions kept for watches", 1);
   Options.integer("reads-per-second", Settings.ReadsPerSecond_,
                   "Sustained rate of range calls; 0 for no limit");
   Options.integer("writes-per-second", Settings.WritesPerSecond_,
@@ -132,11 +183,12 @@
   int PrefillUs = static_cast<int>(Settings.PrefillTokenTime_.count());
   int LagMs = 0;
   Arguments Options("amaranth-standin engine",
+                    std::string(CommonControl) + TargetControl + EngineControl,
                     "  amaranth-standin engine --count 12 --slots 8\n"
                     "  amaranth-standin engine --crash-marker CRASH-NOW\n");
   addCommon(Options, Common);
   addCount(Options, Common);
-  Options.integer("slots", Settings.Slots_, "Requests in the batch");
+  Options.integer("slots", Settings.Slots_, "Requests in the batch", 1);
   Options.integer("token-us", TokenUs, "Microseconds for each output token");
   Options.integer("prefill-us", PrefillUs,
                   "Microseconds for each prompt token that is not cached");
@@ -164,15 +216,17 @@
 
 /// Pools and plain services take the same options.
 template <typename Kind, typename Settings>
-Setup makeTimed(const std::string &Program, int Count, const char **Values) {
+Setup makeTimed(const std::string &Program, const std::string &Control,
+                int Count, const char **Values) {
   CommonOptions Common;
   Settings Base;
   int ServiceUs = static_cast<int>(Base.ServiceTime_.count());
   int LagMs = 0;
-  Arguments Options(Program, "  " + Program + " --count 5 --service-us 2000\n");
+  Arguments Options(Program, CommonControl + Control,
+                    "  " + Program + " --count 5 --service-us 2000\n");
   addCommon(Options, Common);
   addCount(Options, Common);
-  Options.integer("slots", Base.Slots_, "Calls served at once");
+  Options.integer("slots", Base.Slots_, "Calls served at once", 1);
   Options.integer("service-us", ServiceUs, "Microseconds for each call");
   Options.integer("load-lag-ms", LagMs, "Age of load reports");
   if (auto Code = parse(Options, Common, Count, Values))
@@ -197,6 +251,7 @@
   std::string Listen = "127.0.0.1:0";
   std::string To;
   Arguments Options("amaranth-standin proxy",
+                    std::string(CommonControl) + ProxyControl,
                     "  amaranth-standin proxy --to 127.0.0.1:9000\n"
                     "  amaranth-standin proxy --listen 127.0.0.1:9001 --to "
                     "127.0.0.1:9000 --port 9002\n");
@@ -222,11 +277,12 @@
   if (Name == "engine")
     return makeEngine(Count, Values);
   if (Name == "pool")
-    return makeTimed<PoolStandin, PoolSettings>("amaranth-standin pool", Count,
-                                                Values);
+    return makeTimed<PoolStandin, PoolSettings>("amaranth-standin pool",
+                                                TargetControl, Count, Values);
   if (Name == "service")
     return makeTimed<ServiceStandin, ServiceSettings>(
-        "amaranth-standin service", Count, Values);
+        "amaranth-standin service", std::string(TargetControl) + ServiceControl,
+        Count, Values);
   if (Name == "proxy")
     return makeProxy(Count, Values);
   if (Name == "--help" || Name == "-?") {
--- a/tests/Integration/FailureArtifacts.cpp
+++ b/tests/Integration/FailureArtifacts.cpp
@@ -32,7 +32,7 @@
     for (const std::string &Path : Paths) {
       std::error_code Ignored;
       if (Failed)
-        std::cerr << "log of failed test: " << Path << '\n';
+        std::cerr << "file of the failed test: " << Path << '\n';
       else
         std::filesystem::remove(Path, Ignored);
     }
--- a/tests/Integration/StandinTest.cpp
+++ b/tests/Integration/StandinTest.cpp
@@ -92,6 +92,7 @@
   bool waitFirstToken() {
     return eventually([this] { return Received_ > 0; });
   }
+  int received() const { return Received_; }
   void cancel() { Cancel_.cancel(); }
   void join() {
     if (Thread_.joinable())
@@ -121,6 +122,27 @@
   CHECK(Exit->Signal_ == 0);
 }
 
+// Guards against a misspelt flag that leaves a test without its fault.
+TEST_CASE("usage errors exit with 2 and help with 0") {
+  using Arguments = std::vector<std::string>;
+  auto ExitCode = [](const Arguments &Given) {
+    ChildProcess Child(
+        {AMARANTH_BINARY_DIR "/amaranth-standin", Given, "/dev/null"});
+    auto Exit = Child.waitExit(Seconds{20});
+    REQUIRE(Exit);
+    return Exit->Code_;
+  };
+  CHECK(ExitCode({}) == 2);
+  CHECK(ExitCode({"oven"}) == 2);
+  CHECK(ExitCode({"kv", "--nope"}) == 2);
+  CHECK(ExitCode({"pool", "extra"}) == 2);
+  CHECK(ExitCode({"engine", "--slots=0"}) == 2);
+  CHECK(ExitCode({"engine", "--count=2", "--crash-marker=X"}) == 2);
+  CHECK(ExitCode({"proxy", "--to=198.51.100.1:80"}) == 2);
+  CHECK(ExitCode({"service", "--help"}) == 0);
+  CHECK(ExitCode({"--version"}) == 0);
+}
+
 // Guards against a misspelt switch that silently leaves the fault off.
 TEST_CASE("an unknown switch is refused and changes nothing") {
   StandinProcess Store("kv");
@@ -395,6 +417,26 @@
   CHECK(Engine.get("/v1/load")["queued_tokens"] == 0);
 }
 
+// Guards against an engine that makes up for a pause with a burst of tokens,
+// which would hide the pause from its clients.
+TEST_CASE("a paused engine continues at its pace") {
+  constexpr int Tokens = 400;
+  constexpr Milliseconds TokenTime{2};
+  StandinProcess Engine("engine", {"--token-us=2000"});
+  BackgroundStream Running(Engine.address(), completion("paused", Tokens));
+  REQUIRE(Running.waitFirstToken());
+  Engine.process().stop();
+  // The length of the pause is the input of this test, not a wait for a result.
+  SteadyTime Resumed = SteadyClock::now() + Milliseconds{700};
+  std::this_thread::sleep_until(Resumed);
+  int Left = Tokens - Running.received();
+  Engine.process().resume();
+  Running.join();
+  CHECK(Running.stream().Done_);
+  Milliseconds CatchUp{100};
+  CHECK(SteadyClock::now() - Resumed >= Left * TokenTime - CatchUp);
+}
+
 // Guards against a queue that ignores priorities.
 TEST_CASE("a higher priority leaves the queue first") {
   StandinProcess Engine("engine", {"--slots=1", "--token-us=1000"});
