--- a/source/State/BurnSeries.cpp
+++ b/source/State/BurnSeries.cpp
@@ -217,8 +217,6 @@
                            Row.Objective_);
   summarizeStages(Last, Row);
   summarizeHistory(Last, Row);
-  if (Row.Short_.BurnRate_ <= 0)
-    return;
   // A process younger than the window has spent budget for less than all of it.
   std::int64_t Covered = std::min(Last - FirstNumber_ + 1, LongSlots);
   double Spent = Row.Long_.BurnRate_ * static_cast<double>(Covered) /
@@ -226,8 +224,10 @@
   double Minutes =
       std::chrono::duration<double, std::ratio<60>>(Settings_.LongWindow_)
           .count();
-  Row.MinutesToExhaustion_ =
-      std::max(0.0, 1 - Spent) * Minutes / Row.Short_.BurnRate_;
+  if (Spent >= 1)
+    Row.MinutesToExhaustion_ = 0;
+  else if (Row.Short_.BurnRate_ > 0)
+    Row.MinutesToExhaustion_ = (1 - Spent) * Minutes / Row.Short_.BurnRate_;
 }
 
 bool BurnSeries::isIdle(SteadyTime Now) const {
--- a/source/State/BurnSummary.h
+++ b/source/State/BurnSummary.h
@@ -56,8 +56,9 @@
   BurnWindow Short_;
   BurnWindow Long_;
   ShortBurn ShortRequests_;
-  /// Time until the error budget of one hour is spent at the short window's
-  /// burn rate; nothing while no budget is being spent.
+  /// Time until the error budget of the long window is spent at the short
+  /// window's burn rate: 0 if it is spent already, nothing while some is left
+  /// and none is being spent.
   std::optional<double> MinutesToExhaustion_;
   std::vector<StageBurn> Stages_;  ///< Largest spender first.
   std::vector<BurnPoint> History_; ///< Oldest first.
