--- a/source/Coordination/ClosedJournals.cpp
+++ b/source/Coordination/ClosedJournals.cpp
@@ -58,7 +58,8 @@
 /// intent that was ever written is there too, or counted in DeletedUpTo_.
 ClosedJournals::Content ClosedJournals::load(const Name &Home, bool MayClose,
                                              SteadyTime Deadline) {
-  const auto &[Host, Incarnation] = Home;
+  const std::string &Host = Home.first;
+  std::uint64_t Incarnation = Home.second;
   bool SessionMissing = false;
   for (int Round = 0; Round < MaxRounds; ++Round) {
     if (remaining(Deadline) == Milliseconds{0})
--- a/tests/Coordination/JournalTest.cpp
+++ b/tests/Coordination/JournalTest.cpp
@@ -143,6 +143,41 @@
   CHECK(Mine.read().Entries_.size() == 1);
 }
 
+// Guards against an append under a session key of the same name that a delayed
+// creation has made, after the janitor deleted the closed journal.
+TEST_CASE("appends name the session that they belong to") {
+  Bench Mine;
+  protocol::Transaction Creation;
+  std::string Key = Session::keyOf("a", 7);
+  Creation.Writes_.push_back({protocol::Mutation::Kind::Put, Key, "late"});
+  REQUIRE(Mine.Store_.commit(Session::closing("a", 7)).Succeeded_);
+  REQUIRE(capture(
+      [&] { return Journal::deleteClosed(Mine.Client_, "a", 7, EventLimit); }));
+  Mine.Store_.commit(Creation);
+  CHECK(Mine.append("id").get() == AppendStatus::Failed);
+  CHECK(Mine.read().Entries_.empty());
+}
+
+// Guards against a late reply that turns a given-up append into a durable one.
+TEST_CASE("an append that timed out stays timed out") {
+  Bench Mine;
+  Gate Slow;
+  Mine.Client_.setHook([&](const protocol::Transaction *Request) {
+    if (isAppend(Request))
+      Slow.wait();
+    return Fault::None;
+  });
+  CHECK(Mine.append("a", Milliseconds(30)).get() == AppendStatus::TimedOut);
+  auto Behind = Mine.append("b", Milliseconds(30));
+  CHECK(Behind.get() == AppendStatus::TimedOut);
+  Slow.open();
+  CHECK(Mine.append("c").get() == AppendStatus::Durable);
+  // What gave up while it was still queued is not written at all.
+  JournalContent Content = Mine.read();
+  CHECK(Content.Entries_.contains("a"));
+  CHECK_FALSE(Content.Entries_.contains("b"));
+}
+
 // Guards against unbounded memory and endless waits during an outage.
 TEST_CASE("a full queue and an outage refuse at once") {
   JournalSettings Settings = Fleet::settings().Journal_;
--- a/tests/Coordination/OnceRunnerTest.cpp
+++ b/tests/Coordination/OnceRunnerTest.cpp
@@ -524,3 +524,47 @@
   CHECK(All.Judge_.runs("p") == 1);
   CHECK(All.Judge_.runs("r") == 0);
 }
+
+// Guards against a home that runs what it cannot record while survivors answer
+// for it, and against one that stays out of service afterwards.
+TEST_CASE("an isolated home refuses and comes back under a new incarnation") {
+  Fleet All;
+  Node &Home = All.start("a");
+  Node &Survivor = All.start("b");
+  std::string AtHome = Home.key("a");
+  std::string AtSurvivor = Home.key("b");
+  std::uint64_t Before = Home.Session_->incarnation();
+  Home.Reachable_ = false;
+  Home.PeerHook_ = [] { return Fault::Unavailable; };
+  Home.Store_.setHook(outage());
+  All.Members_.setStatus("a", MemberStatus::Dead);
+  CHECK(Home.submit(AtHome).Kind_ == OutcomeKind::NotRun);
+  CHECK(Survivor.submit(AtSurvivor).Kind_ == OutcomeKind::NotRun);
+  CHECK(Survivor.submit(AtHome).Kind_ == OutcomeKind::NotRun);
+  Home.Store_.setHook(nullptr);
+  // The read that finds the service again also finds the session deleted.
+  REQUIRE(eventually([&] {
+    auto Open = Home.Session_->current();
+    return Open && Open->Incarnation_ > Before;
+  }));
+  CHECK(Home.submit(AtSurvivor).Kind_ == OutcomeKind::NotRun);
+  CHECK(Home.submit(Home.key("c")).Kind_ == OutcomeKind::Completed);
+  CHECK(All.Judge_.runs(AtHome) + All.Judge_.runs(AtSurvivor) == 0);
+}
+
+// Guards against `not_run` from a journal in which an intent may be
+// unreadable.
+TEST_CASE("a damaged journal leaves unseen keys unknown") {
+  Fleet All;
+  Node &Home = All.start("a");
+  Node &Survivor = All.start("b");
+  std::string Key = Home.key();
+  protocol::Transaction Damage;
+  Damage.Writes_.push_back(
+      {protocol::Mutation::Kind::Put,
+       Journal::prefixOf("a", Home.Session_->incarnation()) + "000000000009",
+       "?"});
+  All.Store_.commit(Damage);
+  All.kill(Home);
+  CHECK(Survivor.submit(Key).Kind_ == OutcomeKind::Unknown);
+}
