--- a/source/Coordination/OnceRunner.cpp
+++ b/source/Coordination/OnceRunner.cpp
@@ -530,7 +530,7 @@
   bool Ended = Work.ticket().Class_ == TicketClass::Journaled &&
                Work.ticket().Incarnation_ < Parts_.Session_.incarnation();
   if (!Ended)
-    return Registry_.absent(Work.Registry_.Expiry_);
+    return Registry_.lookUp(Work.Registry_, SteadyClock::now());
   auto Read =
       fromJournal(Work, Work.ticket().Host_, Work.ticket().Incarnation_, true);
   return Read.value_or(
--- a/source/Coordination/RequestRegistry.cpp
+++ b/source/Coordination/RequestRegistry.cpp
@@ -72,9 +72,13 @@
   return answer(Lock, Found->second, Key, Deadline);
 }
 
-RequestOutcome RequestRegistry::absent(Milliseconds Expiry) const {
-  std::lock_guard Lock(Mutex_);
-  return absentAt(Now_(), Expiry);
+RequestOutcome RequestRegistry::lookUp(const RegistryKey &Key,
+                                       SteadyTime Deadline) {
+  std::unique_lock Lock(Mutex_);
+  auto Found = Entries_.find(Key.Identity_);
+  if (Found != Entries_.end())
+    return answer(Lock, Found->second, Key, Deadline);
+  return absentAt(Now_(), Key.Expiry_);
 }
 
 bool RequestRegistry::isAlmostFull() const {
--- a/source/Coordination/RequestRegistry.h
+++ b/source/Coordination/RequestRegistry.h
@@ -66,9 +66,10 @@
   std::optional<protocol::RequestOutcome> find(const RegistryKey &Key,
                                                SteadyTime Deadline);
 
-  /// The answer for a key that was never seen: `not_run` between its expiry
-  /// and the end of its retention, and `unknown` otherwise.
-  protocol::RequestOutcome absent(Milliseconds Expiry) const;
+  /// As find(), but answers for a key that is not there: `not_run` between its
+  /// expiry and the end of its retention, and `unknown` otherwise. One step,
+  /// so that no key starts between the search and the reading of the clock.
+  protocol::RequestOutcome lookUp(const RegistryKey &Key, SteadyTime Deadline);
 
   /// True when a tenth of the entries or less is free; no tickets are issued
   /// then.
--- a/tests/Coordination/OnceRandomTest.cpp
+++ b/tests/Coordination/OnceRandomTest.cpp
@@ -72,6 +72,7 @@
   std::string Key_;
   std::string Body_;
   bool Ticketed_ = false;
+  bool IsLookUp_ = false; ///< Has no body of its own.
   int RunsBefore_ = 0;
   RequestOutcome Outcome_;
 };
@@ -298,11 +299,14 @@
 
   void submit(Node &At, const std::string &Key, bool Ticketed,
               const std::string &Body, Milliseconds Timeout) {
-    auto Task = [this, &At, Key, Ticketed, Body, Timeout] {
-      Answer Got{Key, Body, Ticketed, All_.Judge_.runs(Key), {}};
+    bool IsLookUp = next(Random_, 6) == 0;
+    auto Task = [this, &At, Key, Ticketed, Body, Timeout, IsLookUp] {
+      Answer Got{Key, Body, Ticketed, IsLookUp, All_.Judge_.runs(Key), {}};
       if (At.Killed_)
         return;
-      Got.Outcome_ = At.submit(Key, Body, Timeout);
+      Got.Outcome_ = IsLookUp
+                         ? At.Runner_->lookUp("orders", "guild", Key, Timeout)
+                         : At.submit(Key, Body, Timeout);
       // The caller of a crashed process gets no answer.
       if (At.Killed_)
         return;
@@ -354,7 +358,7 @@
       switch (Got.Outcome_.Kind_) {
       case OutcomeKind::Completed:
         ++Found.Completed_;
-        if (Got.Outcome_.Body_ != Judge::answerTo(Got.Body_))
+        if (!Got.IsLookUp_ && Got.Outcome_.Body_ != Judge::answerTo(Got.Body_))
           violation(Found, "completed with a foreign body", Got.Key_);
         if (All_.Judge_.runs(Got.Key_) == 0)
           violation(Found, "completed but never ran", Got.Key_);
--- a/tests/Coordination/RequestRegistryTest.cpp
+++ b/tests/Coordination/RequestRegistryTest.cpp
@@ -55,7 +55,9 @@
   REQUIRE_FALSE(Registry.begin(key("a"), soon()));
   REQUIRE_FALSE(Registry.begin(key("running"), soon()));
   Registry.finish("a", completed("1"));
+  CHECK(Registry.lookUp(key("b"), soon()).Kind_ == OutcomeKind::Unknown);
   Now = 150;
+  CHECK(Registry.lookUp(key("b"), soon()).Kind_ == OutcomeKind::NotRun);
   CHECK(Registry.begin(key("a"), soon())->Body_ == "1");
   CHECK(Registry.begin(key("b"), soon())->Kind_ == OutcomeKind::NotRun);
   Now = 151;
