Limit concurrency by the work being served, and add policy simulations

The limit follows the rate of completed work times its best pace; additive increase with multiplicative decrease oscillated, because waits are seen late. A predicted queue longer than 400 ms is refused, so that a peak leaves no long backlog. Targets with any pace penalty are rechecked.

--- a/source/Coordination/Admission.h
+++ b/source/Coordination/Admission.h
@@ -20,9 +20,15 @@
 
 /// Settings of Admission.
 struct AdmissionSettings {
-  double MaxShort_ = 128; ///< Short requests running at once.
-  double MaxLong_ = 128;  ///< Long requests running at once.
+  /// Time source; a simulation replaces it.
+  std::function<SteadyTime()> Now_ = [] { return SteadyClock::now(); };
+  double MaxInFlight_ = 256; ///< Requests running at once.
+  /// Part of the places that long work may use; the rest is for short work.
+  double LongShare_ = 0.6;
   std::size_t MaxQueued_ = 2048;
+  /// Longest predicted wait in the queue. Without it a peak leaves a backlog as
+  /// long as the deadlines, which delays all work after the peak.
+  Milliseconds MaxQueueDelay_{400};
   /// A request that waits longer takes precedence at every second turn.
   Milliseconds AgeLimit_{500};
   int ShortPriority_ = 10; ///< At engines; long work has priority 0.
@@ -42,8 +48,7 @@
   int LongRunning_ = 0;
   std::size_t ShortQueued_ = 0;
   std::size_t LongQueued_ = 0;
-  double ShortLimit_ = 0;
-  double LongLimit_ = 0;
+  double Limit_ = 0; ///< Requests that may run at once.
 };
 
 /// Refuses requests that cannot meet their deadline or exceed their account's
@@ -56,9 +61,19 @@
   /// All requests must have ended.
   ~Admission() override;
 
+  /// A request that was refused or stands in the queue. Every one that is not
+  /// refused must be settled.
+  class Queued;
+
   Decision admit(const AdmissionRequest &Request) override;
   void cancel(const std::string &RequestId) override;
 
+  /// The parts of admit(), for callers that do not block: enqueue, wait until
+  /// decided() or latestStart(), settle.
+  Queued enqueue(const AdmissionRequest &Request);
+  bool decided(const Queued &Pending);
+  Decision settle(Queued Pending);
+
   /// The rates of accounts; takes and gives usage for gossip.
   AccountLimiter &accounts() { return Accounts_; }
 
@@ -68,21 +83,25 @@
   enum class WaitState { Waiting, Granted, Cancelled };
 
   struct Waiter {
-    std::string RequestId_;
+    std::uint64_t Id_ = 0;
+    AdmissionRequest Request_;
+    Grant Granted_;
     WaitState State_ = WaitState::Waiting;
     std::condition_variable Changed_;
   };
 
   /// Short or long work.
   struct Lane {
-    explicit Lane(double MaxRunning) : Limit_({.Max_ = MaxRunning}) {}
-
     FairQueue Queue_;
-    ConcurrencyLimit Limit_;
     int Running_ = 0;
     double RunningCost_ = 0;
     /// Seconds in which one running request does one unit of cost.
     double Pace_ = 0;
+    /// Cost done per second, moving average.
+    double Rate_ = 0;
+    SteadyTime RateTime_{};
+
+    double rateNow(SteadyTime Now) const;
   };
 
   void release(const Grant &Ended, std::optional<double> ActualTokens) override;
@@ -90,28 +109,42 @@
   Lane &lane(SizeClass Class) {
     return Class == SizeClass::Short ? Short_ : Long_;
   }
-  bool mayStartShort() const;
+  double longPlaces() const { return Limit_.value() * Settings_.LongShare_; }
+  bool mayStartShort(SteadyTime Now) const;
   bool mayStartLong() const;
-  bool longIsAged(SteadyTime Now) const;
   void startWaiting();
   void startNext(Lane &From, SteadyTime Now);
-  Microseconds queueDelay(const AdmissionRequest &Request, SizeClass Class);
+  Microseconds queueDelay(const AdmissionRequest &Request, SizeClass Class,
+                          SteadyTime Now);
+  Grant makeGrant(const AdmissionRequest &Request,
+                  const SizePrediction &Size) const;
   Decision refuse(const AdmissionRequest &Request, int Status,
                   std::string Detail, Milliseconds RetryAfter) const;
-  Decision wait(std::unique_lock<std::mutex> &Lock,
-                const AdmissionRequest &Request, const SizePrediction &Size,
-                SteadyTime LatestStart);
 
   AdmissionSettings Settings_;
   SizePredictor Sizes_;
   AccountLimiter Accounts_;
   std::mutex Mutex_;
+  ConcurrencyLimit Limit_;
   Lane Short_;
   Lane Long_;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> Waiters_;
   std::uint64_t NextId_ = 1;
 };
 
+class Admission::Queued final {
+public:
+  /// After this time the request could not be answered in time any more.
+  SteadyTime latestStart() const { return LatestStart_; }
+
+private:
+  friend class Admission;
+
+  std::shared_ptr<Waiter> Waiter_; ///< Null if refused.
+  Decision Refusal_;
+  SteadyTime LatestStart_;
+};
+
 } // namespace amaranth::coordination
 
 #endif
--- a/source/Coordination/PredictedRouter.h
+++ b/source/Coordination/PredictedRouter.h
@@ -14,7 +14,7 @@
 struct PredictedRouterSettings {
   /// A candidate is late if its predicted completion exceeds this multiple of
   /// the stage's median.
-  double LateFactor_ = 2;
+  double LateFactor_ = 1.5;
   /// Differences below this are not worth leaving the candidates, which hold
   /// the prefix cache.
   Microseconds LateFloor_{2000};
--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -24,6 +24,9 @@
 /// would otherwise look fast and attract work.
 constexpr double FailureDelaySeconds = 2.0;
 
+/// Failure rate that is remembered after a successful recheck.
+constexpr double RecheckedFailureRate = 0.02;
+
 /// Time in which the remembered failure rate halves.
 constexpr double FailureHalfLifeSeconds = 3.0;
 
@@ -88,8 +91,11 @@
   if (Target.FailureStreak_ >= Settings_.FailureThreshold_ &&
       Now >= Target.AvoidUntil_)
     Target.RecheckTaken_ = true;
-  if (Target.SlowWait_.count() > 0 && Now >= Target.SlowRecheckAt_)
+  if (Target.SlowWait_.count() > 0 && Now >= Target.SlowRecheckAt_) {
     Target.SlowRecheckAt_ = Now + Target.SlowWait_;
+    // Each recheck of a target that is still slow costs a slow request.
+    Target.SlowWait_ = std::min(Settings_.MaxRecheck_, 2 * Target.SlowWait_);
+  }
   return Id;
 }
 
@@ -111,10 +117,10 @@
   switch (End) {
   case AttemptEnd::Success:
     recordPace(Target, Attempt, ActualWork, Now);
+    Target.FailureRate_ *= 1 - SampleWeight;
     // After a successful recheck the target gets work again at once.
     if (Target.FailureStreak_ >= Settings_.FailureThreshold_)
-      Target.FailureRate_ *= SampleWeight;
-    Target.FailureRate_ *= 1 - SampleWeight;
+      Target.FailureRate_ = std::min(Target.FailureRate_, RecheckedFailureRate);
     Target.Down_ = false;
     Target.FailureStreak_ = 0;
     Target.RecheckTaken_ = false;
@@ -338,7 +344,9 @@
     if (Overdue > Settings_.SlowFactor_)
       Slowdown = std::max(Slowdown, Overdue);
     Slowdown = std::min(Slowdown, MaxSlowdown);
-    if (Slowdown >= Settings_.SlowFactor_) {
+    // Any penalty ends with a recheck: without one a target that gets no work
+    // would keep its last pace for ever.
+    if (Slowdown > 1) {
       if (Target.SlowWait_.count() == 0) {
         Target.SlowWait_ = recheckWait(3);
         Target.SlowRecheckAt_ = Now + Target.SlowWait_;
--- /dev/null
+++ b/tests/Coordination/PolicyTest.cpp
@@ -0,0 +1,182 @@
+#include "Coordination/FleetModel.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+
+using namespace amaranth;
+using namespace amaranth::testing;
+
+namespace {
+
+constexpr int Short = 20;
+constexpr int Long = 200;
+
+/// Requests per second of \p Tokens tokens that take \p Share of the capacity
+/// of 18 targets.
+double rate(double Share, int Tokens) {
+  return Share * 18 * 8 / 0.005 / Tokens;
+}
+
+void report(const char *Name, double Predicted, double Random) {
+  std::printf("policy %s: predicted %.4f random %.4f\n", Name, Predicted,
+              Random);
+}
+
+/// p99 of short requests at \p Load with \p Slowed targets ten times slower.
+double stragglerP99(bool Predicted, int Slowed, double Load) {
+  FleetModel Model({.Predicted_ = Predicted, .Seed_ = 7});
+  Model.add({0, 40, rate(Load, Short), Short});
+  for (int I = 0; I < Slowed; ++I)
+    Model.slow(I * 7, 10, 40, 10);
+  Model.run();
+  if (Predicted)
+    CHECK(Model.extraWork() <= 0.05);
+  return Model.quantile(0.99, 10, 40, Short);
+}
+
+} // namespace
+
+// Guards against work sent to stragglers whose load reports show it late.
+TEST_CASE("two stragglers of 18 raise p99 at most 1.5 times") {
+  for (double Load : {0.3, 0.5, 0.65}) {
+    double Predicted =
+        stragglerP99(true, 2, Load) / stragglerP99(true, 0, Load);
+    double Random = stragglerP99(false, 2, Load) / stragglerP99(false, 0, Load);
+    std::printf("load %.2f ", Load);
+    report("straggler p99 ratio", Predicted, Random);
+    CHECK(Predicted <= 1.5);
+    CHECK(Predicted < Random);
+  }
+}
+
+// Guards against a straggler that is never tried again after it recovers.
+TEST_CASE("a straggler gets its share again within seconds of recovery") {
+  FleetModel Model({.Seed_ = 3});
+  Model.add({0, 50, rate(0.5, Short), Short});
+  Model.slow(4, 10, 25, 10);
+  Model.run();
+  double Before = Model.attemptsAt(4, 2, 10) / 8.0;
+  double During = Model.attemptsAt(4, 12, 25) / 13.0;
+  double After = Model.attemptsAt(4, 32, 50) / 18.0;
+  std::printf(
+      "policy straggler attempts/s: before %.1f during %.1f after %.1f\n",
+      Before, During, After);
+  CHECK(During <= 0.2 * Before);
+  CHECK(After >= 0.7 * Before);
+}
+
+// Guards against a target that fails at once, and so looks idle and fast,
+// attracting the work of the others.
+TEST_CASE("a target that fails fast does not attract work") {
+  auto Run = [](bool Predicted) {
+    FleetModel Model({.Predicted_ = Predicted, .Seed_ = 5});
+    Model.add({0, 40, rate(0.5, Short), Short});
+    Model.failFast(3, 10, 30);
+    Model.run();
+    double Share =
+        Model.attemptsAt(3, 10, 30) / std::max(1.0, 20 * rate(0.5, Short));
+    if (Predicted)
+      CHECK(Model.attemptsAt(3, 35, 40) >= 0.5 * 5 * rate(0.5, Short) / 18);
+    report("fail-fast served share", Predicted ? Model.served("a") : 0,
+           Predicted ? 0 : Model.served("a"));
+    return Share;
+  };
+  double Predicted = Run(true);
+  double Random = Run(false);
+  report("fail-fast share of attempts", Predicted, Random);
+  CHECK(Predicted <= 0.01);
+  CHECK(Random >= 0.04);
+}
+
+// Guards against daemons that all choose the same target from the same late
+// reports.
+TEST_CASE("several daemons with late reports do not herd") {
+  auto Run = [](bool Predicted) {
+    FleetModel Model({.Daemons_ = 8, .Predicted_ = Predicted, .Seed_ = 11});
+    Model.add({0, 30, rate(0.8, Short), Short});
+    Model.run();
+    return std::pair(Model.quantile(0.99, 5, 30, Short), Model.longestQueue());
+  };
+  auto Predicted = Run(true);
+  auto Random = Run(false);
+  report("herd p99 s", Predicted.first, Random.first);
+  report("herd longest queue", Predicted.second, Random.second);
+  CHECK(Predicted.first < Random.first);
+  CHECK(Predicted.second <= Random.second);
+}
+
+// Guards against lost throughput and a slow return to normal at a demand peak.
+TEST_CASE("goodput at a peak of three times capacity stays at 90 %") {
+  auto Run = [](bool Ours) {
+    auto Model = std::make_unique<FleetModel>(
+        ModelSettings{.Predicted_ = Ours, .Admit_ = Ours, .Seed_ = 13});
+    Model->add({0, 30, rate(0.4, Short), Short});
+    Model->add({0, 30, rate(0.2, Long), Long});
+    Model->add({10, 20, rate(1.6, Short), Short});
+    Model->add({10, 20, rate(0.8, Long), Long});
+    Model->run();
+    return Model;
+  };
+  auto Ours = Run(true);
+  auto Baseline = Run(false);
+  report("peak goodput", Ours->goodput(10, 20), Baseline->goodput(10, 20));
+  report("goodput after peak", Ours->goodput(22, 30),
+         Baseline->goodput(22, 30));
+  report("peak attainment of accepted", Ours->attainment("a"),
+         Baseline->attainment("a"));
+  report("p99 s from 2 s after the peak", Ours->quantile(0.99, 22, 30, Short),
+         Baseline->quantile(0.99, 22, 30, Short));
+  CHECK(Ours->goodput(10, 20) >= 0.9);
+  CHECK(Ours->goodput(10, 20) > Baseline->goodput(10, 20));
+  double Before = Ours->quantile(0.99, 2, 10, Short);
+  CHECK(Ours->quantile(0.99, 22, 30, Short) <= 1.3 * Before);
+}
+
+// Guards against short work that waits behind long work.
+TEST_CASE("long work raises p99 of short work at most 1.3 times") {
+  auto Run = [](bool Ours, bool WithLong) {
+    FleetModel Model({.Predicted_ = Ours, .Admit_ = Ours, .Seed_ = 17});
+    Model.add({0, 30, rate(0.3, Short), Short});
+    if (WithLong)
+      Model.add({0, 30, rate(0.35, Long), Long});
+    Model.run();
+    return Model.quantile(0.99, 5, 30, Short);
+  };
+  double Ours = Run(true, true) / Run(true, false);
+  double Baseline = Run(false, true) / Run(false, false);
+  report("short p99 with/without long work", Ours, Baseline);
+  CHECK(Ours <= 1.3);
+  CHECK(Ours < Baseline);
+}
+
+// Guards against a large account that takes the service from a small one.
+TEST_CASE("a small account keeps its attainment beside an overload") {
+  auto Run = [](bool Ours, bool Overload) {
+    FleetModel Model({.Predicted_ = Ours, .Admit_ = Ours, .Seed_ = 19});
+    Model.add({0, 15, rate(0.05, Short), Short, "small"});
+    if (Overload)
+      Model.add({5, 15, rate(2, Short), Short, "large"});
+    Model.run();
+    return Model.served("small");
+  };
+  double Alone = Run(true, false);
+  double Ours = Run(true, true);
+  double Baseline = Run(false, true);
+  report("small account beside overload", Ours, Baseline);
+  CHECK(Ours >= Alone - 0.01);
+  CHECK(Baseline < Alone - 0.01);
+}
+
+// Guards against retries that keep an overload or an outage going.
+TEST_CASE("retries stay within the budget while targets fail") {
+  FleetModel Model({.Seed_ = 23});
+  Model.add({0, 30, rate(0.5, Short), Short});
+  for (int I = 0; I < 18; ++I)
+    Model.failFast(I, 10, 15);
+  Model.run();
+  std::printf("policy retry storm extra work: %.4f\n", Model.extraWork());
+  CHECK(Model.extraWork() <= 0.05);
+  CHECK(Model.quantile(0.99, 22, 30, Short) <=
+        1.5 * Model.quantile(0.99, 2, 10, Short));
+}
