--- a/source/Coordination/PredictedRouter.cpp
+++ b/source/Coordination/PredictedRouter.cpp
@@ -85,10 +85,11 @@
   Microseconds Completion = Candidate.Estimate_.Completion_;
   if (Completion > Query.TimeLeft_)
     return true;
-  auto Limit = std::chrono::duration_cast<Microseconds>(
+  auto Tolerated = std::chrono::duration_cast<Microseconds>(
       std::chrono::duration<double, std::micro>(Median) *
-      Settings_.LateFactor_);
-  return Completion > Limit + Settings_.LateFloor_;
+      (Settings_.LateFactor_ - 1));
+  Tolerated = std::min(Tolerated, Settings_.LateCeiling_);
+  return Completion > Median + Tolerated + Settings_.LateFloor_;
 }
 
 std::vector<PredictedRouter::Option>
--- a/source/Coordination/PredictedRouter.h
+++ b/source/Coordination/PredictedRouter.h
@@ -14,10 +14,13 @@
 struct PredictedRouterSettings {
   /// A candidate is late if its predicted completion exceeds this multiple of
   /// the stage's median.
-  double LateFactor_ = 1.5;
+  double LateFactor_ = 1.2;
   /// Differences below this are not worth leaving the candidates, which hold
   /// the prefix cache.
   Microseconds LateFloor_{2000};
+  /// A longer delay than this is worth it even if it is a small part of long
+  /// work: long work on a crowded target delays the short work behind it.
+  Microseconds LateCeiling_{20000};
   std::uint64_t Seed_ = std::random_device{}();
 };
 
--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -20,6 +20,12 @@
 /// such targets serve several requests at once.
 constexpr double QueueShare = 0.25;
 
+/// Time in which what a report tells about the work of other daemons fades.
+constexpr double ReportMemorySeconds = 0.3;
+
+/// Delay of a full target in units of work, beyond its pending work.
+constexpr double BusyWeight = 20;
+
 /// Predicted delay of a target that always fails; a target that fails fast
 /// would otherwise look fast and attract work.
 constexpr double FailureDelaySeconds = 2.0;
@@ -84,6 +90,7 @@
   Entry &Target = Targets_[Address];
   std::uint64_t Id = NextId_++;
   Target.InFlight_[Id] = {Now, Class, Work};
+  noteOwn(Target, Now);
   Target.OwnWork_ += Work;
   Target.SentSinceReport_ += Work;
   // The first request after a recheck time is the recheck; others wait for its
@@ -111,6 +118,7 @@
   if (Target.InFlight_.empty())
     Target.OwnWork_ = 0;
   SteadyTime Now = Settings_.Now_();
+  noteOwn(Target, Now);
   if (!Target.Report_ || Attempt.Start_ >= Target.ReportMeasured_)
     Target.SentSinceReport_ =
         std::max(0.0, Target.SentSinceReport_ - Attempt.Work_);
@@ -279,22 +287,50 @@
   return std::max(Target.OwnWork_, Left + Target.SentSinceReport_);
 }
 
+void TargetTable::noteOwn(Entry &Target, SteadyTime Now) {
+  auto &History = Target.OwnHistory_;
+  History.emplace_back(Now, Target.InFlight_.size());
+  while (History.size() > 1 &&
+         History[1].first <= Now - Settings_.ReportLifetime_)
+    History.pop_front();
+}
+
+bool TargetTable::reportValid(const Entry &Target, SteadyTime Now) const {
+  return Target.Report_ &&
+         Now < Target.ReportMeasured_ + Settings_.ReportLifetime_;
+}
+
+double TargetTable::othersRunning(const Entry &Target) const {
+  double OwnThen = 0;
+  for (const auto &[Time, Count] : Target.OwnHistory_) {
+    if (Time > Target.ReportMeasured_)
+      break;
+    OwnThen = static_cast<double>(Count);
+  }
+  return std::max(0.0, Target.Report_->Running_ - OwnThen);
+}
+
 double TargetTable::queueDelay(const Entry &Target, double UnloadedPace,
-                               SteadyTime Now) const {
+                               double TypicalOthers, SteadyTime Now) const {
   double Pending = pendingWork(Target, Now);
-  if (!Target.Report_ || Target.Report_->WorkPerSecond_ <= 0)
+  if (!reportValid(Target, Now) || Target.Report_->WorkPerSecond_ <= 0)
     return Pending * UnloadedPace * QueueShare;
-  // A batching engine runs as many requests at once as its rate exceeds that of
-  // one request; new work waits only when all these places are taken.
   double Rate = Target.Report_->WorkPerSecond_;
+  if (UnloadedPace <= 0)
+    return Pending / Rate;
+  // A batching engine runs as many requests at once as its rate exceeds that of
+  // one request; new work waits only when all these places are taken. The load
+  // of other daemons is taken to last, and the less so the older the report is.
   double Places = std::max(1.0, Rate * UnloadedPace);
-  double Running = Target.Report_->Running_;
-  for (const auto &[Id, Attempt] : Target.InFlight_)
-    if (Attempt.Start_ >= Target.ReportMeasured_)
-      ++Running;
-  Running = std::max(Running, static_cast<double>(Target.InFlight_.size()));
-  double Busy = UnloadedPace > 0 ? std::min(1.0, Running / Places) : 1;
-  return Pending / Rate * Busy * Busy;
+  double Known =
+      std::exp(-seconds(Now - Target.ReportMeasured_) / ReportMemorySeconds);
+  double Others =
+      TypicalOthers + Known * (othersRunning(Target) - TypicalOthers);
+  double Running = Others + static_cast<double>(Target.InFlight_.size());
+  double Busy = Running / Places;
+  double Full = std::min(1.0, Busy);
+  return Pending / Rate * Full * Full +
+         UnloadedPace * Busy * Busy * Busy * BusyWeight;
 }
 
 double TargetTable::overdue(const Entry &Target, WorkClass Class,
@@ -323,6 +359,17 @@
     Recent.push_back(Known.Recent_);
     Best.push_back(Known.Best_);
   }
+  double TypicalOthers = 0;
+  double Reports = 0;
+  for (const std::string &Address : Addresses) {
+    const Entry &Target = Targets_[Address];
+    if (!reportValid(Target, Now))
+      continue;
+    TypicalOthers += othersRunning(Target);
+    Reports += 1;
+  }
+  if (Reports > 0)
+    TypicalOthers /= Reports;
   double TypicalPace = medianOfKnown(Recent);
   double UnloadedPace = medianOfKnown(Best);
   std::vector<TargetEstimate> Estimates;
@@ -358,7 +405,7 @@
       Target.SlowWait_ = Milliseconds{0};
     }
     Estimate.Slowdown_ = Slowdown;
-    double QueueDelay = queueDelay(Target, UnloadedPace, Now);
+    double QueueDelay = queueDelay(Target, UnloadedPace, TypicalOthers, Now);
     double Forgotten =
         std::exp2(-seconds(Now - Target.FailureTime_) / FailureHalfLifeSeconds);
     double FailureDelay = Target.FailureRate_ * Forgotten * FailureDelaySeconds;
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -141,6 +142,8 @@
 
   struct Entry {
     std::map<std::uint64_t, InFlight> InFlight_;
+    /// Own attempts in flight since each time, for the life of a report.
+    std::deque<std::pair<SteadyTime, std::size_t>> OwnHistory_;
     double OwnWork_ = 0;
     double SentSinceReport_ = 0;
     std::optional<LoadReport> Report_;
@@ -175,8 +178,11 @@
   Milliseconds recheckWait(int Streak);
   bool leaving(const Entry &Target, SteadyTime Now) const;
   double pendingWork(const Entry &Target, SteadyTime Now) const;
+  void noteOwn(Entry &Target, SteadyTime Now);
+  bool reportValid(const Entry &Target, SteadyTime Now) const;
+  double othersRunning(const Entry &Target) const;
   double queueDelay(const Entry &Target, double UnloadedPace,
-                    SteadyTime Now) const;
+                    double TypicalOthers, SteadyTime Now) const;
   double overdue(const Entry &Target, WorkClass Class, double Typical,
                  SteadyTime Now) const;
 
--- /dev/null
+++ b/tests/Coordination/PlainCallRunnerTest.cpp
@@ -0,0 +1,157 @@
+#include "Coordination/PlainCallRunner.h"
+
+#include "Coordination/PredictedRouter.h"
+#include "Transport/HttpServer.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace amaranth;
+using namespace amaranth::coordination;
+using protocol::OutcomeKind;
+using protocol::RequestOutcome;
+
+namespace {
+
+/// A plain service target with a fixed reply.
+struct Service {
+  Service() {
+    Server_.route("POST", "/v1/calls/order",
+                  [this](const transport::HttpRequest &Request) {
+                    ++Calls_;
+                    Silent_.wait(true);
+                    transport::HttpReply Reply;
+                    Reply.Status_ = Status_;
+                    Reply.Headers_.add(
+                        "X-Request-Id",
+                        WrongEcho_ ? "x"
+                                   : Request.Headers_.get("X-Request-Id"));
+                    if (Leaving_)
+                      Reply.Headers_.add("X-Leaving", "true");
+                    Reply.Body_ = "{\"done\":true}";
+                    return Reply;
+                  });
+    REQUIRE(capture([this] { return Server_.start(); }));
+  }
+
+  std::atomic<int> Calls_ = 0;
+  std::atomic<int> Status_ = 200;
+  std::atomic<bool> Leaving_ = false;
+  std::atomic<bool> WrongEcho_ = false;
+  std::atomic<bool> Silent_ = false;
+  transport::HttpServer Server_{{}};
+};
+
+struct Fixture {
+  Fixture() {
+    state::PlainCall Call;
+    Call.Name_ = "order";
+    for (auto &[Name, One] : {std::pair<std::string, Service &>{"a", A_},
+                              std::pair<std::string, Service &>{"b", B_}}) {
+      state::Target Target;
+      Target.Name_ = Name;
+      Target.Address_ = "127.0.0.1:" + std::to_string(One.Server_.port());
+      Document_->Targets_.push_back(Target);
+      Call.Targets_.push_back(Name);
+    }
+    Document_->Calls_.push_back(Call);
+  }
+
+  RequestOutcome dispatch(const std::string &Body, bool Repeatable = false) {
+    protocol::ForwardedRequest Request;
+    Request.Service_ = "shop";
+    Request.Call_ = "order";
+    Request.RequestId_ = "r1";
+    Request.Body_ = Body;
+    SteadyTime Deadline = SteadyClock::now() + Seconds{20};
+    return Repeatable ? Runner_.runIdempotent(Request, Deadline)
+                      : Runner_.dispatch(Request, Deadline);
+  }
+
+  /// The body of a call that reaches \p Wanted first.
+  std::string bodyFor(Service &Wanted) {
+    for (int I = 0;; ++I) {
+      std::string Body = std::to_string(I);
+      int Before = Wanted.Calls_;
+      if (dispatch(Body).Kind_ == OutcomeKind::Completed &&
+          Wanted.Calls_ > Before)
+        return Body;
+    }
+  }
+
+  Service A_;
+  Service B_;
+  std::shared_ptr<state::ServiceDocument> Document_ =
+      std::make_shared<state::ServiceDocument>();
+  transport::HttpClient Http_{{}};
+  protocol::PlainServiceClient Client_{Http_};
+  TargetTable Table_{{.Seed_ = 1}};
+  PredictedRouter Router_{
+      Table_, {.LateFactor_ = 1e6, .LateCeiling_ = Seconds{9}, .Seed_ = 1}};
+  RetryBudget Budget_{{}};
+  PlainCallRunner Runner_{
+      {Client_, Router_, Table_, Budget_,
+       [this](const std::string &) { return Document_; }},
+      {.ProgressTimeout_ = Milliseconds{100}, .Wait_ = [](Milliseconds) {}}};
+};
+
+} // namespace
+
+// Guards against a non-idempotent call that runs twice, and against a false
+// "not run", when its reply is lost, late, malformed or of another request.
+TEST_CASE("a call that may have run is never repeated") {
+  Fixture F;
+  std::string Body = F.bodyFor(F.A_);
+  int Before = F.A_.Calls_ + F.B_.Calls_;
+  OutcomeKind Expected = OutcomeKind::Unknown;
+  SECTION("wrong echo") { F.A_.WrongEcho_ = F.B_.WrongEcho_ = true; }
+  SECTION("silence") { F.A_.Silent_ = F.B_.Silent_ = true; }
+  SECTION("server error") {
+    F.A_.Status_ = F.B_.Status_ = 500;
+    Expected = OutcomeKind::Failed;
+  }
+  RequestOutcome Outcome = F.dispatch(Body);
+  for (Service *One : {&F.A_, &F.B_}) {
+    One->Silent_ = false;
+    One->Silent_.notify_all();
+  }
+  CHECK(Outcome.Kind_ == Expected);
+  CHECK(F.A_.Calls_ + F.B_.Calls_ == Before + 1);
+}
+
+// Guards against refusing a call that another target could run.
+TEST_CASE("a call that certainly did not run goes to another target") {
+  Fixture F;
+  std::string Body = F.bodyFor(F.A_);
+  SECTION("leaving") {
+    F.A_.Status_ = 503;
+    F.A_.Leaving_ = true;
+  }
+  SECTION("overloaded") { F.A_.Status_ = 429; }
+  SECTION("connection refused") { F.A_.Server_.stop(); }
+  int Before = F.B_.Calls_;
+  CHECK(F.dispatch(Body).Kind_ == OutcomeKind::Completed);
+  CHECK(F.B_.Calls_ == Before + 1);
+}
+
+// Guards against "unknown" or "failed" for a call that no target ran.
+TEST_CASE("a call that no target ran is not run") {
+  Fixture F;
+  F.A_.Status_ = F.B_.Status_ = 503;
+  CHECK(F.dispatch("{}").Kind_ == OutcomeKind::NotRun);
+  Fixture G;
+  G.A_.Server_.stop();
+  G.B_.Server_.stop();
+  CHECK(G.dispatch("{}").Kind_ == OutcomeKind::NotRun);
+}
+
+// Guards against idempotent calls that fail because one target does.
+TEST_CASE("an idempotent call is repeated at another target") {
+  Fixture F;
+  std::string Body = F.bodyFor(F.A_);
+  F.A_.Status_ = 500;
+  RequestOutcome Outcome = F.dispatch(Body, true);
+  CHECK(Outcome.Kind_ == OutcomeKind::Completed);
+  CHECK(Outcome.Body_ == "{\"done\":true}");
+}
