--- a/source/Daemon/AdminHandlers.cpp
+++ b/source/Daemon/AdminHandlers.cpp
@@ -113,10 +113,16 @@
     return problem(400, "bad-request", Failure.Message_);
   // After an ambiguous end, repeating with the same Change-Id shows whether
   // the change took effect.
-  const char *Type = Failure.Code_ == ErrorCode::Ambiguous
-                         ? "change-ambiguous"
-                         : "key-value-unavailable";
-  return problem(503, Type, Failure.Message_);
+  bool Ambiguous = Failure.Code_ == ErrorCode::Ambiguous;
+  Problem Made;
+  Made.Status_ = 503;
+  Made.Type_ = Ambiguous ? "change-ambiguous" : "key-value-unavailable";
+  Made.Title_ = "The change was not confirmed";
+  Made.Detail_ = Failure.Message_;
+  Made.Outcome_ = Ambiguous ? protocol::OutcomeKind::Unknown
+                            : protocol::OutcomeKind::NotRun;
+  Made.RetryWith_ = protocol::RetryWith::SameRequest;
+  return toReply(Made);
 }
 
 std::optional<std::uint64_t> readRevision(const std::string &Text) {
--- a/source/Daemon/Components.cpp
+++ b/source/Daemon/Components.cpp
@@ -86,8 +86,7 @@
   if (Settings.BaselinePolicy_)
     return std::make_unique<coordination::OpenAdmission>(Settings.MaxInFlight_);
   coordination::AdmissionSettings Made;
-  Made.MaxShort_ = Settings.MaxInFlight_ / 2.0;
-  Made.MaxLong_ = Settings.MaxInFlight_ / 2.0;
+  Made.MaxInFlight_ = Settings.MaxInFlight_;
   Made.Estimate_ = [&Table, &Documents](const std::string &Service,
                                         double Tokens) {
     auto Document = Documents.find(Service);
--- a/tests/Transport/WorkArenaTest.cpp
+++ b/tests/Transport/WorkArenaTest.cpp
@@ -15,10 +15,10 @@
 Microseconds processorTime() {
   rusage Usage{};
   getrusage(RUSAGE_SELF, &Usage);
-  auto toMicroseconds = [](const timeval &Time) {
+  auto ToMicroseconds = [](const timeval &Time) {
     return Seconds{Time.tv_sec} + Microseconds{Time.tv_usec};
   };
-  return toMicroseconds(Usage.ru_utime) + toMicroseconds(Usage.ru_stime);
+  return ToMicroseconds(Usage.ru_utime) + ToMicroseconds(Usage.ru_stime);
 }
 
 } // namespace
