--- a/source/Daemon/Runtime.cpp
+++ b/source/Daemon/Runtime.cpp
@@ -22,7 +22,7 @@
 
 constexpr Milliseconds SeedReadTimeout{2000};
 
-constexpr Milliseconds ReadyCheckPeriod{50};
+constexpr Milliseconds StateCheckPeriod{50};
 
 /// Between two looks at the janitor's duty.
 constexpr Milliseconds JanitorPeriod{30000};
@@ -53,7 +53,7 @@
   std::unique_ptr<CallerHandlers> Callers_;
   std::unique_ptr<AdminHandlers> Admin_;
   std::atomic<bool> JanitorRuns_ = false;
-  transport::TimerSubscription ReadyTimer_;
+  transport::TimerSubscription StateTimer_;
   transport::TimerSubscription JanitorTimer_;
 };
 
@@ -63,7 +63,7 @@
 
 Runtime::~Runtime() {
   Components &Parts = *Components_;
-  Parts.ReadyTimer_.cancel();
+  Parts.StateTimer_.cancel();
   Parts.JanitorTimer_.cancel();
   Parts.Transport_.Http_.stop();
   Parts.Transport_.Endpoint_.abandon();
@@ -144,15 +144,24 @@
   transport::TimerService &Timers = Parts.Transport_.Timers_;
   Fleet.Membership_.start(Timers, Parts.Transport_.Arena_);
   Fleet.Configuration_.start(Timers);
-  Parts.ReadyTimer_ = Timers.subscribe(ReadyCheckPeriod, [&Parts, &Fleet] {
-    if (Fleet.Configuration_.ready())
-      Parts.Gate_.advance(coordination::ServingPhase::Serving);
-  });
+  Parts.StateTimer_ =
+      Timers.subscribe(StateCheckPeriod, [this] { checkState(); });
   Parts.JanitorTimer_ =
       Timers.subscribe(JanitorPeriod, [this] { startJanitorPass(); });
   Parts.Transport_.Arena_.enqueue([this] { learnSessions(); });
 }
 
+void Runtime::checkState() {
+  FleetComponents &Fleet = *Components_->Fleet_;
+  if (Fleet.Configuration_.ready())
+    Components_->Gate_.advance(coordination::ServingPhase::Serving);
+  // Two processes under one name would answer for each other's requests.
+  if (Fleet.Membership_.superseded() && !isDraining()) {
+    LogEvent(LogLevel::Warn, "superseded").field("host", Settings_.Host_);
+    requestDrain();
+  }
+}
+
 void Runtime::learnSessions() {
   Components &Parts = *Components_;
   auto Sessions = capture([&] {
@@ -190,6 +199,11 @@
                   Components_->Transport_.PeerServer_.port());
 }
 
+bool Runtime::isDraining() {
+  std::lock_guard Lock(Mutex_);
+  return Draining_;
+}
+
 void Runtime::requestDrain() {
   std::lock_guard Lock(Mutex_);
   Draining_ = true;
--- a/source/Daemon/Runtime.h
+++ b/source/Daemon/Runtime.h
@@ -44,6 +44,10 @@
   void connectFleet();
   void installHandlers();
   void startBackgroundWork();
+  /// Accepts requests once the documents are there; drains when a newer process
+  /// runs under this host's name.
+  void checkState();
+  bool isDraining();
   /// Finds peers by their sessions in the key-value service.
   void learnSessions();
   void startJanitorPass();
