Do not hold expired deadlines against targets

Counting them as failures makes an overload look like an outage of all targets. AdmissionSettings keeps separate numbers of places for short and long work.

--- a/source/Coordination/Admission.cpp
+++ b/source/Coordination/Admission.cpp
@@ -27,8 +27,8 @@
 
 Admission::Admission(AdmissionSettings Settings)
     : Settings_(std::move(Settings)), Sizes_(Settings_.Sizes_),
-      Accounts_(Settings_.Accounts_), Limit_({.Max_ = Settings_.MaxInFlight_}) {
-}
+      Accounts_(Settings_.Accounts_),
+      Limit_({.Max_ = Settings_.MaxShort_ + Settings_.MaxLong_}) {}
 
 Admission::~Admission() {
   assert(Short_.Running_ == 0 && Long_.Running_ == 0 && Waiters_.empty() &&
--- a/source/Coordination/Admission.h
+++ b/source/Coordination/Admission.h
@@ -22,9 +22,10 @@
 struct AdmissionSettings {
   /// Time source; a simulation replaces it.
   std::function<SteadyTime()> Now_ = [] { return SteadyClock::now(); };
-  double MaxInFlight_ = 256; ///< Requests running at once.
-  /// Part of the places that long work may use; the rest is for short work.
-  double LongShare_ = 0.6;
+  /// Requests running at once, while targets have room: short work may use all
+  /// places, long work its own. With less room both shrink in proportion.
+  double MaxShort_ = 100;
+  double MaxLong_ = 150;
   std::size_t MaxQueued_ = 2048;
   /// Longest predicted wait in the queue. Without it a peak leaves a backlog as
   /// long as the deadlines, which delays all work after the peak.
@@ -109,7 +110,10 @@
   Lane &lane(SizeClass Class) {
     return Class == SizeClass::Short ? Short_ : Long_;
   }
-  double longPlaces() const { return Limit_.value() * Settings_.LongShare_; }
+  double longPlaces() const {
+    return Limit_.value() * Settings_.MaxLong_ /
+           (Settings_.MaxShort_ + Settings_.MaxLong_);
+  }
   bool mayStartShort(SteadyTime Now) const;
   bool mayStartLong() const;
   void startWaiting();
--- a/source/Coordination/AttemptPolicy.cpp
+++ b/source/Coordination/AttemptPolicy.cpp
@@ -6,7 +6,7 @@
 using protocol::StageStatus;
 using transport::CallFailure;
 
-AttemptEnd attemptEnd(const StageReply &Reply) {
+AttemptEnd attemptEnd(const StageReply &Reply, SteadyTime Deadline) {
   switch (Reply.Status_) {
   case StageStatus::Ok:
     return AttemptEnd::Success;
@@ -22,14 +22,16 @@
   case StageStatus::NoReply:
     break;
   }
+  if (remaining(Deadline).count() == 0)
+    return AttemptEnd::Ignored;
   switch (Reply.Failure_) {
   case CallFailure::NotSent:
     return AttemptEnd::Refused;
   case CallFailure::Cancelled:
+  case CallFailure::DeadlineExceeded:
     return AttemptEnd::Ignored;
   case CallFailure::Reset:
   case CallFailure::Silent:
-  case CallFailure::DeadlineExceeded:
   case CallFailure::Mismatched:
     return AttemptEnd::Failure;
   }
--- a/source/Coordination/AttemptPolicy.h
+++ b/source/Coordination/AttemptPolicy.h
@@ -8,8 +8,10 @@
 
 namespace amaranth::coordination {
 
-/// What \p Reply tells about the target.
-AttemptEnd attemptEnd(const protocol::StageReply &Reply);
+/// What \p Reply tells about the target. An attempt that ran out of its own
+/// \p Deadline is no failure of the target; counting it as one would make an
+/// overload look like an outage of all targets.
+AttemptEnd attemptEnd(const protocol::StageReply &Reply, SteadyTime Deadline);
 
 /// True if the target certainly did not run the attempt.
 bool certainlyNotRun(const protocol::StageReply &Reply);
--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -231,7 +231,7 @@
     CountedAttempt Counted(Parts.Targets_, Call.Target_.Address_,
                            workClass(Call.Stage_.Kind_), Work);
     StageReply Reply = Client.run(Call, Data, Listener);
-    Counted.end(attemptEnd(Reply),
+    Counted.end(attemptEnd(Reply, Call.Deadline_),
                 stageWork(Call.Stage_.Kind_, Data.Tokens_ - TokensBefore));
     return Reply;
   }
--- a/source/Coordination/PlainCallRunner.cpp
+++ b/source/Coordination/PlainCallRunner.cpp
@@ -147,7 +147,7 @@
   Call.Body_ = Request.Body_;
   CountedAttempt Counted(Parts_.Targets_, Target.Address_, WorkClass::Plain, 1);
   PlainServiceReply Reply = Parts_.Client_.run(Call);
-  Counted.end(attemptEnd(Reply.Reply_), 1);
+  Counted.end(attemptEnd(Reply.Reply_, Deadline), 1);
   return Reply;
 }
 
--- a/tests/Coordination/AdmissionTest.cpp
+++ b/tests/Coordination/AdmissionTest.cpp
@@ -22,10 +22,10 @@
   return Request;
 }
 
-AdmissionSettings places(double All, double LongShare) {
+AdmissionSettings places(double Short, double Long) {
   AdmissionSettings Settings;
-  Settings.MaxInFlight_ = All;
-  Settings.LongShare_ = LongShare;
+  Settings.MaxShort_ = Short;
+  Settings.MaxLong_ = Long;
   return Settings;
 }
 
@@ -55,7 +55,7 @@
 
 // Guards against places lost when a request ends by an exception or a move.
 TEST_CASE("a permit gives its place back exactly once") {
-  Admission Policy(places(8, 0.5));
+  Admission Policy(places(4, 4));
   for (int I = 0; I < 100; ++I) {
     try {
       Decision First = Policy.admit(request("r"));
@@ -93,7 +93,7 @@
 
 // Guards against short work held up behind long work.
 TEST_CASE("short work borrows from long work and not the reverse") {
-  Admission Policy(places(8, 0.5));
+  Admission Policy(places(4, 4));
   std::vector<Decision> Running;
   for (int I = 0; I < 8; ++I)
     Running.push_back(Policy.admit(request("short")));
@@ -114,7 +114,7 @@
 // Guards against running a request that is predicted to miss its deadline, and
 // against a refusal without a time to come back.
 TEST_CASE("a request that cannot meet its deadline is refused before it runs") {
-  AdmissionSettings Settings = places(8, 0.5);
+  AdmissionSettings Settings = places(4, 4);
   Settings.Estimate_ = [](const std::string &, double Tokens) {
     return Microseconds{static_cast<Microseconds::rep>(Tokens * 1000)};
   };
--- a/tests/Coordination/FleetModel.cpp
+++ b/tests/Coordination/FleetModel.cpp
@@ -213,6 +213,10 @@
   if (!Choice)
     return;
   std::string Name = Choice->Target_->Name_;
+  auto Candidates = rankedCandidates(Query.Targets_, Query.InputDigest_, 2);
+  bool IsCandidate = std::find(Candidates.begin(), Candidates.end(),
+                               Choice->Target_) != Candidates.end();
+  AtCandidates_ += Request.Attempts_ == 0 && IsCandidate;
   launch(Index, std::stoi(Name.substr(1)));
   auto Slow = Host.Statistics_.quantile(std::to_string(Request.Tokens_), 0.95);
   if (Settings_.Predicted_ && Slow && Request.End_ == 0)
@@ -416,6 +420,10 @@
   return Extra / double(Requests_.size());
 }
 
+double FleetModel::candidateShare() const {
+  return AtCandidates_ / double(Requests_.size());
+}
+
 int FleetModel::attemptsAt(int Index, double From, double To) const {
   const auto &Starts = Targets_[static_cast<std::size_t>(Index)]->Starts_;
   return static_cast<int>(
--- a/tests/Coordination/FleetModel.h
+++ b/tests/Coordination/FleetModel.h
@@ -80,6 +80,8 @@
   double extraWork() const;
   /// Attempts started at \p Target between two times.
   int attemptsAt(int Index, double From, double To) const;
+  /// Share of first attempts at one of the input's two candidates.
+  double candidateShare() const;
   /// Largest number of requests at one target.
   int longestQueue() const { return LongestQueue_; }
 
@@ -114,6 +116,7 @@
   std::vector<std::vector<std::shared_ptr<Attempt>>> Live_;
   std::map<std::size_t, Permit> Permits_;
   int LongestQueue_ = 0;
+  int AtCandidates_ = 0;
   double LastArrival_ = 0;
 };
 
--- a/tests/Coordination/PipelineRunnerTest.cpp
+++ b/tests/Coordination/PipelineRunnerTest.cpp
@@ -216,3 +216,19 @@
   CHECK(Client.targetsCalled() == 2);
   CHECK(Two.run(Document, "harmless").Outcome_ == OutcomeKind::Completed);
 }
+
+// Guards against an overload, in which requests run out of time everywhere,
+// that makes healthy targets look failed and so removes the capacity that is
+// left.
+TEST_CASE("an expired deadline is not held against the target") {
+  ScriptedClient Client;
+  Client.Script_ = [](const StageCall &, PipelineData &) {
+    return ScriptedClient::failed(CallFailure::DeadlineExceeded);
+  };
+  RunnerFixture F(Client);
+  auto Document = makeDocument(1, {StageKind::Encode});
+  for (int I = 0; I < 10; ++I)
+    F.run(Document, std::to_string(I));
+  const std::string &Address = Document.Targets_[0].Address_;
+  CHECK_FALSE(F.Table_.estimate({Address}, WorkClass::Encode, 1)[0].Avoided_);
+}
--- a/tests/Coordination/PolicyTest.cpp
+++ b/tests/Coordination/PolicyTest.cpp
@@ -78,15 +78,15 @@
         Model.attemptsAt(3, 10, 30) / std::max(1.0, 20 * rate(0.5, Short));
     if (Predicted)
       CHECK(Model.attemptsAt(3, 35, 40) >= 0.5 * 5 * rate(0.5, Short) / 18);
-    report("fail-fast served share", Predicted ? Model.served("a") : 0,
-           Predicted ? 0 : Model.served("a"));
-    return Share;
+    return std::pair(Share, Model.served("a"));
   };
-  double Predicted = Run(true);
-  double Random = Run(false);
-  report("fail-fast share of attempts", Predicted, Random);
-  CHECK(Predicted <= 0.01);
-  CHECK(Random >= 0.04);
+  auto Predicted = Run(true);
+  auto Random = Run(false);
+  report("fail-fast share of attempts", Predicted.first, Random.first);
+  report("fail-fast served share", Predicted.second, Random.second);
+  CHECK(Predicted.first <= 0.01);
+  CHECK(Random.first >= 0.04);
+  CHECK(Predicted.second >= Random.second);
 }
 
 // Guards against daemons that all choose the same target from the same late
@@ -106,6 +106,18 @@
   CHECK(Predicted.second <= Random.second);
 }
 
+// Guards against spreading work so much that prefix caches no longer help.
+TEST_CASE("work stays with its candidates while they are not late") {
+  for (double Load : {0.3, 0.5, 0.65}) {
+    FleetModel Model({.Seed_ = 29});
+    Model.add({0, 15, rate(Load, Short), Short});
+    Model.run();
+    std::printf("load %.2f ", Load);
+    report("share at candidates", Model.candidateShare(), 2.0 / 18);
+    CHECK(Model.candidateShare() >= 0.8);
+  }
+}
+
 // Guards against lost throughput and a slow return to normal at a demand peak.
 TEST_CASE("goodput at a peak of three times capacity stays at 90 %") {
   auto Run = [](bool Ours) {
