--- a/source/Control/BenchReport.cpp
+++ b/source/Control/BenchReport.cpp
@@ -32,6 +32,7 @@
   for (BenchOutcome Outcome : AllBenchOutcomes)
     Cells.push_back(std::to_string(Tally.count(Outcome)));
   Cells.push_back(formatPercent(Tally.attainment()));
+  Cells.push_back(formatPercent(Tally.served()));
   for (BenchSize Size : {BenchSize::Short, BenchSize::Long})
     for (double Rank : {0.5, 0.99})
       Cells.push_back(formatNumber(Tally.quantile(Rank, Size), 1));
@@ -45,6 +46,7 @@
 Json toJson(const BenchTally &Tally) {
   Json Body = {{"sent", Tally.sent()},
                {"attainment", toJson(Tally.attainment())},
+               {"served", toJson(Tally.served())},
                {"p50_short_ms", toJson(Tally.quantile(0.5, BenchSize::Short))},
                {"p99_short_ms", toJson(Tally.quantile(0.99, BenchSize::Short))},
                {"p50_long_ms", toJson(Tally.quantile(0.5, BenchSize::Long))},
@@ -131,17 +133,35 @@
   return Found == Phases_.end() ? nullptr : &Found->second;
 }
 
-double BenchReport::goodput(const std::string &Phase) const {
+double BenchReport::elapsed(const std::string &Phase) const {
   Milliseconds Duration{0};
   for (const BenchPhase &Each : Scenario_->Phases_)
     if (Phase.empty() || Each.Name_ == Phase)
       Duration += Each.Duration_;
+  return std::chrono::duration<double>(Duration).count() *
+         static_cast<double>(runs());
+}
+
+double BenchReport::goodput(const std::string &Phase) const {
   const BenchTally *Tally = Phase.empty() ? &Total_ : phase(Phase);
-  if (!Tally || Duration.count() == 0)
+  if (!Tally)
     return 0;
-  double Elapsed = std::chrono::duration<double>(Duration).count() *
-                   static_cast<double>(runs());
-  return static_cast<double>(Tally->count(BenchOutcome::InTime)) / Elapsed;
+  return static_cast<double>(Tally->count(BenchOutcome::InTime)) /
+         elapsed(Phase);
+}
+
+std::optional<double>
+BenchReport::goodputShare(const std::string &Phase) const {
+  double TokensPerRequest = 0;
+  for (const KindDemand &Demand : demandOf(*Scenario_))
+    TokensPerRequest += Demand.Share_ * Demand.MeanTokens_;
+  if (TokensPerRequest == 0)
+    return divide(goodput(Phase), Capacity_);
+  const BenchTally *Tally = Phase.empty() ? &Total_ : phase(Phase);
+  if (!Tally)
+    return std::nullopt;
+  double Tokens = static_cast<double>(Tally->tokensInTime()) / elapsed(Phase);
+  return divide(Tokens, Capacity_ * TokensPerRequest);
 }
 
 bool BenchReport::saturated() const {
@@ -168,6 +188,8 @@
   switch (Goal.Measure_) {
   case BenchMeasure::Attainment:
     return Tally->attainment();
+  case BenchMeasure::Served:
+    return Tally->served();
   case BenchMeasure::P99Short:
     return Tally->quantile(0.99, BenchSize::Short);
   case BenchMeasure::P99:
@@ -177,7 +199,7 @@
   case BenchMeasure::GoodputShare:
     break;
   }
-  return divide(goodput(Phase), Capacity_);
+  return goodputShare(Phase);
 }
 
 GoalResult BenchReport::evaluate(const BenchGoal &Goal) const {
@@ -217,8 +239,9 @@
 
 std::string BenchReport::outcomeTable() const {
   TextTable Table({"group", "name", "sent", "in_time", "late", "not_run",
-                   "unknown", "failed", "cut", "attainment", "short p50 ms",
-                   "short p99 ms", "long p50 ms", "long p99 ms"});
+                   "unknown", "failed", "cut", "attainment", "served",
+                   "short p50 ms", "short p99 ms", "long p50 ms",
+                   "long p99 ms"});
   for (const BenchPhase &Phase : Scenario_->Phases_)
     if (const BenchTally *Tally = phase(Phase.Name_))
       addRow(Table, "phase", Phase.Name_, *Tally);
@@ -276,7 +299,8 @@
   for (const BenchPhase &Phase : Scenario_->Phases_)
     Text += ", " + Phase.Name_ + " " + formatNumber(goodput(Phase.Name_), 1);
   if (Capacity_ > 0)
-    Text += "; capacity " + formatNumber(Capacity_, 1);
+    Text += "; capacity " + formatNumber(Capacity_, 1) +
+            ", share of it in work " + formatPercent(goodputShare(""));
   Text +=
       "\nextra attempts per stage run: " + formatPercent(Total_.extraShare()) +
       ", repeated by callers: " + std::to_string(Total_.callerRepeats()) + "\n";
@@ -302,8 +326,10 @@
                {"extra_share", control::toJson(Total_.extraShare())},
                {"stages", Json::object()},
                {"goals", Json::array()}};
-  if (Capacity_ > 0)
+  if (Capacity_ > 0) {
     Body["capacity"] = Capacity_;
+    Body["goodput_share"] = control::toJson(goodputShare(""));
+  }
   for (const BenchPhase &Phase : Scenario_->Phases_)
     if (phase(Phase.Name_))
       Body["phases"][Phase.Name_]["goodput"] = goodput(Phase.Name_);
@@ -335,6 +361,9 @@
   const BenchTally &Left = Policy.total();
   const BenchTally &Right = Baseline.total();
   Add("attainment of accepted", Left.attainment(), Right.attainment());
+  Add("served", Left.served(), Right.served());
+  Add("work share of capacity", Policy.goodputShare(""),
+      Baseline.goodputShare(""));
   Add("goodput requests/s", Policy.goodput(""), Baseline.goodput(""));
   Add("short p50 ms", Left.quantile(0.5, BenchSize::Short),
       Right.quantile(0.5, BenchSize::Short));
--- a/source/Control/BenchReport.h
+++ b/source/Control/BenchReport.h
@@ -33,6 +33,11 @@
   const BenchTally *phase(const std::string &Name) const;
   /// Answers in time per second; \p Phase empty for the whole run.
   double goodput(const std::string &Phase) const;
+  /// Work answered in time as a share of the capacity; nothing if the capacity
+  /// is not known. Work is counted in output tokens if the mix has any: under
+  /// overload the cheap calls of a mix, which need no engine, would otherwise
+  /// raise the share above 1 whatever became of the rest.
+  std::optional<double> goodputShare(const std::string &Phase) const;
   /// Latenesses of the generator in milliseconds.
   const std::vector<double> &lateness() const { return LatenessMs_; }
   /// The generator could not keep its schedule; the figures are worthless.
@@ -55,6 +60,8 @@
                             const std::string &Phase) const;
   GoalResult evaluate(const BenchGoal &Goal) const;
   std::int64_t runs() const { return std::max<std::int64_t>(1, Runs_); }
+  /// Seconds of a phase, or of all, over all runs.
+  double elapsed(const std::string &Phase) const;
   std::string outcomeTable() const;
   std::string stageTable() const;
   std::string refusalTable() const;
--- a/source/Control/BenchScenario.cpp
+++ b/source/Control/BenchScenario.cpp
@@ -39,6 +39,7 @@
 };
 constexpr MeasureName Measures[] = {
     {"attainment", BenchMeasure::Attainment},
+    {"served", BenchMeasure::Served},
     {"goodput_share", BenchMeasure::GoodputShare},
     {"p99_short", BenchMeasure::P99Short},
     {"p99", BenchMeasure::P99},
@@ -53,8 +54,8 @@
 }
 bool isMeasure(std::string_view Text) { return findMeasure(Text) != nullptr; }
 constexpr TextRule MeasureRule = {
-    isMeasure, "\"attainment\", \"goodput_share\", \"p99_short\", \"p99\" or "
-               "\"extra_share\""};
+    isMeasure, "\"attainment\", \"served\", \"goodput_share\", "
+               "\"p99_short\", \"p99\" or \"extra_share\""};
 
 bool isRelation(std::string_view Text) {
   return Text == "ratio" || Text == "difference";
--- a/source/Control/BenchScenario.h
+++ b/source/Control/BenchScenario.h
@@ -62,7 +62,14 @@
 };
 
 /// What a goal is measured by.
-enum class BenchMeasure { Attainment, GoodputShare, P99Short, P99, ExtraShare };
+enum class BenchMeasure {
+  Attainment,   ///< Answers in time among the accepted requests.
+  Served,       ///< Answers in time among all requests.
+  GoodputShare, ///< Work answered in time among the capacity.
+  P99Short,     ///< 99th percentile of short requests, ms.
+  P99,          ///< 99th percentile of all requests, ms.
+  ExtraShare,   ///< Extra attempts for each stage that ran.
+};
 
 /// How a goal relates its phase to another one.
 enum class BenchRelation { None, Ratio, Difference };
--- a/source/Control/BenchTally.cpp
+++ b/source/Control/BenchTally.cpp
@@ -16,6 +16,8 @@
                 Record.Answer_.Type_];
     return;
   }
+  if (Record.Outcome_ == BenchOutcome::InTime)
+    TokensInTime_ += static_cast<std::size_t>(Record.Answer_.Tokens_);
   std::vector<double> &Latencies =
       Kind.Size_ == BenchSize::Short ? ShortMs_ : LongMs_;
   Latencies.push_back(
@@ -33,6 +35,7 @@
 void BenchTally::merge(const BenchTally &Other) {
   Sent_ += Other.Sent_;
   CallerRepeats_ += Other.CallerRepeats_;
+  TokensInTime_ += Other.TokensInTime_;
   for (const auto &[Outcome, Count] : Other.Outcomes_)
     Outcomes_[Outcome] += Count;
   for (const auto &[Type, Count] : Other.Refusals_)
@@ -69,6 +72,13 @@
          static_cast<double>(Accepted);
 }
 
+std::optional<double> BenchTally::served() const {
+  if (Sent_ == 0)
+    return std::nullopt;
+  return static_cast<double>(count(BenchOutcome::InTime)) /
+         static_cast<double>(Sent_);
+}
+
 std::optional<double>
 BenchTally::quantile(double Rank, std::optional<BenchSize> Size) const {
   if (Size)
--- a/source/Control/BenchTally.h
+++ b/source/Control/BenchTally.h
@@ -25,6 +25,8 @@
   /// Share of the accepted requests (all but not_run) with an answer in time;
   /// nothing if none was accepted.
   std::optional<double> attainment() const;
+  /// Share of all requests with an answer in time; nothing if none was sent.
+  std::optional<double> served() const;
   /// Latency that the share \p Rank (0 to 1) of the whole answers does not
   /// exceed, in milliseconds; \p Size empty for both.
   std::optional<double> quantile(double Rank,
@@ -44,12 +46,15 @@
     Microseconds Wasted_{0};
   };
   const std::map<std::string, StageTotal> &stages() const { return Stages_; }
+  /// Output tokens of the answers in time.
+  std::size_t tokensInTime() const { return TokensInTime_; }
   /// Attempts of callers beyond one for each request.
   std::size_t callerRepeats() const { return CallerRepeats_; }
 
 private:
   std::size_t Sent_ = 0;
   std::size_t CallerRepeats_ = 0;
+  std::size_t TokensInTime_ = 0;
   std::map<BenchOutcome, std::size_t> Outcomes_;
   std::map<std::string, std::size_t> Refusals_; ///< By outcome and type.
   std::map<std::string, StageTotal> Stages_;    ///< By "service/stage".
--- a/tests/Control/BenchReportTest.cpp
+++ b/tests/Control/BenchReportTest.cpp
@@ -81,6 +81,7 @@
   Report.add(record(BenchOutcome::Late));
   Report.add(record(BenchOutcome::NotRun));
   CHECK(Report.total().attainment() == 0.75);
+  CHECK(Report.total().served() == 0.6);
   BenchReport Refused(Scenario_, 100);
   Refused.add(record(BenchOutcome::NotRun));
   CHECK_FALSE(Refused.total().attainment());
@@ -102,6 +103,24 @@
   CHECK(Twice.addsUp());
 }
 
+// Guards against an overloaded fleet that looks good because it answers the
+// cheap requests of the mix and drops the costly ones.
+TEST_CASE_METHOD(ReportFixture,
+                 "The share of the capacity is counted in work") {
+  Scenario_.Kinds_[0].Tokens_ = {2, 2};
+  Scenario_.Kinds_[1].Tokens_ = {38, 38};
+  BenchReport Report(Scenario_, 1);
+  for (int I = 0; I < 15; ++I) {
+    BenchRecord Cheap = record(BenchOutcome::InTime);
+    Cheap.Answer_.Tokens_ = 2;
+    Report.add(Cheap);
+    Report.add(record(BenchOutcome::Failed, 10, 0, "a", 1));
+  }
+  // The capacity is 1 request/s of 20 tokens for 15 s; 30 tokens were answered.
+  CHECK(Report.goodputShare("") == Approx(0.1));
+  CHECK_FALSE(BenchReport(Scenario_, 0).goodputShare(""));
+}
+
 // Guards against quantiles that mix short and long work or are off by one.
 TEST_CASE_METHOD(ReportFixture, "Quantiles are exact and by size") {
   BenchReport Report(Scenario_, 100);
