--- a/source/Daemon/Components.cpp
+++ b/source/Daemon/Components.cpp
@@ -17,6 +17,9 @@
 /// clients of this code base, so that those close first.
 constexpr Seconds CallerKeepAlive{8};
 
+/// Part of the places that only short work uses.
+constexpr double ShortShare = 0.4;
+
 protocol::EtcdClientSettings
 storeSettings(const state::DaemonSettings &Settings) {
   protocol::EtcdClientSettings Made;
@@ -86,7 +89,8 @@
   if (Settings.BaselinePolicy_)
     return std::make_unique<coordination::OpenAdmission>(Settings.MaxInFlight_);
   coordination::AdmissionSettings Made;
-  Made.MaxInFlight_ = Settings.MaxInFlight_;
+  Made.MaxShort_ = Settings.MaxInFlight_ * ShortShare;
+  Made.MaxLong_ = Settings.MaxInFlight_ * (1 - ShortShare);
   Made.Estimate_ = [&Table, &Documents](const std::string &Service,
                                         double Tokens) {
     auto Document = Documents.find(Service);
