--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -75,6 +75,23 @@
   Microseconds Duration_{0};
 };
 
+/// Detaches a hedge from its request on every path out of an attempt, so that
+/// it never cancels a primary attempt that no longer exists.
+class HedgeDetacher final {
+public:
+  explicit HedgeDetacher(HedgeState &Hedge) : Hedge_(Hedge) {}
+  ~HedgeDetacher() {
+    std::lock_guard Lock(Hedge_.Mutex_);
+    Hedge_.Primary_ = nullptr;
+    Hedge_.Cancel_.cancel();
+  }
+  HedgeDetacher(const HedgeDetacher &) = delete;
+  HedgeDetacher &operator=(const HedgeDetacher &) = delete;
+
+private:
+  HedgeState &Hedge_;
+};
+
 } // namespace
 
 /// One stage of one request.
@@ -209,6 +226,7 @@
     ++Cost_.Attempts_;
     auto Hedge = std::make_shared<HedgeState>();
     Hedge->Primary_ = &Cancel;
+    HedgeDetacher Detacher(*Hedge);
     transport::TimerSubscription Timer = scheduleHedge(Hedge, Target);
     Attempt Primary;
     Primary.Target_ = &Target;
--- a/tests/Coordination/PipelineRunnerTest.cpp
+++ b/tests/Coordination/PipelineRunnerTest.cpp
@@ -187,6 +187,33 @@
   CHECK(F.nothingInFlight());
 }
 
+// Guards against a hedge that outlives the request it belongs to and cancels an
+// attempt that is gone.
+TEST_CASE("an exception beside a running hedge detaches the hedge") {
+  ScriptedClient Client;
+  RunnerFixture F(Client);
+  auto Document = makeDocument(4, {StageKind::Encode});
+  for (int I = 0; I < 40; ++I)
+    F.run(Document, std::to_string(I));
+  std::atomic<int> Started = 0;
+  std::atomic<bool> HedgeCancelled = false;
+  Client.Script_ = [&](const StageCall &Call, PipelineData &) -> StageReply {
+    if (Started++ > 0) {
+      while (!Call.Cancel_->cancelled())
+        std::this_thread::yield();
+      HedgeCancelled = true;
+      HedgeCancelled.notify_all();
+      return ScriptedClient::ok();
+    }
+    while (Started < 2)
+      std::this_thread::yield();
+    throw std::runtime_error("fault");
+  };
+  CHECK_THROWS(F.run(Document));
+  HedgeCancelled.wait(false);
+  CHECK(HedgeCancelled);
+}
+
 // Guards against an input that crashes one target after another when its caller
 // sends it again and again, through every daemon.
 TEST_CASE("an input crashes at most two targets through all daemons") {
