--- /dev/null
+++ b/tests/Integration/FleetConfigurationTest.cpp
@@ -0,0 +1,487 @@
+#include "Integration/FleetHarness.h"
+#include "Support/Digest.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+using namespace amaranth;
+using namespace amaranth::integration;
+using transport::HttpOutcome;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char *Service = "catalogue";
+constexpr const char *ServiceKey = "/amaranth/services/catalogue";
+const Json LookUp = {{"call", "look-up"}, {"body", Json::object()}};
+
+Json bodyOf(const HttpOutcome &Outcome) {
+  return Json::parse(Outcome.Reply_.Body_, nullptr, false);
+}
+
+/// Entry of a key in the key-value service; null if it is missing.
+Json storedKey(FleetHarness &Fleet, const std::string &Key) {
+  const Json Dump = Fleet.keyValue().get("/standin/keys");
+  for (const Json &Entry : Dump.at("keys"))
+    if (Entry.at("key") == Key)
+      return Entry;
+  return nullptr;
+}
+
+/// Writes past the daemons; returns the revision of the key.
+std::uint64_t writeValue(FleetHarness &Fleet, const std::string &Key,
+                         const std::string &Value) {
+  Fleet.keyValue().post("/v3/kv/put", {{"key", base64Encode(Key)},
+                                       {"value", base64Encode(Value)}});
+  return storedKey(Fleet, Key).at("mod_revision").get<std::uint64_t>();
+}
+
+std::string envelope(const std::string &Document) {
+  return Json{{"change_id", "direct-" + randomHex(4)},
+              {"deleted", false},
+              {"document", Document}}
+      .dump();
+}
+
+std::int64_t executions(StandinProcess &Target) {
+  return Target.get("/standin/executions").at("count").get<std::int64_t>();
+}
+
+/// The latest effect of \p Target in milliseconds since the epoch; 0 if none.
+std::int64_t latestEffect(StandinProcess &Target) {
+  std::int64_t Latest = 0;
+  const Json Effects = Target.get("/standin/executions");
+  for (const Json &Effect : Effects.at("executions"))
+    Latest = std::max(Latest, Effect.at("time_ms").get<std::int64_t>());
+  return Latest;
+}
+
+/// Reader leases held in the key-value service.
+std::int64_t readerLeases(FleetHarness &Fleet) {
+  const Json Dump = Fleet.keyValue().get("/standin/keys");
+  return std::count_if(Dump.at("keys").begin(), Dump.at("keys").end(),
+                       [](const Json &Entry) {
+                         return Entry.at("key").get<std::string>().starts_with(
+                             "/amaranth/leases/reader/");
+                       });
+}
+
+/// True if \p Wanted readers hold leases and none has opened a watch for more
+/// than two of the periods in which a reader without a watch tries.
+bool readersSettled(FleetHarness &Fleet, std::int64_t Wanted) {
+  constexpr Milliseconds Quiet{2500};
+  const Json Before = Fleet.keyValue().get("/standin/counters");
+  if (readerLeases(Fleet) != Wanted || Before.value("watch", 0) < Wanted)
+    return false;
+  return !eventually(
+      [&] {
+        const Json Now = Fleet.keyValue().get("/standin/counters");
+        return Now.value("watch", 0) != Before.value("watch", 0);
+      },
+      Quiet);
+}
+
+/// Two targets; a document with one or the other shows by which one answered
+/// which revision a daemon serves.
+struct TwoTargets {
+  StandinProcess Old_{"service", {"--service-us=500"}};
+  StandinProcess New_{"service", {"--service-us=500"}};
+
+  std::string oldDocument() const {
+    return FleetHarness::plainService(Service, {Old_.address()});
+  }
+  std::string newDocument() const {
+    return FleetHarness::plainService(Service, {New_.address()});
+  }
+};
+
+} // namespace
+
+// Guards against an accepted change that some daemon of some data centre does
+// not learn in time.
+TEST_CASE("fleet: an applied document is in force at every daemon in time") {
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  std::uint64_t Revision = 0;
+  // Every daemon takes a change once, whether it is a reader or not.
+  for (std::size_t I = 0; I < Fleet.size(); ++I) {
+    Revision = Fleet.mustApply(I, Service, Revision,
+                               I % 2 == 0 ? Targets.oldDocument()
+                                          : Targets.newDocument());
+    CHECK(Fleet.inForce(Service, Revision));
+  }
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ == 200);
+  CHECK(executions(Targets.Old_) == 5);
+  CHECK(executions(Targets.New_) == 0);
+}
+
+// Guards against two operators who both believe that their change to one
+// revision was accepted.
+TEST_CASE("fleet: of operators who race on one revision exactly one wins") {
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  constexpr int Rounds = 10;
+  std::uint64_t Revision = 0;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    std::vector<HttpOutcome> Outcomes(Fleet.size());
+    std::vector<std::thread> Operators;
+    auto documentOf = [&](std::size_t I) {
+      return "# operator " + std::to_string(I) + " in round " +
+             std::to_string(Round) + "\n" + Targets.oldDocument();
+    };
+    for (std::size_t I = 0; I < Fleet.size(); ++I)
+      Operators.emplace_back([&, I] {
+        Outcomes[I] = Fleet.apply(I, Service, Revision, documentOf(I),
+                                  "race-" + std::to_string(Round) + "-" +
+                                      std::to_string(I));
+      });
+    for (std::thread &Operator : Operators)
+      Operator.join();
+    std::vector<std::size_t> Winners;
+    for (std::size_t I = 0; I < Fleet.size(); ++I)
+      if (Outcomes[I].Reply_.Status_ == 200)
+        Winners.push_back(I);
+    REQUIRE(Winners.size() == 1);
+    Revision = bodyOf(Outcomes[Winners.front()]).at("revision");
+    for (std::size_t I = 0; I < Fleet.size(); ++I) {
+      if (I == Winners.front())
+        continue;
+      CHECK(Outcomes[I].Reply_.Status_ == 409);
+      CHECK(bodyOf(Outcomes[I]).at("revision") == Revision);
+      CHECK(bodyOf(Outcomes[I]).at("document") == documentOf(Winners.front()));
+    }
+    CHECK(storedKey(Fleet, ServiceKey).at("version") == Round + 1);
+  }
+  CHECK(Fleet.inForce(Service, Revision));
+}
+
+// Guards against a change that is made twice, or reported as lost to a
+// colleague, because the reply of its write was lost.
+TEST_CASE("fleet: a change whose write lost its reply takes effect once") {
+  TwoTargets Targets;
+  FleetHarnessSettings Settings;
+  Settings.ProxyKeyValue_ = true;
+  FleetHarness Fleet(Settings);
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+
+  SECTION("the daemon itself repeats the write") {
+    Fleet.keyValue().put("/standin/lost-replies",
+                         {{"key_prefix", "/amaranth/services/"}, {"count", 1}});
+    HttpOutcome Lost =
+        Fleet.apply(1, Service, First, Targets.newDocument(), "lost-1");
+    CHECK(Lost.Reply_.Status_ == 200);
+    CHECK(Fleet.keyValue().get("/standin/lost-replies").at("count") == 0);
+    HttpOutcome Again =
+        Fleet.apply(1, Service, First, Targets.newDocument(), "lost-1");
+    CHECK(Again.Reply_.Status_ == 200);
+    CHECK(bodyOf(Again) == bodyOf(Lost));
+  }
+  SECTION("no reply reaches the daemon and the operator repeats") {
+    Fleet.keyValueProxy(1).setSwitches({{"drop_replies", true}});
+    HttpOutcome Lost =
+        Fleet.apply(1, Service, First, Targets.newDocument(), "lost-2");
+    CHECK(Lost.Reply_.Status_ == 503);
+    CHECK(bodyOf(Lost).at("outcome") == "unknown");
+    CHECK(bodyOf(Lost).at("retry_with") == "same_request");
+    // The repetition may go to any daemon.
+    HttpOutcome Again =
+        Fleet.apply(2, Service, First, Targets.newDocument(), "lost-2");
+    CHECK(Again.Reply_.Status_ == 200);
+  }
+  Json Stored = storedKey(Fleet, ServiceKey);
+  CHECK(Stored.at("version") == 2);
+  CHECK(Fleet.inForce(Service, Stored.at("mod_revision")));
+  // Another change id on the old revision is a conflict, not a repetition.
+  CHECK(Fleet.apply(3, Service, First, Targets.newDocument(), "other")
+            .Reply_.Status_ == 409);
+}
+
+// Guards against an outage that takes documents out of force, that stops
+// idempotent work, that is reported as a success of apply, or after which
+// changes no longer arrive.
+TEST_CASE("fleet: documents stay in force while the key-value service is out") {
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  const bool Hangs = GENERATE(false, true);
+  const char *Switch = Hangs ? "hang" : "outage";
+  CAPTURE(Switch);
+  Fleet.keyValue().setSwitches({{Switch, true}});
+  for (std::size_t I : {1U, 4U}) {
+    HttpOutcome Refused = Fleet.apply(I, Service, First, Targets.newDocument(),
+                                      "during-" + std::to_string(I));
+    CHECK(Refused.Reply_.Status_ == 503);
+    // A service that refuses shows that nothing was written, a silent one does
+    // not.
+    CHECK(bodyOf(Refused).at("outcome") == (Hangs ? "unknown" : "not_run"));
+  }
+  for (std::size_t I = 0; I < Fleet.size(); ++I) {
+    CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ == 200);
+    CHECK(Fleet.revisionAt(I, Service) == First);
+  }
+  CHECK(executions(Targets.New_) == 0);
+  Fleet.keyValue().setSwitches({{Switch, false}});
+  CHECK(storedKey(Fleet, ServiceKey).at("mod_revision") == First);
+  std::uint64_t Second = 0;
+  REQUIRE(eventually([&] {
+    HttpOutcome Accepted = Fleet.apply(1, Service, First, Targets.newDocument(),
+                                       "after-the-outage");
+    if (Accepted.Reply_.Status_ != 200)
+      return false;
+    Second = bodyOf(Accepted).at("revision");
+    return true;
+  }));
+  CHECK(Fleet.inForce(Service, Second));
+  // Written past the daemons: shows that the readers watch again.
+  std::uint64_t Third =
+      writeValue(Fleet, ServiceKey, envelope(Targets.oldDocument()));
+  CHECK(Fleet.inForce(Service, Third));
+}
+
+// Guards against a new daemon that serves without documents or with old ones
+// because it could not ask the key-value service.
+TEST_CASE("fleet: a daemon started during an outage takes documents from "
+          "peers and answers nothing before") {
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  std::uint64_t Second =
+      Fleet.mustApply(1, Service, First, Targets.newDocument());
+  REQUIRE(Fleet.inForce(Service, Second));
+  Fleet.keyValue().setSwitches({{"outage", true}});
+
+  DaemonProcessSettings AloneSettings = Fleet.daemonSettings(Fleet.size());
+  AloneSettings.Host_ = "alone";
+  AloneSettings.Seeds_.clear();
+  std::size_t Alone = Fleet.addDaemon(AloneSettings);
+  DaemonProcessSettings LateSettings = Fleet.daemonSettings(0);
+  LateSettings.Host_ = "late";
+  LateSettings.Seeds_ = {Fleet.daemon(0).peerAddress()};
+  std::size_t Late = Fleet.addDaemon(LateSettings);
+  REQUIRE(eventually([&] {
+    HttpOutcome Answer = Fleet.submit(Late, Service, LookUp);
+    if (Answer.Reply_.Status_ == 200)
+      return true;
+    CHECK(Answer.Reply_.Status_ >= 400);
+    return false;
+  }));
+  CHECK(Fleet.ready(Late));
+  CHECK(Fleet.revisionAt(Late, Service) == Second);
+  CHECK(executions(Targets.Old_) == 0);
+  // Without any peer there is nobody to learn from.
+  CHECK_FALSE(Fleet.ready(Alone));
+  CHECK(Fleet.submit(Alone, Service, LookUp).Reply_.Status_ >= 400);
+  Fleet.keyValue().setSwitches({{"outage", false}});
+  CHECK(eventually([&] { return Fleet.ready(Alone); }));
+  CHECK(Fleet.revisionAt(Alone, Service) == Second);
+}
+
+// Guards against a daemon that comes back from a pause and goes on serving the
+// document that was replaced meanwhile.
+TEST_CASE("fleet: a paused daemon serves the new document once it is back") {
+  constexpr Milliseconds IsolationLimit{2000};
+  TwoTargets Targets;
+  FleetHarnessSettings Settings;
+  Settings.FurtherKeys_ = "isolation_limit_ms = 2000\n";
+  FleetHarness Fleet(Settings);
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  // Both readers of data centre 1 and a daemon of data centre 0 take turns.
+  const std::size_t Paused = GENERATE(0U, 1U, 3U);
+  const std::size_t Other = Paused == 4 ? 0 : Paused + 1;
+  Fleet.daemon(Paused).process().stop();
+  std::uint64_t Second =
+      Fleet.mustApply(Other, Service, First, Targets.newDocument());
+  std::vector<std::size_t> Others;
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    if (I != Paused)
+      Others.push_back(I);
+  REQUIRE(Fleet.inForce(Service, Second, Others));
+  REQUIRE(eventually([&] {
+    return Fleet.memberStatus(Other, "host-" + std::to_string(Paused)) ==
+           "dead";
+  }));
+  const std::int64_t Resumed = wallNow().count();
+  Fleet.daemon(Paused).process().resume();
+  REQUIRE(eventually([&] {
+    Fleet.submit(Paused, Service, LookUp);
+    return executions(Targets.New_) > 0;
+  }));
+  CHECK(Fleet.inForce(Service, Second));
+  CHECK(latestEffect(Targets.Old_) < Resumed + IsolationLimit.count());
+  // It has the new document now and does not go back to the old one.
+  std::int64_t Before = executions(Targets.Old_);
+  for (int I = 0; I < 20; ++I)
+    CHECK(Fleet.submit(Paused, Service, LookUp).Reply_.Status_ == 200);
+  CHECK(executions(Targets.Old_) == Before);
+}
+
+// Guards against a daemon without any contact that serves an old document for
+// longer than the isolation limit.
+TEST_CASE("fleet: a daemon cut off from peers and key-value service stops "
+          "serving") {
+  constexpr Milliseconds IsolationLimit{2000};
+  // Time for the periodic check and for calls on the way.
+  constexpr Milliseconds Slack{1500};
+  constexpr std::size_t Cut = 4;
+  TwoTargets Targets;
+  FleetHarnessSettings Settings;
+  Settings.ProxyKeyValue_ = true;
+  Settings.FurtherKeys_ = "isolation_limit_ms = 2000\n";
+  FleetHarness Fleet(Settings);
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  Fleet.keyValueProxy(Cut).post("/standin/freeze", Json::object());
+  Fleet.keyValueProxy(Cut).setSwitches({{"blackhole", true}});
+  for (std::size_t I = 0; I < Cut; ++I)
+    Fleet.daemon(I).process().stop();
+  const std::int64_t CutAt = wallNow().count();
+  std::uint64_t Second =
+      writeValue(Fleet, ServiceKey, envelope(Targets.newDocument()));
+  // An isolated daemon refuses truthfully: nothing ran.
+  REQUIRE(eventually([&] {
+    HttpOutcome Answer = Fleet.submit(Cut, Service, LookUp);
+    if (Answer.Reply_.Status_ == 200)
+      return false;
+    return Answer.Reply_.Status_ == 503 &&
+           bodyOf(Answer).at("type") == "isolated" &&
+           bodyOf(Answer).at("outcome") == "not_run";
+  }));
+  CHECK_FALSE(Fleet.ready(Cut));
+  CHECK(latestEffect(Targets.Old_) < CutAt + (IsolationLimit + Slack).count());
+  std::int64_t Before = executions(Targets.Old_);
+  for (std::size_t I = 0; I < Cut; ++I)
+    Fleet.daemon(I).process().resume();
+  Fleet.keyValueProxy(Cut).setSwitches({{"blackhole", false}});
+  // It answers only after it has the new document.
+  REQUIRE(eventually([&] {
+    return Fleet.submit(Cut, Service, LookUp).Reply_.Status_ == 200;
+  }));
+  CHECK(executions(Targets.Old_) == Before);
+  CHECK(executions(Targets.New_) > 0);
+  CHECK(Fleet.inForce(Service, Second));
+}
+
+// Guards against a deleted service that comes back from the copy of a peer
+// that missed the deletion, or that cannot be created again.
+TEST_CASE("fleet: a deleted service stays deleted until it is recreated") {
+  constexpr std::size_t Paused = 4;
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  Fleet.daemon(Paused).process().stop();
+  HttpOutcome Removed = Fleet.remove(1, Service, First, "remove");
+  REQUIRE(Removed.Reply_.Status_ == 200);
+  std::uint64_t Tombstone = bodyOf(Removed).at("revision");
+  REQUIRE(Fleet.inForce(Service, Tombstone, {0, 1, 2, 3}));
+  // Only the peers can tell the paused daemon, and it could tell them.
+  Fleet.keyValue().setSwitches({{"outage", true}});
+  Fleet.daemon(Paused).process().resume();
+  REQUIRE(eventually([&] {
+    for (std::size_t I = 0; I < Paused; ++I)
+      CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ >= 400);
+    return Fleet.revisionAt(Paused, Service) == Tombstone;
+  }));
+  for (std::size_t I = 0; I < Fleet.size(); ++I) {
+    CHECK(Fleet.inspect(I, std::string("/v1/admin/services/") + Service)
+              .at("deleted") == true);
+    CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ >= 400);
+  }
+  Fleet.keyValue().setSwitches({{"outage", false}});
+  // A new daemon must not find the service either.
+  std::size_t Added = Fleet.addDaemon(Fleet.daemonSettings(Fleet.size()));
+  REQUIRE(eventually([&] { return Fleet.ready(Added); }));
+  CHECK(Fleet.submit(Added, Service, LookUp).Reply_.Status_ >= 400);
+  CHECK(Fleet.apply(2, Service, First, Targets.newDocument(), "stale")
+            .Reply_.Status_ == 409);
+  std::uint64_t Second =
+      Fleet.mustApply(2, Service, Tombstone, Targets.newDocument());
+  CHECK(Fleet.inForce(Service, Second));
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ == 200);
+}
+
+// Guards against a faulty document that replaces the last good one, or that
+// keeps later good ones from arriving.
+TEST_CASE("fleet: a bad document in the key-value service is not put in "
+          "force") {
+  TwoTargets Targets;
+  FleetHarness Fleet({});
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  const std::vector<std::string> BadValues = {
+      envelope("name = \"catalogue\"\ndeadline_ms = -4\n"),
+      envelope("this is not TOML ["),
+      envelope(
+          FleetHarness::plainService("another-name", {Targets.New_.address()})),
+      "not JSON",
+      R"({"change_id":1,"deleted":"no","document":[]})",
+      std::string("\xff\x00\xfe", 3),
+  };
+  std::uint64_t MarkerRevision = 0;
+  std::uint64_t BadRevision = 0;
+  for (const std::string &Value : BadValues) {
+    BadRevision = writeValue(Fleet, ServiceKey, Value);
+    // Every daemon that has the later marker has passed the bad document.
+    MarkerRevision = Fleet.mustApply(
+        0, "marker", MarkerRevision,
+        FleetHarness::plainService("marker", {Targets.New_.address()}));
+    REQUIRE(Fleet.inForce("marker", MarkerRevision));
+    for (std::size_t I = 0; I < Fleet.size(); ++I) {
+      CHECK(Fleet.revisionAt(I, Service) == First);
+      CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ == 200);
+    }
+  }
+  CHECK(executions(Targets.New_) == 0);
+  // An operator's bad document is refused with its faults.
+  HttpOutcome Refused =
+      Fleet.apply(0, Service, BadRevision, "deadline_ms = -4", "bad");
+  CHECK(Refused.Reply_.Status_ == 422);
+  CHECK(bodyOf(Refused).at("faults").size() > 1);
+  std::uint64_t Good =
+      Fleet.mustApply(3, Service, BadRevision, Targets.newDocument());
+  CHECK(Fleet.inForce(Service, Good));
+}
+
+// Guards against a watch that is trusted for ever although its connection has
+// stopped to deliver.
+TEST_CASE("fleet: a change arrives although every open connection to the "
+          "key-value service has gone silent") {
+  TwoTargets Targets;
+  FleetHarnessSettings Settings;
+  Settings.ProxyKeyValue_ = true;
+  FleetHarness Fleet(Settings);
+  std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
+  REQUIRE(Fleet.inForce(Service, First));
+  // Both readers of both data centres watch, and nobody takes a role later.
+  REQUIRE(eventually([&] { return readersSettled(Fleet, 4); }));
+  // An event on every watch just before the silence is the worst case.
+  std::uint64_t Second =
+      writeValue(Fleet, ServiceKey, envelope(Targets.newDocument()));
+  REQUIRE(Fleet.inForce(Service, Second));
+  int Frozen = 0;
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    Frozen += Fleet.keyValueProxy(I)
+                  .post("/standin/freeze", Json::object())
+                  .at("frozen")
+                  .get<int>();
+  REQUIRE(Frozen >= 4);
+  // Written past the daemons, so that no daemon knows it without the service.
+  SteadyTime Written = SteadyClock::now();
+  std::uint64_t Third =
+      writeValue(Fleet, ServiceKey, envelope(Targets.oldDocument()));
+  CHECK(Fleet.inForce(Service, Third));
+  INFO("in force after " << std::chrono::duration_cast<Milliseconds>(
+                                SteadyClock::now() - Written)
+                                .count()
+                         << " ms");
+  CHECK(Fleet.submit(4, Service, LookUp).Reply_.Status_ == 200);
+}
