--- a/source/Coordination/Admission.cpp
+++ b/source/Coordination/Admission.cpp
@@ -64,7 +64,7 @@
   if (Settings_.Estimate_)
     Stages = std::chrono::duration_cast<Microseconds>(
         Settings_.EstimateMargin_ *
-        Settings_.Estimate_(Request.Service_, Size.Tokens_));
+        Settings_.Estimate_(Request.Service_, Size.Tokens_, Size.Class_));
   std::lock_guard Lock(Mutex_);
   Microseconds Queue = queueDelay(Request, Size.Class_, Now);
   SteadyTime Completion = Now + Queue + Stages;
--- a/source/Coordination/Admission.h
+++ b/source/Coordination/Admission.h
@@ -7,6 +7,7 @@
 #include "Coordination/AdmissionPolicy.h"
 #include "Coordination/ConcurrencyLimit.h"
 #include "Coordination/FairQueue.h"
+#include "Coordination/TargetTable.h"
 
 #include <array>
 #include <condition_variable>
@@ -37,12 +38,18 @@
   AccountLimiterSettings Accounts_;
   /// Predicted time of all stages of a request that starts now, with the load
   /// of their targets; zero if nothing is known.
-  std::function<Microseconds(const std::string &Service, double Tokens)>
+  std::function<Microseconds(const std::string &Service, double Tokens,
+                             SizeClass Class)>
       Estimate_;
   /// Factor on the estimate: half of all requests take longer than the median.
   double EstimateMargin_ = 1.25;
 };
 
+/// Short work has priority at engines.
+inline QueuePlace queuePlace(SizeClass Class) {
+  return Class == SizeClass::Short ? QueuePlace::Front : QueuePlace::Back;
+}
+
 /// Numbers of running and queued requests.
 struct AdmissionLoad {
   int ShortRunning_ = 0;
--- a/source/Coordination/PipelineEstimator.cpp
+++ b/source/Coordination/PipelineEstimator.cpp
@@ -6,7 +6,7 @@
 
 Microseconds estimatePipeline(TargetTable &Table,
                               const state::ServiceDocument &Document,
-                              double Tokens) {
+                              double Tokens, QueuePlace Place) {
   Microseconds Total{0};
   for (const state::Stage &Stage : Document.Stages_) {
     std::vector<std::string> Addresses;
@@ -16,7 +16,7 @@
     std::vector<Microseconds> Completions;
     double Work = stageWork(Stage.Kind_, Tokens);
     for (const TargetEstimate &One :
-         Table.estimate(Addresses, workClass(Stage.Kind_), Work))
+         Table.estimate(Addresses, workClass(Stage.Kind_), Work, Place))
       if (!One.Leaving_ && !One.Avoided_)
         Completions.push_back(One.Completion_);
     if (Completions.empty())
--- a/source/Coordination/PipelineEstimator.h
+++ b/source/Coordination/PipelineEstimator.h
@@ -9,11 +9,11 @@
 namespace amaranth::coordination {
 
 /// Predicted time of all stages of a request with \p Tokens output tokens that
-/// starts now, from the load and pace of their targets; for admission. Zero
-/// for what is not known yet.
+/// starts now at \p Place of the engines' queues, from the load and pace of
+/// their targets; for admission. Zero for what is not known yet.
 Microseconds estimatePipeline(TargetTable &Table,
                               const state::ServiceDocument &Document,
-                              double Tokens);
+                              double Tokens, QueuePlace Place);
 
 } // namespace amaranth::coordination
 
--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -170,6 +170,8 @@
         Query.Targets_.push_back(Found);
     Query.Class_ = workClass(Stage_.Kind_);
     Query.Work_ = Work;
+    Query.Place_ =
+        Request_.Priority_ > 0 ? QueuePlace::Front : QueuePlace::Back;
     Query.InputDigest_ = Digest_;
     Query.Tried_ = Tried;
     Query.TimeLeft_ = remaining(Request_.Deadline_);
--- a/source/Coordination/PredictedRouter.cpp
+++ b/source/Coordination/PredictedRouter.cpp
@@ -59,7 +59,8 @@
   std::vector<std::string> Addresses;
   for (const state::Target *Target : Query.Targets_)
     Addresses.push_back(Target->Address_);
-  auto Estimates = Table_.estimate(Addresses, Query.Class_, Query.Work_);
+  auto Estimates =
+      Table_.estimate(Addresses, Query.Class_, Query.Work_, Query.Place_);
   std::vector<Option> Usable;
   std::vector<Microseconds> Completions;
   for (std::size_t I = 0; I < Estimates.size(); ++I) {
--- a/source/Coordination/Router.h
+++ b/source/Coordination/Router.h
@@ -22,6 +22,7 @@
   std::vector<std::string> Tried_; ///< Names of targets not to be used again.
   /// The input may crash targets: only its two candidates may run it.
   bool Suspect_ = false;
+  QueuePlace Place_ = QueuePlace::Back;
   Milliseconds TimeLeft_{0}; ///< Until the deadline.
 };
 
--- a/source/Coordination/SizePredictor.h
+++ b/source/Coordination/SizePredictor.h
@@ -15,7 +15,7 @@
 
 /// Settings of SizePredictor.
 struct SizePredictorSettings {
-  double LongCost_ = 128; ///< Predicted cost from which work is long.
+  double LongCost_ = 48; ///< Predicted cost from which work is long.
   double CostPerInputByte_ = 0.0125; ///< Prompt tokens cost less than output.
   double FixedCost_ = 8;             ///< Of any request, in output tokens.
   std::size_t MaxAccounts_ = 20'000;
--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -311,7 +311,8 @@
 }
 
 double TargetTable::queueDelay(const Entry &Target, double UnloadedPace,
-                               double TypicalOthers, SteadyTime Now) const {
+                               double TypicalOthers, QueuePlace Place,
+                               SteadyTime Now) const {
   double Pending = pendingWork(Target, Now);
   if (!reportValid(Target, Now) || Target.Report_->WorkPerSecond_ <= 0)
     return Pending * UnloadedPace * QueueShare;
@@ -329,8 +330,12 @@
   double Running = Others + static_cast<double>(Target.InFlight_.size());
   double Busy = Running / Places;
   double Full = std::min(1.0, Busy);
-  return Pending / Rate * Full * Full +
-         UnloadedPace * Busy * Busy * Busy * BusyWeight;
+  // The running requests end one after the other while the work drains, so the
+  // first place is free after about one part of that time for each of them.
+  double Drain = Pending / Rate;
+  if (Place == QueuePlace::Front)
+    Drain /= std::max(1.0, Running);
+  return Drain * Full * Full + UnloadedPace * Busy * Busy * Busy * BusyWeight;
 }
 
 double TargetTable::overdue(const Entry &Target, WorkClass Class,
@@ -349,7 +354,7 @@
 
 std::vector<TargetEstimate>
 TargetTable::estimate(const std::vector<std::string> &Addresses,
-                      WorkClass Class, double Work) {
+                      WorkClass Class, double Work, QueuePlace Place) {
   std::lock_guard Lock(Mutex_);
   SteadyTime Now = Settings_.Now_();
   std::vector<double> Recent;
@@ -405,7 +410,8 @@
       Target.SlowWait_ = Milliseconds{0};
     }
     Estimate.Slowdown_ = Slowdown;
-    double QueueDelay = queueDelay(Target, UnloadedPace, TypicalOthers, Now);
+    double QueueDelay =
+        queueDelay(Target, UnloadedPace, TypicalOthers, Place, Now);
     double Forgotten =
         std::exp2(-seconds(Now - Target.FailureTime_) / FailureHalfLifeSeconds);
     double FailureDelay = Target.FailureRate_ * Forgotten * FailureDelaySeconds;
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -71,6 +71,12 @@
   Ignored,    ///< Cancelled, or the request was at fault.
 };
 
+/// Where new work stands in a target's queue.
+enum class QueuePlace {
+  Back,  ///< Behind all queued work.
+  Front, ///< Before it, by priority; waits only for a place to become free.
+};
+
 /// What is predicted of one target for one piece of work.
 struct TargetEstimate {
   Microseconds Completion_{0}; ///< Predicted time until the work is done.
@@ -120,7 +126,7 @@
   /// call.
   std::vector<TargetEstimate>
   estimate(const std::vector<std::string> &Addresses, WorkClass Class,
-           double Work);
+           double Work, QueuePlace Place = QueuePlace::Back);
 
   bool isLeaving(const std::string &Address);
   std::vector<TargetView> view();
@@ -185,7 +191,8 @@
   bool reportValid(const Entry &Target, SteadyTime Now) const;
   double othersRunning(const Entry &Target) const;
   double queueDelay(const Entry &Target, double UnloadedPace,
-                    double TypicalOthers, SteadyTime Now) const;
+                    double TypicalOthers, QueuePlace Place,
+                    SteadyTime Now) const;
   double overdue(const Entry &Target, WorkClass Class, double Typical,
                  SteadyTime Now) const;
 
--- a/source/Daemon/Components.cpp
+++ b/source/Daemon/Components.cpp
@@ -92,9 +92,11 @@
   Made.MaxShort_ = Settings.MaxInFlight_ * ShortShare;
   Made.MaxLong_ = Settings.MaxInFlight_ * (1 - ShortShare);
   Made.Estimate_ = [&Table, &Documents](const std::string &Service,
-                                        double Tokens) {
+                                        double Tokens,
+                                        coordination::SizeClass Class) {
     auto Document = Documents.find(Service);
-    return Document ? estimatePipeline(Table, *Document, Tokens)
+    return Document ? estimatePipeline(Table, *Document, Tokens,
+                                       coordination::queuePlace(Class))
                     : Microseconds{0};
   };
   return std::make_unique<coordination::Admission>(std::move(Made));
--- a/tests/Coordination/AdmissionTest.cpp
+++ b/tests/Coordination/AdmissionTest.cpp
@@ -115,7 +115,7 @@
 // against a refusal without a time to come back.
 TEST_CASE("a request that cannot meet its deadline is refused before it runs") {
   AdmissionSettings Settings = places(4, 4);
-  Settings.Estimate_ = [](const std::string &, double Tokens) {
+  Settings.Estimate_ = [](const std::string &, double Tokens, SizeClass) {
     return Microseconds{static_cast<Microseconds::rep>(Tokens * 1000)};
   };
   Admission Policy(Settings);
--- a/tests/Coordination/FleetModel.cpp
+++ b/tests/Coordination/FleetModel.cpp
@@ -77,8 +77,10 @@
     AdmissionSettings Settings;
     Settings.Now_ = [&Model] { return Model.Now_; };
     Settings.Accounts_.Now_ = Settings.Now_;
-    Settings.Estimate_ = [this, &Model](const std::string &, double Tokens) {
-      return estimatePipeline(Table_, Model.Document_, Tokens);
+    Settings.Estimate_ = [this, &Model](const std::string &, double Tokens,
+                                        SizeClass Class) {
+      return estimatePipeline(Table_, Model.Document_, Tokens,
+                              queuePlace(Class));
     };
     return Settings;
   }
