--- a/tests/Coordination/PlainCallRunnerTest.cpp
+++ b/tests/Coordination/PlainCallRunnerTest.cpp
@@ -40,7 +40,7 @@
   std::atomic<bool> Leaving_ = false;
   std::atomic<bool> WrongEcho_ = false;
   std::atomic<bool> Silent_ = false;
-  transport::HttpServer Server_{{}};
+  transport::HttpServer Server_{{.KeepAliveTimeout_ = Seconds{1}}};
 };
 
 struct Fixture {
--- a/tests/Coordination/TargetTableTest.cpp
+++ b/tests/Coordination/TargetTableTest.cpp
@@ -118,7 +118,7 @@
 // not counted.
 TEST_CASE("pollers feed the table") {
   std::atomic<bool> Bad = false;
-  transport::HttpServer Server({});
+  transport::HttpServer Server({.KeepAliveTimeout_ = Seconds{1}});
   Server.route("GET", "/v1/load", [&](const transport::HttpRequest &) {
     transport::HttpReply Reply;
     Reply.Body_ = R"({"queued_tokens":7,"running":1,"tokens_per_second":5,
--- a/tests/Protocol/PoolClientTest.cpp
+++ b/tests/Protocol/PoolClientTest.cpp
@@ -40,7 +40,7 @@
   std::string Body_;
   bool WrongEcho_ = false;
   transport::HttpClient Http_{{}};
-  transport::HttpServer Server_{{}};
+  transport::HttpServer Server_{{.KeepAliveTimeout_ = Seconds{1}}};
 };
 
 } // namespace
