--- a/tests/Coordination/JournalTest.cpp
+++ b/tests/Coordination/JournalTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// One member, as many as the test says.
+/// Two alive members.
 class View final : public MemberView {
 public:
   protocol::Member self() const override { return {}; }
--- a/tests/Coordination/OnceFixture.h
+++ b/tests/Coordination/OnceFixture.h
@@ -143,7 +143,7 @@
   protocol::RequestOutcome submit(const std::string &Key,
                                   const std::string &Body = "{}",
                                   Milliseconds Timeout = Milliseconds(5000));
-  /// A new journaled key; waits for the session.
+  /// A new key; waits for the session unless \p AllowVolatile.
   std::string key(const std::string &Suffix = "a", bool AllowVolatile = false);
 
   protocol::Member self() const override;
@@ -220,7 +220,7 @@
   std::vector<std::unique_ptr<Node>> Nodes_;
 };
 
-/// Request number \p Id of the fixture's service and account.
+/// A request of the account and service that all tests use.
 protocol::ForwardedRequest makeRequest(const std::string &Key,
                                        const std::string &Body,
                                        Milliseconds Timeout);
