Learn the fixed part of generation work

Cause: the work of a Generate attempt counted 8 tokens for prompt and first token. On engines with a smaller fixed part short requests looked 4 times faster than long ones, so the number of places derived from the engines' rate came out at 0.9 instead of 4 and the predicted queue at seconds.

WorkScale fits duration = fixed + rate * work.

--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -89,6 +89,7 @@
   SteadyTime Now = Settings_.Now_();
   Entry &Target = Targets_[Address];
   std::uint64_t Id = NextId_++;
+  Work = effectiveWork(Class, Work);
   Target.InFlight_[Id] = {Now, Class, Work};
   noteOwn(Target, Now);
   Target.OwnWork_ += Work;
@@ -162,9 +163,17 @@
     Known.Recent_ += SampleWeight * (AtLeast - Known.Recent_);
 }
 
+double TargetTable::effectiveWork(WorkClass Class, double Work) const {
+  return Class == WorkClass::Generate ? GenerateScale_.effective(Work) : Work;
+}
+
 void TargetTable::recordPace(Entry &Target, const InFlight &Attempt,
                              double ActualWork, SteadyTime Now) {
-  double Sample = seconds(Now - Attempt.Start_) / std::max(1.0, ActualWork);
+  double Duration = seconds(Now - Attempt.Start_);
+  if (Attempt.Class_ == WorkClass::Generate)
+    GenerateScale_.record(ActualWork, Duration);
+  double Sample =
+      Duration / std::max(1.0, effectiveWork(Attempt.Class_, ActualWork));
   Pace &Known = Target.Pace_[index(Attempt.Class_)];
   if (Known.Samples_ == 0) {
     Known.Recent_ = Sample;
@@ -357,6 +366,7 @@
                       WorkClass Class, double Work, QueuePlace Place) {
   std::lock_guard Lock(Mutex_);
   SteadyTime Now = Settings_.Now_();
+  Work = effectiveWork(Class, Work);
   std::vector<double> Recent;
   std::vector<double> Best;
   for (const std::string &Address : Addresses) {
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_COORDINATION_TARGETTABLE_H
 #define AMARANTH_COORDINATION_TARGETTABLE_H
 
+#include "Coordination/WorkScale.h"
 #include "State/ServiceDocument.h"
 #include "Support/Time.h"
 
@@ -180,6 +181,8 @@
     return static_cast<std::size_t>(Class);
   }
 
+  /// \p Work in units that durations are proportional to.
+  double effectiveWork(WorkClass Class, double Work) const;
   void recordPace(Entry &Target, const InFlight &Attempt, double ActualWork,
                   SteadyTime Now);
   void recordCancelled(Entry &Target, const InFlight &Attempt, SteadyTime Now);
@@ -199,6 +202,7 @@
   TargetTableSettings Settings_;
   std::mutex Mutex_;
   std::map<std::string, Entry> Targets_;
+  WorkScale GenerateScale_;
   std::uint64_t NextId_ = 1;
   std::mt19937_64 Random_;
 };
--- /dev/null
+++ b/tests/Coordination/WorkScaleTest.cpp
@@ -0,0 +1,52 @@
+#include "Coordination/WorkScale.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranth::coordination;
+
+namespace {
+
+/// An engine with 40 ms for each token and 10 ms before the first; the work of
+/// a request is its tokens plus 8.
+double duration(double Tokens) { return 0.010 + 0.040 * Tokens; }
+
+WorkScale trained() {
+  WorkScale Scale;
+  for (int Round = 0; Round < 50; ++Round)
+    for (double Tokens : {2.0, 20.0, 96.0})
+      Scale.record(Tokens + 8, duration(Tokens));
+  return Scale;
+}
+
+} // namespace
+
+// Guards against short requests that look several times faster than long ones
+// on the same engine, as with an assumed fixed part of 8 tokens.
+TEST_CASE("durations are proportional to the effective work") {
+  WorkScale Scale = trained();
+  double Short = duration(2) / Scale.effective(10);
+  double Long = duration(96) / Scale.effective(104);
+  CHECK(Short == Approx(Long).epsilon(0.02));
+  CHECK(duration(2) / 10 < 0.3 * duration(96) / 104);
+}
+
+// Guards against a fit through samples of one size.
+TEST_CASE("equal sizes leave the work as it is") {
+  WorkScale Scale;
+  for (int I = 0; I < 100; ++I)
+    Scale.record(10, 0.09 + 0.0001 * (I % 3));
+  CHECK(Scale.effective(10) == 10);
+}
+
+// Guards against a straggler that changes the scale for all targets, and
+// against durations ignored for ever after a lasting change.
+TEST_CASE("single outliers are left out and lasting changes are followed") {
+  WorkScale Scale = trained();
+  double Before = Scale.effective(28);
+  Scale.record(10, 30 * duration(2));
+  CHECK(Scale.effective(28) == Before);
+  for (int Round = 0; Round < 400; ++Round)
+    for (double Tokens : {2.0, 20.0, 96.0})
+      Scale.record(Tokens + 8, 10 * duration(Tokens) + 2);
+  CHECK(Scale.effective(10) > 2 * trained().effective(10));
+}
