Start target paces anew when the scale of generation work changes

Cause: the best pace of each target was measured before the fixed part of the work was known and rises slowly, so that the predicted queue of an engine with free places stayed at several seconds and admission refused short work.

Ruled out by logging each term of the estimate: the slowdown, overdue and failure terms (all neutral), and the order in the queue (changed before, with no effect on the refusals).

--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -163,6 +163,11 @@
     Known.Recent_ += SampleWeight * (AtLeast - Known.Recent_);
 }
 
+void TargetTable::forgetPaces(WorkClass Class) {
+  for (auto &Item : Targets_)
+    Item.second.Pace_[index(Class)] = {};
+}
+
 double TargetTable::effectiveWork(WorkClass Class, double Work) const {
   return Class == WorkClass::Generate ? GenerateScale_.effective(Work) : Work;
 }
@@ -170,8 +175,9 @@
 void TargetTable::recordPace(Entry &Target, const InFlight &Attempt,
                              double ActualWork, SteadyTime Now) {
   double Duration = seconds(Now - Attempt.Start_);
-  if (Attempt.Class_ == WorkClass::Generate)
-    GenerateScale_.record(ActualWork, Duration);
+  if (Attempt.Class_ == WorkClass::Generate &&
+      GenerateScale_.record(ActualWork, Duration))
+    forgetPaces(Attempt.Class_);
   double Sample =
       Duration / std::max(1.0, effectiveWork(Attempt.Class_, ActualWork));
   Pace &Known = Target.Pace_[index(Attempt.Class_)];
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -183,6 +183,8 @@
 
   /// \p Work in units that durations are proportional to.
   double effectiveWork(WorkClass Class, double Work) const;
+  /// Starts the paces of a class anew, after a change of scale.
+  void forgetPaces(WorkClass Class);
   void recordPace(Entry &Target, const InFlight &Attempt, double ActualWork,
                   SteadyTime Now);
   void recordCancelled(Entry &Target, const InFlight &Attempt, SteadyTime Now);
--- a/source/Coordination/WorkScale.cpp
+++ b/source/Coordination/WorkScale.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/WorkScale.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace amaranth::coordination {
 
@@ -13,10 +14,10 @@
 
 WorkScale::WorkScale(const WorkScaleSettings &Settings) : Settings_(Settings) {}
 
-void WorkScale::record(double Work, double Duration) {
+bool WorkScale::record(double Work, double Duration) {
   if (isOutlier(Work, Duration) && Outliers_ < Settings_.MaxOutliers_) {
     ++Outliers_;
-    return;
+    return false;
   }
   Outliers_ = 0;
   for (double *Sum : {&Weight_, &SumX_, &SumY_, &SumXx_, &SumXy_})
@@ -29,6 +30,10 @@
   ++Samples_;
   if (Samples_ >= Settings_.MinSamples_)
     fit();
+  if (std::abs(Shift_ - ReportedShift_) <= Settings_.MaxDrift_)
+    return false;
+  ReportedShift_ = Shift_;
+  return true;
 }
 
 double WorkScale::effective(double Work) const {
--- a/source/Coordination/WorkScale.h
+++ b/source/Coordination/WorkScale.h
@@ -20,6 +20,8 @@
   /// left out, unless several follow each other.
   double OutlierFactor_ = 4;
   std::size_t MaxOutliers_ = 20;
+  /// Change of the fixed part, in units of work, that makes a new scale.
+  double MaxDrift_ = 1;
 };
 
 /// Fits duration = fixed + rate * work over recent attempts. The work of a
@@ -31,8 +33,9 @@
 public:
   explicit WorkScale(const WorkScaleSettings &Settings = {});
 
-  /// Records an attempt that succeeded. \p Duration is in seconds.
-  void record(double Work, double Duration);
+  /// Records an attempt that succeeded. \p Duration is in seconds. True if the
+  /// scale changed so much that paces measured before are not comparable.
+  bool record(double Work, double Duration);
 
   /// \p Work with the fixed part that was measured in place of the assumed one,
   /// so that durations are proportional to it; at least 1. Without a fit
@@ -53,8 +56,9 @@
   std::size_t Samples_ = 0;
   std::size_t Outliers_ = 0; ///< In a row.
   bool Fitted_ = false;
-  double Shift_ = 0;   ///< Added to the work; fixed / rate.
-  double PerUnit_ = 0; ///< Seconds for each unit of work.
+  double ReportedShift_ = 0; ///< When record() last returned true.
+  double Shift_ = 0;         ///< Added to the work; fixed / rate.
+  double PerUnit_ = 0;       ///< Seconds for each unit of work.
 };
 
 } // namespace amaranth::coordination
--- a/tests/Coordination/WorkScaleTest.cpp
+++ b/tests/Coordination/WorkScaleTest.cpp
@@ -30,6 +30,16 @@
   CHECK(duration(2) / 10 < 0.3 * duration(96) / 104);
 }
 
+// Guards against paces of the old scale that are compared with new ones.
+TEST_CASE("a changed scale is reported once") {
+  WorkScale Scale;
+  int Changes = 0;
+  for (int Round = 0; Round < 50; ++Round)
+    for (double Tokens : {2.0, 20.0, 96.0})
+      Changes += Scale.record(Tokens + 8, duration(Tokens)) ? 1 : 0;
+  CHECK(Changes == 1);
+}
+
 // Guards against a fit through samples of one size.
 TEST_CASE("equal sizes leave the work as it is") {
   WorkScale Scale;
