--- a/source/Protocol/EngineClient.cpp
+++ b/source/Protocol/EngineClient.cpp
@@ -136,8 +136,6 @@
                              TokenListener *Listener) {
   transport::HttpCall Http = detail::toHttpCall(Call, "/v1/completions");
   Http.Body_ = requestBody(Call, Data);
-  std::size_t KeptText = Data.Output_.size();
-  int KeptTokens = Data.Tokens_;
   StreamReader Reader(Data, Listener);
   Http.OnChunk_ = [&](std::string_view Chunk) { return Reader.onChunk(Chunk); };
   std::string Body;
@@ -146,12 +144,6 @@
     return {StageStatus::Corrupt, CallFailure::Cancelled, Reader.fault()};
   if (Reader.callerGone())
     return {StageStatus::NoReply, CallFailure::Cancelled, "caller is gone"};
-  if (Reply.Failure_ == CallFailure::Mismatched) {
-    // The text of another request must not become part of this answer.
-    Data.Output_.resize(KeptText);
-    Data.Tokens_ = KeptTokens;
-    return Reply;
-  }
   if (Reply.Status_ == StageStatus::Ok && !Reader.complete())
     return {StageStatus::NoReply, CallFailure::Reset,
             "stream ended without its count and digest"};
--- a/source/Protocol/TargetCall.cpp
+++ b/source/Protocol/TargetCall.cpp
@@ -21,6 +21,11 @@
   Http.ProgressTimeout_ = Call.ProgressTimeout_;
   Http.FreshConnection_ = Call.FreshConnection_;
   Http.Cancel_ = Call.Cancel_;
+  // Checked before the body, so that nothing of another request's answer is
+  // passed on.
+  Http.OnHead_ = [RequestId = Call.RequestId_](const HttpReply &Head) {
+    return Head.Headers_.get(RequestIdHeader) == RequestId;
+  };
   return Http;
 }
 
@@ -49,16 +54,13 @@
   HttpOutcome Outcome = Client.call(Call);
   if (!Outcome.Ok_) {
     // The other idle connections to a silent target are probably silent too.
-    if (Outcome.Failure_ == CallFailure::Silent)
+    bool Mismatched = Outcome.Failure_ == CallFailure::Mismatched;
+    if (Mismatched)
+      ++Mismatches;
+    if (Mismatched || Outcome.Failure_ == CallFailure::Silent)
       Client.dropIdle(Call.Address_);
     return noReply(Outcome.Failure_);
   }
-  std::string Echo = Outcome.Reply_.Headers_.get(RequestIdHeader);
-  if (Echo != Call.Headers_.get(RequestIdHeader)) {
-    ++Mismatches;
-    Client.dropIdle(Call.Address_);
-    return noReply(CallFailure::Mismatched);
-  }
   Body = std::move(Outcome.Reply_.Body_);
   if (Outcome.Reply_.Status_ / 100 != 2)
     return classifyRefusal(Outcome.Reply_);
--- a/source/Transport/HttpClient.cpp
+++ b/source/Transport/HttpClient.cpp
@@ -50,11 +50,14 @@
 struct CallProgress {
   SteadyTime LastByte_;
   bool StoppedByReceiver_ = false;
+  bool RefusedByHead_ = false;
   bool DeadlinePassed_ = false;
 };
 
 CallFailure classify(httplib::Error Error, const HttpCall &Call,
                      const CallProgress &Progress) {
+  if (Progress.RefusedByHead_)
+    return CallFailure::Mismatched;
   if (Call.Cancel_ && Call.Cancel_->cancelled())
     return CallFailure::Cancelled;
   if (Progress.DeadlinePassed_ || SteadyClock::now() >= Call.Deadline_)
@@ -147,7 +150,8 @@
   Request.response_handler = [&](const httplib::Response &Response) {
     Progress.LastByte_ = SteadyClock::now();
     Status = Response.status;
-    return true;
+    Progress.RefusedByHead_ = Call.OnHead_ && !Call.OnHead_(toReply(Response));
+    return !Progress.RefusedByHead_;
   };
   std::string Body;
   Request.content_receiver = [&](const char *Data, std::size_t Size,
--- a/source/Transport/HttpClient.h
+++ b/source/Transport/HttpClient.h
@@ -56,6 +56,9 @@
   /// repeated, because a reused connection may already be dead.
   bool FreshConnection_ = false;
   CancelToken *Cancel_ = nullptr;
+  /// Sees the status and headers of the reply before its body; returning false
+  /// ends the call as Mismatched, before any chunk is delivered.
+  std::function<bool(const HttpReply &)> OnHead_;
   /// Takes body chunks as they arrive, for replies with status 200; returning
   /// false ends the call as Cancelled.
   std::function<bool(std::string_view)> OnChunk_;
--- a/tests/Protocol/EngineClientTest.cpp
+++ b/tests/Protocol/EngineClientTest.cpp
@@ -107,10 +107,8 @@
 }
 
 // Guards against the tokens of another request being passed on to the caller
-// before the echo is checked. Needs the reply's headers before its body, which
-// transport::HttpClient does not give yet (KNOWN-RED.txt).
-TEST_CASE("no token of a reply with another request id is passed on",
-          "[!shouldfail]") {
+// before the echo is checked.
+TEST_CASE("no token of a reply with another request id is passed on") {
   Fixture F;
   FakeEngine Engine("a");
   Engine.WrongEcho_ = true;
