Announce the incarnation of a session that was opened again

Survivors compare a key's incarnation with the one that membership lists; a home that kept the old one would leave keys of its second session unanswered after its death. Test: a renewed incarnation reaches all members.

--- a/source/Coordination/Membership.cpp
+++ b/source/Coordination/Membership.cpp
@@ -477,6 +477,14 @@
   ++Self_.Refutation_;
 }
 
+void Membership::renew(std::uint64_t Incarnation) {
+  std::lock_guard Lock(Mutex_);
+  if (Incarnation <= Self_.Incarnation_)
+    return;
+  Self_.Incarnation_ = Incarnation;
+  Self_.Refutation_ = 0;
+}
+
 bool Membership::superseded() const {
   std::lock_guard Lock(Mutex_);
   return Superseded_;
--- a/source/Coordination/Membership.h
+++ b/source/Coordination/Membership.h
@@ -104,6 +104,10 @@
   /// Announces that this host is draining.
   void leave();
 
+  /// Takes a higher incarnation for this host, after its session was deleted
+  /// and opened again. Peers then know that the former one has ended.
+  void renew(std::uint64_t Incarnation);
+
   /// A newer process runs under this host's name.
   bool superseded() const;
 
--- a/source/Daemon/Components.h
+++ b/source/Daemon/Components.h
@@ -25,6 +25,7 @@
 #include "Daemon/AdminHandlers.h"
 #include "Daemon/CallerHandlers.h"
 #include "Daemon/DocumentFollower.h"
+#include "Daemon/IncarnationFollower.h"
 #include "Daemon/KeyValueCallCounter.h"
 #include "Daemon/LoadGossip.h"
 #include "Daemon/PeerEndpoint.h"
@@ -96,8 +97,9 @@
                   const protocol::Member &Self, TransportComponents &Transport,
                   PolicyComponents &Policy, state::DocumentStore &Documents);
 
-  coordination::Session Session_;
   coordination::Membership Membership_;
+  IncarnationFollower Incarnations_;
+  coordination::Session Session_;
   coordination::ConfigurationSync Configuration_;
   coordination::OnceRunner Once_;
   coordination::Lease JanitorDuty_;
--- a/tests/Coordination/MembershipTest.cpp
+++ b/tests/Coordination/MembershipTest.cpp
@@ -345,3 +345,18 @@
   CHECK(Right.Received_);
   All.at(1).stop();
 }
+
+// Guards against keys that stay unanswered after the death of a home that had
+// opened a second session: survivors go by the incarnation they know.
+TEST_CASE("a renewed incarnation reaches all members and does not go back") {
+  Fleet All(4);
+  REQUIRE(All.stepUntil(Detection, [&] { return All.allAlive(); }));
+  All.at(3).renew(7);
+  All.at(3).renew(5);
+  CHECK(All.stepUntil(Detection, [&] {
+    return All.at(0).find("h3")->Incarnation_ == 7 &&
+           All.at(1).find("h3")->Incarnation_ == 7 &&
+           All.at(2).find("h3")->Incarnation_ == 7;
+  }));
+  CHECK_FALSE(All.at(3).superseded());
+}
