--- /dev/null
+++ b/tests/Integration/OrderCaller.cpp
@@ -0,0 +1,111 @@
+#include "Integration/OrderCaller.h"
+
+#include "Transport/HttpClient.h"
+
+namespace amaranth::integration {
+
+using Json = nlohmann::json;
+using transport::HttpCall;
+using transport::HttpClient;
+
+namespace {
+
+constexpr Seconds TicketLimit{5};
+
+HttpCall makeCall(const std::string &Address, const std::string &Method,
+                  const std::string &Path, Milliseconds Limit) {
+  HttpCall Call;
+  Call.Address_ = Address;
+  Call.Method_ = Method;
+  Call.Path_ = Path;
+  Call.Deadline_ = SteadyClock::now() + Limit;
+  Call.ProgressTimeout_ = Limit;
+  Call.FreshConnection_ = true;
+  return Call;
+}
+
+Json parse(const std::string &Text) {
+  return Json::parse(Text, nullptr, false);
+}
+
+} // namespace
+
+OrderTicket OrderCaller::takeTicket(const std::string &Host) const {
+  HttpClient Client({});
+  HttpCall Call = makeCall(Host, "GET", "/v1/entry-hosts", TicketLimit);
+  Call.Headers_.add("Authorization", "Bearer " + Account_ + "-key");
+  auto Outcome = Client.call(Call);
+  OrderTicket Taken;
+  if (!Outcome.Ok_ || Outcome.Reply_.Status_ != 200)
+    return Taken;
+  Json Body = parse(Outcome.Reply_.Body_);
+  Taken.Text_ = Body.value("ticket", "");
+  Taken.Class_ = Body.value("ticket_class", "");
+  Taken.Home_ = Body.value("ticket_home", "");
+  return Taken;
+}
+
+OrderAnswer OrderCaller::place(const std::string &Host,
+                               const Order &Sent) const {
+  HttpClient Client({});
+  HttpCall Call = makeCall(
+      Host, "POST", "/v1/services/" + Service_ + "/requests", Sent.Patience_);
+  Call.Headers_.add("Authorization", "Bearer " + Account_ + "-key");
+  if (!Sent.Key_.empty())
+    Call.Headers_.add("Idempotency-Key", Sent.Key_);
+  Call.Headers_.add("Request-Timeout-Ms",
+                    std::to_string(Sent.Timeout_.count()));
+  Call.Body_ =
+      Json{{"call", "place"}, {"body", {{"order_id", Sent.Id_}}}}.dump();
+  auto Outcome = Client.call(Call);
+  OrderAnswer Answer;
+  if (!Outcome.Ok_)
+    return Answer;
+  Answer.Status_ = Outcome.Reply_.Status_;
+  Answer.Body_ = parse(Outcome.Reply_.Body_);
+  if (Answer.Status_ == 200) {
+    Answer.Outcome_ = "completed";
+    return Answer;
+  }
+  if (!Answer.Body_.is_object())
+    return Answer;
+  Answer.Outcome_ = Answer.Body_.value("outcome", "no_reply");
+  Answer.RetryWith_ = Answer.Body_.value("retry_with", "");
+  return Answer;
+}
+
+OrderAnswer OrderCaller::settle(const std::vector<std::string> &Hosts,
+                                const Order &Sent, int Attempts) const {
+  OrderAnswer Last;
+  for (int I = 0; I < Attempts; ++I) {
+    Last = place(Hosts[static_cast<std::size_t>(I) % Hosts.size()], Sent);
+    if (Last.isFinal())
+      return Last;
+  }
+  return Last;
+}
+
+std::string OrderCaller::lookUp(const std::string &Host,
+                                const std::string &Key) const {
+  HttpClient Client({});
+  HttpCall Call =
+      makeCall(Host, "GET", "/v1/services/" + Service_ + "/requests/" + Key,
+               TicketLimit);
+  Call.Headers_.add("Authorization", "Bearer " + Account_ + "-key");
+  auto Outcome = Client.call(Call);
+  if (!Outcome.Ok_)
+    return "no_reply";
+  Json Body = parse(Outcome.Reply_.Body_);
+  return Body.is_object() ? Body.value("outcome", "no_reply") : "no_reply";
+}
+
+int placeDirectly(const std::string &Target, const std::string &OrderId,
+                  Milliseconds Timeout) {
+  HttpClient Client({});
+  HttpCall Call = makeCall(Target, "POST", "/v1/calls/place", Timeout);
+  Call.Body_ = Json{{"order_id", OrderId}}.dump();
+  auto Outcome = Client.call(Call);
+  return Outcome.Ok_ ? Outcome.Reply_.Status_ : 0;
+}
+
+} // namespace amaranth::integration
--- /dev/null
+++ b/tests/Integration/OrderCaller.h
@@ -0,0 +1,78 @@
+/// \file
+/// A caller of non-idempotent requests.
+#ifndef AMARANTH_TESTS_INTEGRATION_ORDERCALLER_H
+#define AMARANTH_TESTS_INTEGRATION_ORDERCALLER_H
+
+#include "Support/Time.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace amaranth::integration {
+
+/// One answer as a caller received it.
+struct OrderAnswer {
+  int Status_ = 0; ///< 0 if no complete reply arrived.
+  /// "completed", "not_run", "unknown", "failed" or "no_reply".
+  std::string Outcome_ = "no_reply";
+  std::string RetryWith_;
+  nlohmann::json Body_;
+
+  bool isFinal() const {
+    return Outcome_ == "completed" || Outcome_ == "not_run" ||
+           Outcome_ == "failed";
+  }
+};
+
+/// A ticket of GET /v1/entry-hosts.
+struct OrderTicket {
+  std::string Text_;  ///< Empty if none was issued.
+  std::string Class_; ///< "journaled" or "volatile".
+  std::string Home_;  ///< Caller address of its home.
+};
+
+/// One order to place.
+struct Order {
+  std::string Id_;  ///< Unique in the test.
+  std::string Key_; ///< Idempotency key.
+  Milliseconds Timeout_{10000};
+  /// The caller closes the connection after this time, if it is shorter.
+  Milliseconds Patience_{20000};
+};
+
+/// Calls an entry host as docs/api.md says, each time on a new connection.
+/// Thread-safe.
+class OrderCaller final {
+public:
+  explicit OrderCaller(std::string Service = "orders",
+                       std::string Account = "alpha")
+      : Service_(std::move(Service)), Account_(std::move(Account)) {}
+
+  OrderTicket takeTicket(const std::string &Host) const;
+
+  /// Sends the request once.
+  OrderAnswer place(const std::string &Host, const Order &Sent) const;
+
+  /// Sends the same key to the hosts in turn until the answer is final; the
+  /// last answer once \p Attempts are used up.
+  OrderAnswer settle(const std::vector<std::string> &Hosts, const Order &Sent,
+                     int Attempts) const;
+
+  /// Asks for the outcome of a key.
+  std::string lookUp(const std::string &Host, const std::string &Key) const;
+
+private:
+  std::string Service_;
+  std::string Account_;
+};
+
+/// Sends an order to a target itself, as a caller without this system does.
+/// Returns the HTTP status, 0 without a reply.
+int placeDirectly(const std::string &Target, const std::string &OrderId,
+                  Milliseconds Timeout);
+
+} // namespace amaranth::integration
+
+#endif
