--- a/tests/Integration/AtMostOnceTest.cpp
+++ b/tests/Integration/AtMostOnceTest.cpp
@@ -282,6 +282,38 @@
   CHECK(Desk.verdict().faults() == 0);
 }
 
+// Guards against a plain key that runs twice, or never, after its claim was
+// delayed by a silent key-value service.
+TEST_CASE("a plain key survives a silent key-value service",
+          "[proof][once][key-value]") {
+  OrderDesk Desk;
+  Order Placed = Desk.plain();
+  Milliseconds Timeout = Placed.Timeout_;
+  SECTION("for a part of the request") {
+    std::future<OrderAnswer> First;
+    {
+      KeyValueHold Hold(Desk);
+      First = Desk.sendLater(0, Placed);
+      REQUIRE(Desk.waitInFlight(0, 1));
+    }
+    First.get();
+  }
+  SECTION("for longer than the request") {
+    KeyValueHold Hold(Desk);
+    Placed.Timeout_ = Milliseconds{400};
+    CHECK_FALSE(Desk.send(0, Placed).Outcome_ == "completed");
+    CHECK(Desk.executions(Placed) == 0);
+  }
+  Placed.Timeout_ = Timeout;
+  CHECK(eventually([&] { // After not_run a plain key is sent again.
+    return Desk.send(1, Placed).Outcome_ == "completed";
+  }));
+  CHECK(Desk.send(2, Placed).Outcome_ == "completed");
+  REQUIRE(Desk.waitQuiet({0, 1, 2}));
+  CHECK(Desk.executions(Placed) == 1);
+  CHECK(Desk.verdict().faults() == 0);
+}
+
 // Guards against `not_run` for a volatile key whose home is gone, and against
 // volatile tickets that a service did not allow.
 TEST_CASE("a volatile order whose home dies stays unknown",
