--- a/tests/Integration/FleetConfigurationTest.cpp
+++ b/tests/Integration/FleetConfigurationTest.cpp
@@ -208,6 +208,9 @@
   FleetHarness Fleet({});
   std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
   REQUIRE(Fleet.inForce(Service, First));
+  // Otherwise a host that becomes a reader after the outage would bring changes
+  // although the others do not watch again.
+  REQUIRE(eventually([&] { return readersSettled(Fleet, 4); }));
   const bool Hangs = GENERATE(false, true);
   const char *Switch = Hangs ? "hang" : "outage";
   CAPTURE(Switch);
@@ -375,11 +378,17 @@
   const std::vector<std::size_t> Paused = {2, 3, 4};
   constexpr std::size_t Informed = 2;
   TwoTargets Targets;
-  FleetHarness Fleet({});
+  FleetHarnessSettings Settings;
+  Settings.ProxyKeyValue_ = true;
+  FleetHarness Fleet(Settings);
   std::uint64_t First = Fleet.mustApply(0, Service, 0, Targets.oldDocument());
   REQUIRE(Fleet.inForce(Service, First));
-  for (std::size_t I : Paused)
+  for (std::size_t I : Paused) {
+    // Otherwise the event of the deletion would wait in an open watch.
+    Fleet.keyValueProxy(I).post("/standin/freeze", Json::object());
+    Fleet.keyValueProxy(I).setSwitches({{"blackhole", true}});
     Fleet.daemon(I).process().stop();
+  }
   HttpOutcome Removed = Fleet.remove(1, Service, First, "remove");
   REQUIRE(Removed.Reply_.Status_ == 200);
   std::uint64_t Tombstone = bodyOf(Removed).at("revision");
@@ -401,6 +410,8 @@
     CHECK(Fleet.submit(I, Service, LookUp).Reply_.Status_ >= 400);
   }
   Fleet.keyValue().setSwitches({{"outage", false}});
+  for (std::size_t I : Paused)
+    Fleet.keyValueProxy(I).setSwitches({{"blackhole", false}});
   // A new daemon must not find the service either.
   std::size_t Added = Fleet.addDaemon(Fleet.daemonSettings(Fleet.size()));
   REQUIRE(eventually([&] { return Fleet.ready(Added); }));
