--- a/tests/Integration/OrderCaller.cpp
+++ b/tests/Integration/OrderCaller.cpp
@@ -74,17 +74,6 @@
   return Answer;
 }
 
-OrderAnswer OrderCaller::settle(const std::vector<std::string> &Hosts,
-                                const Order &Sent, int Attempts) const {
-  OrderAnswer Last;
-  for (int I = 0; I < Attempts; ++I) {
-    Last = place(Hosts[static_cast<std::size_t>(I) % Hosts.size()], Sent);
-    if (Last.isFinal())
-      return Last;
-  }
-  return Last;
-}
-
 std::string OrderCaller::lookUp(const std::string &Host,
                                 const std::string &Key) const {
   HttpClient Client({});
--- a/tests/Integration/OrderCaller.h
+++ b/tests/Integration/OrderCaller.h
@@ -8,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include <string>
-#include <vector>
 
 namespace amaranth::integration {
 
@@ -55,11 +54,6 @@
   /// Sends the request once.
   OrderAnswer place(const std::string &Host, const Order &Sent) const;
 
-  /// Sends the same key to the hosts in turn until the answer is final; the
-  /// last answer once \p Attempts are used up.
-  OrderAnswer settle(const std::vector<std::string> &Hosts, const Order &Sent,
-                     int Attempts) const;
-
   /// Asks for the outcome of a key.
   std::string lookUp(const std::string &Host, const std::string &Key) const;
 
