Record that a refusal of a leaving target is forgotten; read executions after the callers have ended

A leaving target without load reports gets calls again 10 s after its refusal (known red). The arguments of the checks of executions were evaluated in unspecified order, so that an order could be counted before it ran.

--- a/tests/Integration/FleetDrainTest.cpp
+++ b/tests/Integration/FleetDrainTest.cpp
@@ -37,10 +37,11 @@
 
   /// Runs the load; \p BeginLeaving is called on another thread once the target
   /// has work, and returns when the bound begins.
-  LoadReport run(const std::function<SteadyTime()> &BeginLeaving) {
+  LoadReport run(const std::function<SteadyTime()> &BeginLeaving,
+                 Milliseconds Duration = Milliseconds{6500}) {
     LoadSettings Load;
     Load.RatePerSecond_ = 60;
-    Load.Duration_ = Milliseconds{6500};
+    Load.Duration_ = Duration;
     LoadGenerator Generator(Load);
     std::atomic<bool> Ended = false;
     std::thread Watcher([&] { watch(BeginLeaving, Ended); });
@@ -139,6 +140,23 @@
   CHECK(Test.end() > Test.boundBegins() + LeavingBound + Seconds{1});
 }
 
+// Guards against new work for a leaving target once its refusal is forgotten,
+// while it still leaves and neither load reports nor the host list say so.
+TEST_CASE("fleet: a target without load reports gets no new work for as long "
+          "as it leaves",
+          "[known-red][.]") {
+  LeavingTarget Test(Milliseconds{0}, false);
+  LoadReport Report = Test.run(
+      [&] {
+        Test.target().setSwitches({{"leaving", true}});
+        return SteadyClock::now();
+      },
+      Seconds{16});
+  CHECK(Report.countOk() == Report.samples().size());
+  CHECK(Test.callsBefore() > 20);
+  CHECK(Test.lastCall() <= Test.boundBegins() + LeavingBound);
+}
+
 // Guards against new work for a target that the host list calls leaving while
 // the target itself goes on to serve and says nothing.
 TEST_CASE("fleet: a target that the host list calls leaving gets no new work") {
@@ -307,7 +325,8 @@
   CHECK(Answer.Ok_);
   CHECK(Answer.Failures_ == 0);
   CHECK(Answer.Text_ == LongOne.expected());
-  checkAccounts(Callers.stop(), Test.executions(), false);
+  const std::vector<Told> All = Callers.stop();
+  checkAccounts(All, Test.executions(), false);
 }
 
 // Guards against the tests above passing because cuts go unnoticed: a second
--- a/tests/Integration/FleetLossTest.cpp
+++ b/tests/Integration/FleetLossTest.cpp
@@ -136,7 +136,12 @@
   CHECK(Test.freezeTargets() > 4);
   Seen = Load.count();
   REQUIRE(eventually([&] { return Load.count() > Seen + 200; }));
-  checkAnswers(Load.stop(), Test.executions());
+  const std::vector<Told> All = Load.stop();
+  checkAnswers(All, Test.executions());
+  // The daemons notice the silence themselves; no caller has to give one up.
+  CHECK(std::none_of(All.begin(), All.end(), [](const Told &Each) {
+    return Each.Kind_ != "place" && Each.Answer_.Failures_ > 0;
+  }));
 }
 
 // Guards against a replaced host that is taken for the dead one, or that stays
