--- a/tests/Integration/FleetAccessTest.cpp
+++ b/tests/Integration/FleetAccessTest.cpp
@@ -285,9 +285,10 @@
   std::vector<std::string> Requests;
   for (const std::string &Body :
        {std::string(), std::string("{"), std::string("null"), std::string("[]"),
-        std::string("{\"call\":7}"), std::string("{\"input\":[]}"),
-        std::string("{\"input\":\"\xff\"}"), std::string("\0\0", 2),
-        std::string(100000, '['), std::string("{\"input\":\"x\",\"more\":1}"),
+        std::string("{\"call\":7}"), std::string("{\"level\":7}"),
+        std::string("{\"input\":[]}"), std::string("{\"input\":\"\xff\"}"),
+        std::string("\0\0", 2), std::string(100000, '['),
+        std::string("{\"input\":\"x\",\"more\":1}"),
         std::string(9 * 1024 * 1024, ' ')}) {
     Requests.push_back(rawRequest(WithBody(Plain, Body), Caller));
     Requests.push_back(rawRequest(WithBody(Pipeline, Body), Caller));
