--- a/source/State/DaemonSettings.h
+++ b/source/State/DaemonSettings.h
@@ -31,7 +31,9 @@
   Milliseconds EntryHostKeep_{5000}; ///< How long callers keep an answer.
   Milliseconds TicketLifetime_{600000};
   Milliseconds Retention_{600000};
-  Milliseconds ProbePeriod_{200};
+  /// Between two probes of peers. Five daemons exchange 12 to 14 KB/s each at
+  /// 200 ms, above the 10 KB/s that control may use.
+  Milliseconds ProbePeriod_{400};
   Milliseconds IsolationLimit_{5000};
   Milliseconds LoadPollPeriod_{1000};
   Milliseconds HostListPeriod_{1000};
--- a/source/Transport/HttpClient.cpp
+++ b/source/Transport/HttpClient.cpp
@@ -8,10 +8,26 @@
 
 namespace detail {
 
+/// The "ip" of an "ip:port" address.
+std::string hostOf(const std::string &Address) {
+  return Address.substr(0, Address.rfind(':'));
+}
+
+/// The port of an "ip:port" address; 0 if there is none, which no connection
+/// can be opened to.
+int portOf(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return 0;
+  return std::atoi(Address.c_str() + Colon + 1);
+}
+
+/// One connection. Host and port are passed apart: the library parses a URL
+/// with a regular expression, which costs more than a call on loopback.
 class ClientConnection final {
 public:
   explicit ClientConnection(const std::string &Address)
-      : Client_("http://" + Address) {}
+      : Client_(hostOf(Address), portOf(Address)) {}
 
   httplib::Client Client_;
   SteadyTime IdleSince_;
