--- a/source/Daemon/CallerHandlers.cpp
+++ b/source/Daemon/CallerHandlers.cpp
@@ -49,6 +49,17 @@
   return Made;
 }
 
+/// Refusal by the state of this host. A ticketed key is refused only by its
+/// home, so "not run" must not be said here for a keyed request.
+Problem hostRefusal(const char *State, bool Keyed) {
+  Problem Refused = refusal(503, State, "This host accepts no requests",
+                            "use another entry host");
+  Refused.Outcome_ = Keyed ? OutcomeKind::Unknown : OutcomeKind::NotRun;
+  Refused.RetryWith_ = RetryWith::SameRequest;
+  Refused.RetryAfter_ = HostRetryDelay;
+  return Refused;
+}
+
 Problem badRequest(const Error &Failure) {
   if (Failure.Code_ == ErrorCode::Unauthenticated)
     return refusal(401, "unauthenticated", "No valid key", Failure.Message_);
@@ -171,6 +182,10 @@
       [&] { return protocol::readCallerHeaders(Request.Headers_, Limits_); });
   if (!Headers)
     return toReply(badRequest(Headers.error()));
+  // Without documents, or cut off from the fleet, neither the accounts nor the
+  // members are known.
+  if (isStarting() || Parts_.Isolated_())
+    return toReply(hostRefusal(isStarting() ? "starting" : "isolated", false));
   std::string KeyDigest = sha256Hex(Headers->BearerKey_);
   if (!isKnownKey(KeyDigest))
     return toReply(refusal(401, "unauthenticated", "No valid key",
@@ -198,6 +213,10 @@
   return jsonReply(Body);
 }
 
+bool CallerHandlers::isStarting() const {
+  return Parts_.Gate_.phase() == coordination::ServingPhase::Starting;
+}
+
 bool CallerHandlers::isKnownKey(const std::string &KeyDigest) const {
   for (const Document &Service : Parts_.Documents_.services())
     if (Service->findAccountByDigest(KeyDigest))
@@ -219,6 +238,8 @@
   if (!Headers)
     return badRequest(Headers.error());
   Made.Headers_ = *Headers;
+  if (isStarting())
+    return hostRefusal("starting", !Headers->IdempotencyKey_.empty());
   if (auto Refused = findAccount(sha256Hex(Headers->BearerKey_),
                                  Request.PathParameters_.at(0), Made))
     return Refused;
@@ -251,18 +272,11 @@
     return toReply(*Refused);
   if (auto Permit = Parts_.Gate_.tryEnter())
     Made->Permit_.emplace(std::move(*Permit));
-  // A ticketed key is refused only by its home, so even a closed or isolated
-  // host must not say "not run" for one here.
   bool Keyed = !Made->Headers_.IdempotencyKey_.empty();
-  if (!Made->Permit_ || Parts_.Isolated_()) {
-    Problem Refused =
-        refusal(503, Made->Permit_ ? "isolated" : "draining",
-                "This host accepts no requests", "use another entry host");
-    Refused.Outcome_ = Keyed ? OutcomeKind::Unknown : OutcomeKind::NotRun;
-    Refused.RetryWith_ = RetryWith::SameRequest;
-    Refused.RetryAfter_ = HostRetryDelay;
-    return toReply(Refused);
-  }
+  if (!Made->Permit_)
+    return toReply(hostRefusal("draining", Keyed));
+  if (Parts_.Isolated_())
+    return toReply(hostRefusal("isolated", Keyed));
   if (Made->Document_->isPipeline())
     return submitPipeline(Made, Request.Body_);
   return submitPlain(*Made, Request.Body_);
--- a/source/Daemon/CallerHandlers.h
+++ b/source/Daemon/CallerHandlers.h
@@ -59,6 +59,7 @@
   std::optional<protocol::Problem> findAccount(const std::string &KeyDigest,
                                                const std::string &Service,
                                                Call &Made) const;
+  bool isStarting() const;
   bool isKnownKey(const std::string &KeyDigest) const;
   bool allowsVolatile(const std::string &KeyDigest) const;
 
