--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -396,7 +396,7 @@
     bool OtherTargets = Tried_.size() < Stage_.Targets_.size();
     if (Reply.Status_ == StageStatus::Leaving && OtherTargets)
       return true;
-    Milliseconds Delay = Runner_.backoff(Retry);
+    Milliseconds Delay = Runner_.Backoff_.next(Retry);
     if (Delay >= remaining(Request_.Deadline_))
       return false;
     Runner_.Settings_.Wait_(Delay);
@@ -447,7 +447,9 @@
 
 PipelineRunner::PipelineRunner(const PipelineParts &Parts,
                                PipelineRunnerSettings Settings)
-    : Parts_(Parts), Settings_(std::move(Settings)), Random_(Settings_.Seed_),
+    : Parts_(Parts), Settings_(std::move(Settings)),
+      Backoff_(Settings_.BackoffBase_, Settings_.BackoffLimit_,
+               Settings_.Seed_),
       Hedges_({Settings_.MaxHedges_}) {
   if (!Settings_.Wait_)
     Settings_.Wait_ = [](Milliseconds Delay) {
@@ -473,13 +475,4 @@
   return Result;
 }
 
-Milliseconds PipelineRunner::backoff(int Retry) {
-  int Doublings = std::min(Retry, 16);
-  auto Longest = std::min(Settings_.BackoffLimit_,
-                          Settings_.BackoffBase_ * (1 << Doublings));
-  std::lock_guard Lock(Mutex_);
-  std::uniform_int_distribution<Milliseconds::rep> Jitter(0, Longest.count());
-  return Milliseconds{Jitter(Random_)};
-}
-
 } // namespace amaranth::coordination
--- a/source/Coordination/PipelineRunner.h
+++ b/source/Coordination/PipelineRunner.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_COORDINATION_PIPELINERUNNER_H
 #define AMARANTH_COORDINATION_PIPELINERUNNER_H
 
+#include "Coordination/Backoff.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/Router.h"
 #include "Coordination/StageStatistics.h"
@@ -106,12 +107,9 @@
   class StageRun;
   friend class StageRun;
 
-  Milliseconds backoff(int Retry);
-
   PipelineParts Parts_;
   PipelineRunnerSettings Settings_;
-  std::mutex Mutex_;
-  std::mt19937_64 Random_;
+  Backoff Backoff_;
   transport::WorkArena Hedges_;
 };
 
--- a/source/Coordination/PlainCallRunner.cpp
+++ b/source/Coordination/PlainCallRunner.cpp
@@ -44,7 +44,8 @@
 PlainCallRunner::PlainCallRunner(PlainCallParts Parts,
                                  PlainCallRunnerSettings Settings)
     : Parts_(std::move(Parts)), Settings_(std::move(Settings)),
-      Random_(Settings_.Seed_) {
+      Backoff_(Settings_.BackoffBase_, Settings_.BackoffLimit_,
+               Settings_.Seed_) {
   if (!Settings_.Wait_)
     Settings_.Wait_ = [](Milliseconds Delay) {
       std::this_thread::sleep_for(Delay);
@@ -115,7 +116,7 @@
       break;
     if (Reply.Reply_.Status_ == StageStatus::Leaving)
       continue;
-    Milliseconds Delay = backoff(Attempt);
+    Milliseconds Delay = Backoff_.next(Attempt);
     if (Delay >= remaining(Deadline))
       break;
     Settings_.Wait_(Delay);
@@ -151,13 +152,4 @@
   return Reply;
 }
 
-Milliseconds PlainCallRunner::backoff(int Retry) {
-  int Doublings = std::min(Retry, 16);
-  auto Longest = std::min(Settings_.BackoffLimit_,
-                          Settings_.BackoffBase_ * (1 << Doublings));
-  std::lock_guard Lock(Mutex_);
-  std::uniform_int_distribution<Milliseconds::rep> Jitter(0, Longest.count());
-  return Milliseconds{Jitter(Random_)};
-}
-
 } // namespace amaranth::coordination
--- a/source/Coordination/PlainCallRunner.h
+++ b/source/Coordination/PlainCallRunner.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_COORDINATION_PLAINCALLRUNNER_H
 #define AMARANTH_COORDINATION_PLAINCALLRUNNER_H
 
+#include "Coordination/Backoff.h"
 #include "Coordination/CallDispatcher.h"
 #include "Coordination/RetryBudget.h"
 #include "Coordination/Router.h"
@@ -58,12 +59,10 @@
   protocol::PlainServiceReply attempt(const protocol::ForwardedRequest &Request,
                                       const state::Target &Target, int Attempt,
                                       SteadyTime Deadline, bool Repeatable);
-  Milliseconds backoff(int Retry);
 
   PlainCallParts Parts_;
   PlainCallRunnerSettings Settings_;
-  std::mutex Mutex_;
-  std::mt19937_64 Random_;
+  Backoff Backoff_;
 };
 
 } // namespace amaranth::coordination
