--- a/source/Coordination/Admission.cpp
+++ b/source/Coordination/Admission.cpp
@@ -254,7 +254,7 @@
                                             int Status, std::string Detail,
                                             Milliseconds RetryAfter) const {
   LogEvent(LogLevel::Info, "request_refused")
-      .field("request_id", Request.RequestId_)
+      .field("request", Request.RequestId_)
       .field("account", Request.Account_)
       .field("reason", Detail);
   Decision Refused;
--- a/source/Coordination/OnceRunner.cpp
+++ b/source/Coordination/OnceRunner.cpp
@@ -324,7 +324,7 @@
   if (!Answer) {
     LogEvent Event(LogLevel::Warn, "home_not_reached");
     if (Work.Request_)
-      Event.field("request_id", Work.Request_->RequestId_);
+      Event.field("request", Work.Request_->RequestId_);
     Event.field("host", Home.Host_)
         .field("code", toString(Answer.error().Code_));
     return std::nullopt;
--- a/source/Coordination/PipelineRunner.cpp
+++ b/source/Coordination/PipelineRunner.cpp
@@ -421,7 +421,7 @@
 
   void logFailure(const Attempt &Last) const {
     LogEvent(LogLevel::Info, "attempt_failed")
-        .field("request_id", Request_.RequestId_)
+        .field("request", Request_.RequestId_)
         .field("stage", Stage_.Name_)
         .field("target", Last.Target_->Name_)
         .field("attempt", Cost_.Attempts_)
--- a/source/Coordination/PlainCallRunner.cpp
+++ b/source/Coordination/PlainCallRunner.cpp
@@ -99,7 +99,7 @@
       return Done;
     }
     LogEvent(LogLevel::Info, "call_attempt_failed")
-        .field("request_id", Request.RequestId_)
+        .field("request", Request.RequestId_)
         .field("target", Target.Name_)
         .field("attempt", Attempt)
         .field("reason", Reply.Reply_.Detail_);
