--- /dev/null
+++ b/source/Coordination/Engines/EngineChooser.cpp
@@ -0,0 +1,125 @@
+#include "Coordination/Engines/EngineChooser.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace amaranth::coordination {
+
+using protocol::PromptPart;
+using state::TargetRecord;
+
+std::uint64_t rendezvousRank(const std::string &Key,
+                             const std::string &Candidate) {
+  // FNV-1a with a final mix: all hosts must compute the same value.
+  std::uint64_t Hash = 0xcbf29ce484222325ULL;
+  auto Add = [&](const std::string &Text) {
+    for (unsigned char C : Text)
+      Hash = (Hash ^ C) * 0x100000001b3ULL;
+    Hash = (Hash ^ 0xff) * 0x100000001b3ULL;
+  };
+  Add(Key);
+  Add(Candidate);
+  Hash ^= Hash >> 32;
+  Hash *= 0xd6e8feb86659fd93ULL;
+  Hash ^= Hash >> 32;
+  return Hash;
+}
+
+EngineChooser::EngineChooser(EngineChooserSettings Settings)
+    : Settings_(Settings) {}
+
+namespace {
+
+/// The last part that other requests share; the very last part belongs to the
+/// request itself.
+const PromptPart *sharedPart(const std::vector<PromptPart> &Prompt) {
+  if (Prompt.size() >= 2)
+    return &Prompt[Prompt.size() - 2];
+  return Prompt.empty() ? nullptr : &Prompt.front();
+}
+
+} // namespace
+
+double EngineChooser::tokensToRead(const TargetRecord &Engine, bool First,
+                                   const std::vector<PromptPart> &Prompt,
+                                   SteadyTime Now) const {
+  double Tokens = 0;
+  for (std::size_t I = 0; I < Prompt.size(); ++I) {
+    bool Kept = First && I + 1 < Prompt.size();
+    auto Found = Parts_.find(Prompt[I].Id_);
+    if (!Kept && Found != Parts_.end()) {
+      auto Used = Found->second.find(Engine.Id_);
+      Kept = Used != Found->second.end() &&
+             Now - Used->second < Settings_.PartLifetime_;
+    }
+    // A part is of use only if all parts before it are kept too.
+    if (!Kept) {
+      for (; I < Prompt.size(); ++I)
+        Tokens += static_cast<double>(Prompt[I].Tokens_);
+      break;
+    }
+  }
+  return Tokens;
+}
+
+const TargetRecord *
+EngineChooser::choose(const std::vector<const TargetRecord *> &Engines,
+                      const std::vector<PromptPart> &Prompt,
+                      const std::set<std::string> &Excluded,
+                      const TargetHealth &Health, SteadyTime Now) const {
+  const PromptPart *Shared = sharedPart(Prompt);
+  const TargetRecord *First = nullptr;
+  std::uint64_t FirstRank = 0;
+  for (const TargetRecord *Engine : Engines) {
+    if (!Shared || !Health.usable(Engine->Id_, Now) ||
+        Excluded.count(Engine->Id_))
+      continue;
+    std::uint64_t Rank = rendezvousRank(Shared->Id_, Engine->Id_);
+    if (!First || Rank > FirstRank) {
+      First = Engine;
+      FirstRank = Rank;
+    }
+  }
+  const TargetRecord *Best = nullptr;
+  double BestCost = std::numeric_limits<double>::max();
+  for (const TargetRecord *Engine : Engines) {
+    double Cost = tokensToRead(*Engine, Engine == First, Prompt, Now);
+    Cost += Settings_.TokensPerRequest_ *
+            static_cast<double>(Health.inFlight(Engine->Id_));
+    Cost += Settings_.FailureTokens_ * Health.failureShare(Engine->Id_, Now);
+    bool LastResort =
+        Excluded.count(Engine->Id_) || !Health.usable(Engine->Id_, Now);
+    if (LastResort)
+      Cost += 1e9;
+    if (Cost < BestCost) {
+      Best = Engine;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+void EngineChooser::onSent(const std::string &EngineId,
+                           const std::vector<PromptPart> &Prompt,
+                           SteadyTime Now) {
+  if (Parts_.size() > Settings_.MaxParts_)
+    forgetUnused(Now);
+  for (const PromptPart &Part : Prompt)
+    Parts_[Part.Id_][EngineId] = Now;
+}
+
+void EngineChooser::forgetUnused(SteadyTime Now) {
+  for (auto Part = Parts_.begin(); Part != Parts_.end();) {
+    std::erase_if(Part->second, [&](const auto &Use) {
+      return Now - Use.second >= Settings_.PartLifetime_;
+    });
+    Part = Part->second.empty() ? Parts_.erase(Part) : std::next(Part);
+  }
+}
+
+void EngineChooser::onEngineGone(const std::string &EngineId) {
+  for (auto &[Part, Uses] : Parts_)
+    Uses.erase(EngineId);
+}
+
+} // namespace amaranth::coordination
--- a/source/Daemon/Main.cpp
+++ b/source/Daemon/Main.cpp
@@ -2,6 +2,7 @@
 /// amaranthd: serves callers on one entry host.
 
 #include "Daemon/Options.h"
+#include "Daemon/PlatformMode.h"
 #include "Daemon/Runtime.h"
 #include "State/DaemonSettings.h"
 #include "Support/Log.h"
@@ -76,6 +77,8 @@
       daemon::readOptions(ArgumentCount, const_cast<const char **>(Arguments));
   if (!Reading.Options_)
     return Reading.ExitStatus_;
+  if (Reading.Options_->Platform_)
+    return daemon::runOnPlatform(Reading.Options_->CheckOnly_);
   std::optional<state::DaemonSettings> Settings =
       loadSettings(Reading.Options_->SettingsFile_);
   if (!Settings)
--- a/source/Daemon/Options.h
+++ b/source/Daemon/Options.h
@@ -11,6 +11,7 @@
 /// What the command line asks for.
 struct Options {
   std::string SettingsFile_;
+  bool Platform_ = false;  ///< Serve on the users' platform.
   bool CheckOnly_ = false; ///< Check the settings file and exit.
 };
 
--- /dev/null
+++ b/source/Protocol/Fleet.capnp
@@ -0,0 +1,79 @@
+@0x8e94939fd205a2a1;
+# Messages between the entry hosts of a fleet on the platform. Each is sent
+# alone, as a length and a Cap'n Proto message, over a TCP connection.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("amaranth::protocol::fleet");
+
+struct FleetMessage {
+  union {
+    ping @0 :HostState;
+    pong @1 :HostState;
+    pieces @2 :List(Piece);
+    outcomes @3 :List(Outcome);
+    cancel @4 :Text;          # a request whose pieces are no longer wanted
+    release @5 :List(Result); # results that are no longer needed
+    configuration @6 :Record; # from the store, for hosts that it turns away
+    targets @7 :List(Record); # likewise
+    suspects @8 :List(Suspect);
+  }
+}
+
+struct HostState {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  callerAddress @2 :Text;
+  peerAddress @3 :Text;
+  incarnation @4 :UInt64;
+  serving @5 :Bool;        # takes requests; false while starting or draining
+  storeConnected @6 :Bool;
+  configurationRevision @7 :UInt64;
+  targetsRevision @8 :UInt64;
+  queues @9 :List(QueueState);
+}
+
+struct QueueState {
+  service @0 :Text;
+  waiting @1 :UInt32;  # pieces
+  delayMs @2 :UInt32;  # until a new piece of usual urgency is made
+}
+
+struct Piece {
+  requestId @0 :Text;
+  stage @1 :UInt32;
+  piece @2 :UInt32;
+  key @3 :Text;
+  inputs @4 :List(Text);
+  service @5 :Text;
+  resultBytes @6 :UInt64;
+  priority @7 :Int32;
+  aimMs @8 :Int64;     # time left from sending
+  expiryMs @9 :Int64;  # time left from sending
+  dataCentre @10 :Text;
+  repeat @11 :Bool;
+}
+
+struct Outcome {
+  requestId @0 :Text;
+  stage @1 :UInt32;
+  piece @2 :UInt32;
+  end @3 :UInt16;
+  handle @4 :Text;
+}
+
+struct Result {
+  handle @0 :Text;
+  service @1 :Text;
+}
+
+struct Record {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  removed @3 :Bool;
+}
+
+struct Suspect {
+  digest @0 :Text;
+  targets @1 :List(Text);  # ids of targets that ended while they ran it
+}
--- /dev/null
+++ b/source/Protocol/PlatformStore.cpp
@@ -0,0 +1,25 @@
+#include "Protocol/PlatformStore.h"
+
+namespace amaranth::protocol {
+
+const char *toString(StoreStatus Status) {
+  switch (Status) {
+  case StoreStatus::Ok:
+    return "ok";
+  case StoreStatus::Unavailable:
+    return "unavailable";
+  case StoreStatus::Ambiguous:
+    return "ambiguous";
+  case StoreStatus::Compacted:
+    return "compacted";
+  case StoreStatus::LeaseGone:
+    return "lease_gone";
+  case StoreStatus::Conflict:
+    return "conflict";
+  case StoreStatus::Invalid:
+    return "invalid";
+  }
+  return "unknown";
+}
+
+} // namespace amaranth::protocol
--- /dev/null
+++ b/source/Protocol/PlatformStore.h
@@ -0,0 +1,67 @@
+/// \file
+/// Interface of the platform's store for tasks of the event loop.
+#ifndef AMARANTH_PROTOCOL_PLATFORMSTORE_H
+#define AMARANTH_PROTOCOL_PLATFORMSTORE_H
+
+#include "Transport/Loop.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace amaranth::protocol {
+
+enum class StoreStatus {
+  Ok,
+  Unavailable, ///< Nothing was done, or a read was not answered.
+  Ambiguous,   ///< A write was not answered; it may have taken effect.
+  Compacted,   ///< The history a watch needs is gone; read the range.
+  LeaseGone,
+  Conflict, ///< A condition did not hold.
+  Invalid,  ///< The store refused the call.
+};
+
+const char *toString(StoreStatus Status);
+
+/// One key as it was written, or its removal.
+struct StoreItem {
+  std::string Key_;
+  std::string Value_;
+  std::uint64_t Revision_ = 0;
+  bool Removed_ = false;
+};
+
+struct StoreItems {
+  StoreStatus Status_ = StoreStatus::Unavailable;
+  std::vector<StoreItem> Items_;
+  std::uint64_t Revision_ = 0; ///< Of the store; where a watch continues.
+};
+
+struct StoreLease {
+  StoreStatus Status_ = StoreStatus::Unavailable;
+  std::uint64_t Id_ = 0;
+  Milliseconds TimeToLive_{0};
+};
+
+/// The platform's store. Every call ends within its own time-out.
+class PlatformStore {
+public:
+  virtual ~PlatformStore() = default;
+
+  /// All items under \p Prefix, linearizable.
+  virtual transport::Awaitable<StoreItems> range(std::string Prefix) = 0;
+  /// Changes after a revision; empty when \p Wait passed without any.
+  virtual transport::Awaitable<StoreItems>
+  watch(std::string Prefix, std::uint64_t After, Milliseconds Wait) = 0;
+  virtual transport::Awaitable<StoreLease>
+  grantLease(Milliseconds TimeToLive) = 0;
+  virtual transport::Awaitable<StoreStatus> keepLease(std::uint64_t Id) = 0;
+  virtual transport::Awaitable<StoreStatus> endLease(std::uint64_t Id) = 0;
+  /// Writes unconditionally.
+  virtual transport::Awaitable<StoreStatus>
+  put(std::string Key, std::string Value, std::uint64_t Lease) = 0;
+};
+
+} // namespace amaranth::protocol
+
+#endif
--- /dev/null
+++ b/source/Protocol/RecordCodec.h
@@ -0,0 +1,29 @@
+/// \file
+/// Interface to the records that operators and targets keep in the store.
+#ifndef AMARANTH_PROTOCOL_RECORDCODEC_H
+#define AMARANTH_PROTOCOL_RECORDCODEC_H
+
+#include "State/RoutingTable.h"
+#include "State/TargetRecord.h"
+#include "Support/Error.h"
+
+namespace amaranth::protocol {
+
+/// Decodes records of the store. Errors are CorruptData with what is wrong.
+class RecordCodec {
+public:
+  virtual ~RecordCodec() = default;
+
+  /// Keys of the operators' configuration and of the targets' records.
+  virtual std::string configurationKey() const = 0;
+  virtual std::string targetPrefix() const = 0;
+
+  virtual Result<state::RoutingTable>
+  readConfiguration(const std::string &Value) const = 0;
+  virtual Result<state::TargetRecord>
+  readTarget(const std::string &Key, const std::string &Value) const = 0;
+};
+
+} // namespace amaranth::protocol
+
+#endif
--- /dev/null
+++ b/source/Serving/CallerServer.cpp
@@ -0,0 +1,219 @@
+#include "Serving/CallerServer.h"
+
+#include "Support/Log.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace amaranth::serving {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using transport::Awaitable;
+using transport::HttpReader;
+using transport::LinkStatus;
+using transport::TcpLink;
+
+namespace {
+
+/// Wait after a failed accept, usually for lack of descriptors.
+constexpr Milliseconds AcceptPause{20};
+/// Time for the whole body of a request after its head.
+constexpr Milliseconds BodyTimeout{10000};
+
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+
+bool expectsContinue(const transport::HttpHead &Head) {
+  const std::string *Value = Head.find("Expect");
+  return Value && transport::equalsIgnoringCase(*Value, "100-continue");
+}
+
+} // namespace
+
+CallerServer::CallerServer(EntryContext &Context, StageClient &Stages,
+                           HostStatus &Status, CallerServerSettings Settings)
+    : Context_(Context), Stages_(Stages), Status_(Status), Settings_(Settings) {
+}
+
+std::shared_ptr<CallerServer::Acceptor>
+CallerServer::listen(const std::string &Address) {
+  auto Endpoint = transport::parseEndpoint(Address);
+  if (!Endpoint)
+    return nullptr;
+  auto Out = std::make_shared<Acceptor>(Context_.Loop_);
+  boost::system::error_code Failure;
+  Out->open(tcp::v4(), Failure);
+  Out->set_option(asio::socket_base::reuse_address(true), Failure);
+  Out->bind(*Endpoint, Failure);
+  if (!Failure)
+    Out->listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure) {
+    LogEvent(LogLevel::Error, "cannot_listen")
+        .field("address", Address)
+        .field("error", Failure.message());
+    return nullptr;
+  }
+  return Out;
+}
+
+bool CallerServer::start() {
+  Callers_ = listen(Context_.Settings_.CallerAddress_);
+  std::shared_ptr<Acceptor> Directory =
+      listen(Context_.Settings_.DirectoryAddress_);
+  std::shared_ptr<Acceptor> Readiness =
+      listen(Context_.Settings_.ReadinessAddress_);
+  if (!Callers_ || !Directory || !Readiness)
+    return false;
+  transport::startTask(Context_.Loop_, accept(Callers_, Port::Callers));
+  transport::startTask(Context_.Loop_, accept(Directory, Port::Host));
+  transport::startTask(Context_.Loop_, accept(Readiness, Port::Host));
+  return true;
+}
+
+void CallerServer::stopAccepting() {
+  boost::system::error_code Ignored;
+  Callers_->close(Ignored);
+  for (const Link &Idle : Waiting_)
+    Idle->close();
+}
+
+Awaitable<void> CallerServer::accept(std::shared_ptr<Acceptor> From, Port For) {
+  while (From->is_open()) {
+    tcp::socket Accepted(Context_.Loop_);
+    boost::system::error_code Failure;
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    co_await From->async_accept(Accepted, Token);
+    if (Failure) {
+      co_await transport::pause(Context_.Loop_, AcceptPause);
+      continue;
+    }
+    if (Connections_ >= Settings_.MaxConnections_) {
+      LogEvent(LogLevel::Warn, "too_many_connections")
+          .field("connections", Connections_);
+      continue;
+    }
+    auto Caller = std::make_shared<TcpLink>(std::move(Accepted));
+    transport::startTask(Context_.Loop_, serve(Caller, For));
+  }
+}
+
+state::CallerLimits CallerServer::limits() const {
+  return Context_.Table_ ? Context_.Table_->Limits_ : state::CallerLimits{};
+}
+
+Awaitable<void> CallerServer::serve(Link Caller, Port For) {
+  ++Connections_;
+  bool Keep = true;
+  while (Keep && Caller->isOpen()) {
+    state::CallerLimits Limits = limits();
+    HttpReader Reader(HttpReader::Kind::Request, Limits.MaxHeaderBytes_,
+                      Limits.MaxBodyBytes_);
+    SteadyTime Arrival{};
+    bool Read = co_await readRequest(Caller, Reader, Arrival);
+    if (!Read)
+      break;
+    if (For == Port::Host) {
+      Keep = co_await answerHostCall(Caller, Reader);
+      continue;
+    }
+    transport::HttpHead Head = Reader.head();
+    std::string Body = Reader.takeBody();
+    bool KeepAlive = Reader.keepAlive();
+    Keep = co_await serveRequest(Context_, Stages_, Caller, std::move(Head),
+                                 std::move(Body), Arrival, KeepAlive);
+  }
+  Caller->close();
+  --Connections_;
+}
+
+Awaitable<bool> CallerServer::readRequest(Link Caller, HttpReader &Reader,
+                                          SteadyTime &Arrival) {
+  state::CallerLimits Limits = limits();
+  std::string &Input = Caller->input();
+  if (Input.empty()) {
+    Caller->setDeadline(SteadyClock::now() + Limits.IdleTimeout_);
+    Waiting_.insert(Caller);
+    LinkStatus Status = co_await Caller->readSome();
+    Waiting_.erase(Caller);
+    if (Status != LinkStatus::Ok)
+      co_return false;
+  }
+  Arrival = SteadyClock::now();
+  Caller->setDeadline(Arrival + Limits.HeaderTimeout_);
+  bool Continued = false;
+  for (;;) {
+    Reader.feed(Input);
+    if (Reader.state() == HttpReader::State::Complete)
+      break;
+    if (Reader.state() == HttpReader::State::Body && !Continued) {
+      Continued = true;
+      Caller->setDeadline(SteadyClock::now() + BodyTimeout);
+      if (expectsContinue(Reader.head())) {
+        std::string Continue(ContinueAnswer);
+        co_await Caller->write(Continue);
+      }
+    }
+    int Status = 0;
+    std::string Reason;
+    if (Reader.state() == HttpReader::State::HeadTooLarge) {
+      Status = 431;
+      Reason = "the request head is larger than allowed";
+    } else if (Reader.state() == HttpReader::State::BodyTooLarge) {
+      Status = 413;
+      Reason = "the request body is larger than allowed";
+    } else if (Reader.state() == HttpReader::State::Malformed) {
+      Status = 400;
+      Reason = "the request is not well-formed HTTP/1.1";
+    }
+    if (Status != 0) {
+      co_await refuseUnread(Caller, Status, Reason);
+      co_return false;
+    }
+    LinkStatus Received = co_await Caller->readSome();
+    if (Received != LinkStatus::Ok)
+      co_return false;
+  }
+  Caller->clearDeadline();
+  co_return true;
+}
+
+Awaitable<void> CallerServer::refuseUnread(Link Caller, int Status,
+                                           std::string Reason) {
+  LogEvent(LogLevel::Warn, "request_unreadable")
+      .field("status", Status)
+      .field("reason", Reason)
+      .field("caller", Caller->peer());
+  std::string NoId;
+  std::string Answer =
+      Context_.Edge_.ownAnswer(Status, NoId, Reason, std::nullopt, true);
+  co_await Caller->write(Answer);
+}
+
+Awaitable<bool> CallerServer::answerHostCall(Link Caller,
+                                             const HttpReader &Reader) {
+  const transport::HttpHead &Head = Reader.head();
+  std::string NoId;
+  std::string Answer;
+  switch (Context_.Edge_.hostCall(Head)) {
+  case protocol::HostCall::Directory:
+    Answer = Context_.Edge_.directoryAnswer(
+        Status_.callerAddresses(), Context_.Settings_.DirectoryLifetime_);
+    break;
+  case protocol::HostCall::Readiness: {
+    int Status = Status_.ready() ? 200 : 503;
+    std::string Reason = Status == 200 ? "ready" : "not ready";
+    Answer =
+        Context_.Edge_.ownAnswer(Status, NoId, Reason, std::nullopt, false);
+    break;
+  }
+  case protocol::HostCall::None: {
+    std::string Reason = "unknown call";
+    Answer = Context_.Edge_.ownAnswer(404, NoId, Reason, std::nullopt, false);
+    break;
+  }
+  }
+  LinkStatus Written = co_await Caller->write(Answer);
+  co_return Written == LinkStatus::Ok &&Reader.keepAlive();
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/HostRegistration.h
@@ -0,0 +1,44 @@
+/// \file
+/// Publishes this host in the platform's store.
+#ifndef AMARANTH_SERVING_HOSTREGISTRATION_H
+#define AMARANTH_SERVING_HOSTREGISTRATION_H
+
+#include "Protocol/PlatformStore.h"
+
+#include <string>
+
+namespace amaranth::serving {
+
+/// Settings of HostRegistration.
+struct HostRegistrationSettings {
+  /// A host that is lost disappears from the list after this time. Whether it
+  /// is live is known sooner, from its peers.
+  Milliseconds LeaseTime_{20000};
+  Milliseconds RenewPeriod_{5000};
+  Milliseconds RetryPeriod_{500};
+};
+
+/// Keeps a key under a lease, so that other hosts can find this one.
+class HostRegistration final {
+public:
+  HostRegistration(transport::Loop &Executor, protocol::PlatformStore &Store,
+                   std::string Key, std::string Value,
+                   HostRegistrationSettings Settings = {});
+
+  void start();
+
+private:
+  transport::Awaitable<void> keepRegistered();
+  transport::Awaitable<bool> registerOnce();
+
+  transport::Loop &Loop_;
+  protocol::PlatformStore &Store_;
+  std::string Key_;
+  std::string Value_;
+  HostRegistrationSettings Settings_;
+  std::uint64_t Lease_ = 0;
+};
+
+} // namespace amaranth::serving
+
+#endif
--- /dev/null
+++ b/source/Serving/RequestScope.cpp
@@ -0,0 +1,48 @@
+#include "Serving/RequestScope.h"
+
+#include <algorithm>
+
+namespace amaranth::serving {
+
+using transport::Awaitable;
+using transport::LinkStatus;
+
+Awaitable<void> answerOwn(RequestScope &Scope, int Status, std::string Reason,
+                          std::optional<Milliseconds> RetryAfter) {
+  Scope.Status_ = Status;
+  Scope.Reason_ = Reason;
+  bool Close = Scope.CloseAfter_ || Scope.Context_.Draining_;
+  std::string Message = Scope.Context_.Edge_.ownAnswer(
+      Status, Scope.Request_.Id_, Reason, RetryAfter, Close);
+  LinkStatus Written = co_await Scope.Caller_->write(Message);
+  Scope.CloseAfter_ = Close || Written != LinkStatus::Ok;
+}
+
+Awaitable<void> answerWhole(RequestScope &Scope, transport::HttpHead FromTarget,
+                            std::string Body) {
+  Scope.Status_ = FromTarget.Status_;
+  std::string Message = Scope.Context_.Edge_.answerHead(FromTarget);
+  bool Close = Scope.CloseAfter_ || Scope.Context_.Draining_;
+  if (Close)
+    transport::appendField(Message, "Connection", "close");
+  transport::appendField(Message, "Content-Length",
+                         std::to_string(Body.size()));
+  Message.append("\r\n").append(Body);
+  LinkStatus Written = co_await Scope.Caller_->write(Message);
+  Scope.CloseAfter_ = Close || Written != LinkStatus::Ok;
+}
+
+protocol::TargetCallFields targetFields(const RequestScope &Scope,
+                                        const state::TargetRecord &Target,
+                                        SteadyTime Deadline) {
+  protocol::TargetCallFields Out;
+  Out.TargetId_ = Target.Id_;
+  if (Scope.Account_)
+    Out.Account_ = Scope.Account_->Name_;
+  Out.Deadline_ = std::max(Milliseconds(1), remaining(Deadline));
+  Out.Generation_ = Scope.Route_->Generation_;
+  Out.Urgency_ = std::clamp(Scope.Priority_ + 1, 0, 9);
+  return Out;
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/RequestTask.cpp
@@ -0,0 +1,139 @@
+#include "Serving/RequestTask.h"
+
+#include "Serving/PlainRun.h"
+#include "Serving/StreamRun.h"
+#include "Support/Log.h"
+
+#include <random>
+
+namespace amaranth::serving {
+
+using transport::Awaitable;
+
+namespace {
+
+/// Callers that state no deadline on a route without a time-out.
+constexpr Milliseconds DefaultDeadline{30000};
+/// Part of a time-out in which an own answer reaches the caller.
+constexpr Milliseconds AnswerReserve{30};
+/// Time a caller may take to read the end of its answer.
+constexpr Milliseconds CallerReadSlack{2000};
+/// A draining host takes requests for this long: callers learn of the drain
+/// from the directory, whose answers they may keep for some seconds.
+constexpr Milliseconds DrainAccept{3000};
+constexpr Milliseconds RetryAfterStart{300};
+constexpr Milliseconds RetryAfterDrain{50};
+
+/// Why a request is refused before anything is run.
+struct Refusal {
+  int Status_ = 0;
+  std::string Reason_;
+  std::optional<Milliseconds> RetryAfter_;
+};
+
+std::string chooseService(const state::Route &Route) {
+  static std::mt19937_64 Random{std::random_device{}()};
+  double Total = 0;
+  for (const state::ServiceShare &Share : Route.Services_)
+    Total += Share.Weight_;
+  double At = std::uniform_real_distribution<double>(0, Total)(Random);
+  for (const state::ServiceShare &Share : Route.Services_) {
+    if (Share.Weight_ > 0 && At <= Share.Weight_)
+      return Share.Service_;
+    At -= Share.Weight_;
+  }
+  return Route.Services_.empty() ? "" : Route.Services_.front().Service_;
+}
+
+/// Decodes the request and finds its route, account and times.
+std::optional<Refusal> admit(RequestScope &Scope) {
+  EntryContext &Context = Scope.Context_;
+  auto Read = capture([&] { return Context.Edge_.readRequest(Scope.Head_); });
+  if (!Read) {
+    Scope.CloseAfter_ = true;
+    return Refusal{400, Read.error().Message_, std::nullopt};
+  }
+  Scope.Request_ = std::move(*Read);
+  Scope.Table_ = Context.Table_;
+  if (!Scope.Table_)
+    return Refusal{503, "no configuration is known yet", RetryAfterStart};
+  if (Context.Draining_ && Scope.Arrival_ - Context.DrainStarted_ > DrainAccept)
+    return Refusal{503, "this host is stopping", RetryAfterDrain};
+  const state::RoutingTable &Table = *Scope.Table_;
+  Scope.Route_ = Table.findRoute(Scope.Request_.Host_, Scope.Request_.Path_);
+  if (!Scope.Route_)
+    return Refusal{404, "no route matches the host and path", std::nullopt};
+  if (Table.HasAccounts_ && !Scope.Route_->Public_) {
+    Scope.Account_ = Table.findAccount(Scope.Request_.Key_);
+    if (!Scope.Account_)
+      return Refusal{401, "the key belongs to no client account", std::nullopt};
+  }
+  Scope.Priority_ = Scope.Route_->Priority_;
+  if (Scope.Account_ && Scope.Account_->Priority_)
+    Scope.Priority_ = *Scope.Account_->Priority_;
+  Scope.Service_ = chooseService(*Scope.Route_);
+  Milliseconds Limit = Scope.Request_.Deadline_.value_or(DefaultDeadline);
+  if (Scope.Route_->Timeout_ > Milliseconds(0))
+    Limit = std::min(Limit, Scope.Route_->Timeout_);
+  Scope.Deadline_ =
+      Scope.Arrival_ + std::max(Milliseconds(1), Limit - AnswerReserve);
+  Milliseconds Aim = Scope.Route_->LatencyAim_;
+  Scope.AimBy_ = Aim > Milliseconds(0)
+                     ? std::min(Scope.Arrival_ + Aim, Scope.Deadline_)
+                     : Scope.Deadline_;
+  return std::nullopt;
+}
+
+void logEnd(const RequestScope &Scope) {
+  auto Took = std::chrono::duration_cast<Milliseconds>(SteadyClock::now() -
+                                                       Scope.Arrival_);
+  LogEvent(LogLevel::Info, "request")
+      .field("id", Scope.Request_.Id_)
+      .field("route", Scope.Route_ ? Scope.Route_->Name_ : "none")
+      .field("target", Scope.TargetId_.empty() ? "none" : Scope.TargetId_)
+      .field("status", Scope.Status_)
+      .field("ms", Took.count())
+      .field("reason", Scope.Gone_ ? "caller_gone" : Scope.Reason_);
+}
+
+} // namespace
+
+Awaitable<bool> serveRequest(EntryContext &Context, StageClient &Stages,
+                             std::shared_ptr<transport::TcpLink> Caller,
+                             transport::HttpHead Head, std::string Body,
+                             SteadyTime Arrival, bool KeepAlive) {
+  RequestScope Scope(Context);
+  Scope.Caller_ = Caller;
+  Scope.Head_ = std::move(Head);
+  Scope.Body_ = std::move(Body);
+  Scope.Arrival_ = Arrival;
+  Scope.CloseAfter_ = !KeepAlive;
+  ++Context.RequestsInProgress_;
+  std::optional<Refusal> Refused = admit(Scope);
+  if (Refused) {
+    co_await answerOwn(Scope, Refused->Status_, Refused->Reason_,
+                       Refused->RetryAfter_);
+  } else {
+    Caller->setDeadline(Scope.Deadline_ + CallerReadSlack);
+    Caller->watchForEnd([&Scope] {
+      Scope.Gone_ = true;
+      if (Scope.Interrupt_)
+        Scope.Interrupt_();
+    });
+    if (Scope.Route_->Kind_ == state::RequestKind::Stream ||
+        !Scope.Route_->Stages_.empty()) {
+      StreamRun Run(Scope, Stages);
+      co_await Run.run();
+    } else {
+      PlainRun Run(Scope);
+      co_await Run.run();
+    }
+    Caller->stopWatching();
+    Caller->clearDeadline();
+  }
+  --Context.RequestsInProgress_;
+  logEnd(Scope);
+  co_return !Scope.Gone_ && !Scope.CloseAfter_ && Caller->isOpen();
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/StageDispatcher.cpp
@@ -0,0 +1,324 @@
+#include "Serving/StageDispatcher.h"
+
+#include "Serving/TargetExchange.h"
+#include "Support/Log.h"
+
+#include <algorithm>
+
+namespace amaranth::serving {
+
+using coordination::QueuedPiece;
+using coordination::TargetResult;
+using protocol::PieceEnd;
+using protocol::PieceOutcome;
+using protocol::PieceReports;
+using state::StageCapacity;
+using state::TargetRecord;
+using transport::Awaitable;
+
+namespace {
+
+/// How long a target that reported no room is taken as full: about the time
+/// in which results of other calls are used and freed.
+constexpr Milliseconds NoRoomPause{120};
+
+Milliseconds expectedTime(const StageCapacity &Capacity, std::size_t Pieces) {
+  auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Pieces);
+  return Capacity.CallTime_ + std::chrono::ceil<Milliseconds>(Work);
+}
+
+std::uint64_t totalBytes(const std::vector<QueuedPiece> &Call) {
+  std::uint64_t Sum = 0;
+  for (const QueuedPiece &Piece : Call)
+    Sum += Piece.ResultBytes_;
+  return Sum;
+}
+
+void addReport(std::map<std::string, PieceReports> &Reports,
+               const QueuedPiece &Piece, const PieceOutcome &Outcome) {
+  Reports[Piece.Owner_].Reports_.push_back({Piece.Piece_.RequestId_,
+                                            Piece.Piece_.Stage_,
+                                            Piece.Piece_.Piece_, Outcome});
+}
+
+/// What a finished exchange tells about the target.
+TargetResult resultOf(const TargetExchange &Exchange) {
+  switch (Exchange.state()) {
+  case ExchangeState::NotSent:
+    return TargetResult::Unreachable;
+  case ExchangeState::NotExecuted:
+    return TargetResult::Full;
+  case ExchangeState::Complete:
+    return Exchange.head().Status_ == 200 ? TargetResult::Good
+                                          : TargetResult::Error;
+  default:
+    return TargetResult::Broken;
+  }
+}
+
+} // namespace
+
+StageDispatcher::StageDispatcher(EntryContext &Context,
+                                 PieceReportListener &Listener,
+                                 StageDispatcherSettings Settings)
+    : Context_(Context), Listener_(Listener), Settings_(Settings) {}
+
+void StageDispatcher::start() {
+  transport::startTask(Context_.Loop_, checkQueues());
+}
+
+Awaitable<void> StageDispatcher::checkQueues() {
+  for (;;) {
+    co_await transport::pause(Context_.Loop_, Settings_.CheckPeriod_);
+    for (auto &[Service, Of] : Services_) {
+      if (Of.Queue_.empty())
+        continue;
+      expirePieces(Of);
+      pump(Service);
+    }
+  }
+}
+
+void StageDispatcher::order(const std::string &Owner,
+                            const protocol::PieceOrder &Order) {
+  SteadyTime Now = SteadyClock::now();
+  QueuedPiece Piece;
+  Piece.Piece_ = Order.Piece_;
+  Piece.Owner_ = Owner;
+  Piece.Service_ = Order.Service_;
+  Piece.ResultBytes_ = Order.ResultBytes_;
+  Piece.Priority_ = Order.Priority_;
+  Piece.AimBy_ = Now + Order.AimLeft_;
+  Piece.ExpiresAt_ = Now + Order.ExpiryLeft_;
+  Piece.DataCentre_ = Order.DataCentre_;
+  Piece.Repeat_ = Order.Repeat_;
+  Context_.Budget_.onRequest(Order.Service_, Now);
+  Services_[Order.Service_].Queue_.push(std::move(Piece));
+  pump(Order.Service_);
+}
+
+void StageDispatcher::cancel(const std::string &Owner,
+                             const std::string &RequestId) {
+  for (auto &[Service, Of] : Services_)
+    Of.Queue_.cancel(Owner, RequestId);
+  SteadyTime Now = SteadyClock::now();
+  std::erase_if(Cancelled_,
+                [&](const auto &Item) { return Now >= Item.second; });
+  Cancelled_[{Owner, RequestId}] = Now + Settings_.CancelMemory_;
+}
+
+void StageDispatcher::cancelOwner(const std::string &Owner) {
+  for (auto &[Service, Of] : Services_)
+    Of.Queue_.cancelOwner(Owner);
+}
+
+void StageDispatcher::expirePieces(ServiceState &Of) {
+  std::map<std::string, PieceReports> Reports;
+  PieceOutcome Late{PieceEnd::Late, ""};
+  for (const QueuedPiece &Piece : Of.Queue_.takeExpired(SteadyClock::now()))
+    addReport(Reports, Piece, Late);
+  for (auto &[Owner, Batch] : Reports)
+    Listener_.onPieceReports(Owner, std::move(Batch));
+}
+
+void StageDispatcher::pump(const std::string &Service) {
+  state::RoutingTablePtr Table = Context_.Table_;
+  const state::Service *Known = Table ? Table->findService(Service) : nullptr;
+  if (!Known || !Known->Stage_)
+    return;
+  ServiceState &Of = Services_[Service];
+  while (!Of.Queue_.empty() && startCall(Service, Of, *Known->Stage_))
+    ;
+}
+
+bool StageDispatcher::startCall(const std::string &Service, ServiceState &Of,
+                                const StageCapacity &Capacity) {
+  SteadyTime Now = SteadyClock::now();
+  std::vector<std::pair<double, const TargetRecord *>> Free;
+  for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
+    const TargetState &State = Of.Targets_[Target->Id_];
+    if (State.Calls_ < Capacity.Slots_ && Now >= State.PausedUntil_ &&
+        Context_.Health_.usable(Target->Id_, Now))
+      Free.emplace_back(Context_.Health_.cost(Target->Id_, Now), Target);
+  }
+  std::sort(Free.begin(), Free.end());
+  for (const auto &[Cost, Target] : Free) {
+    coordination::FreeTarget Offer;
+    Offer.DataCentre_ = Target->DataCentre_;
+    Offer.RoomLeft_ = Of.Ledger_.left(Target->Id_, Capacity.ResultRoom_, Now);
+    Pieces Call = Of.Queue_.compose(Offer, Capacity, Now);
+    if (Call.empty())
+      continue;
+    ++Of.Targets_[Target->Id_].Calls_;
+    Of.Ledger_.reserve(Target->Id_, totalBytes(Call));
+    transport::startTask(Context_.Loop_,
+                         runCall(Service, *Target, Capacity, std::move(Call)));
+    return true;
+  }
+  return false;
+}
+
+Awaitable<void> StageDispatcher::runCall(std::string Service,
+                                         TargetRecord Target,
+                                         StageCapacity Capacity, Pieces Call) {
+  SteadyTime Begin = SteadyClock::now();
+  std::vector<protocol::StagePiece> Items;
+  std::vector<std::optional<Milliseconds>> TimeLeft;
+  for (const QueuedPiece &Piece : Call) {
+    Items.push_back(Piece.Piece_);
+    TimeLeft.push_back(remaining(Piece.ExpiresAt_));
+  }
+  std::string Request = Context_.Edge_.stageCall(Items, Target.Id_, TimeLeft);
+  Milliseconds Expected = expectedTime(Capacity, Call.size());
+  SteadyTime Deadline =
+      Begin + Expected * Settings_.TimeoutFactor_ + Settings_.TimeoutBase_;
+  Context_.Health_.begin(Target.Id_);
+  TargetExchange Exchange(Context_.Connections_, Context_.Edge_, Target);
+  std::string NoId;
+  co_await Exchange.start(Request, NoId, Deadline);
+  co_await Exchange.readAll();
+  SteadyTime Now = SteadyClock::now();
+  auto Took = std::chrono::ceil<Milliseconds>(Now - Begin);
+  // Calls of different sizes are compared as if each had the usual time.
+  Milliseconds Relative(Took.count() * 1000 /
+                        std::max<std::int64_t>(1, Expected.count()));
+  TargetResult Result = resultOf(Exchange);
+  Context_.Health_.end(Target.Id_, Result, Relative, Now);
+
+  ServiceState &Of = Services_[Service];
+  TargetState &State = Of.Targets_[Target.Id_];
+  --State.Calls_;
+  Of.Ledger_.unreserve(Target.Id_, totalBytes(Call));
+  std::vector<PieceOutcome> Outcomes;
+  if (Result == TargetResult::Good) {
+    std::string Body = Exchange.takeBody();
+    auto Read = capture([&] { return Context_.Edge_.readStageAnswer(Body); });
+    if (Read && Read->size() == Call.size())
+      Outcomes = std::move(*Read);
+  }
+  if (Result == TargetResult::Full)
+    State.PausedUntil_ = Now + Settings_.FullPause_;
+  if (Outcomes.empty()) {
+    PieceEnd End =
+        Result == TargetResult::Full || Result == TargetResult::Unreachable
+            ? PieceEnd::Refused
+            : PieceEnd::Failed;
+    PieceOutcome Lost{End, ""};
+    Outcomes.assign(Call.size(), Lost);
+    LogEvent(LogLevel::Warn, "stage_call_failed")
+        .field("service", Service)
+        .field("target", Target.Id_)
+        .field("pieces", Call.size())
+        .field("state", static_cast<int>(Exchange.state()))
+        .field("took_ms", Took.count());
+  }
+  settle(Service, Target, Capacity, std::move(Call), Outcomes);
+  pump(Service);
+}
+
+void StageDispatcher::settle(const std::string &Service,
+                             const TargetRecord &Target,
+                             const StageCapacity &Capacity, Pieces Call,
+                             const std::vector<PieceOutcome> &Outcomes) {
+  ServiceState &Of = Services_[Service];
+  SteadyTime Now = SteadyClock::now();
+  std::map<std::string, PieceReports> Reports;
+  for (std::size_t I = 0; I < Call.size(); ++I) {
+    const PieceOutcome &Outcome = Outcomes[I];
+    switch (Outcome.End_) {
+    case PieceEnd::Made:
+      // A handle that is known already comes from a repeated answer.
+      if (Of.Ledger_.contains(Target.Id_, Outcome.Handle_)) {
+        LogEvent(LogLevel::Warn, "stage_answer_repeated")
+            .field("target", Target.Id_);
+        retryOrReport(Of, std::move(Call[I]), PieceEnd::Failed, Reports);
+        break;
+      }
+      Of.Ledger_.add(Target.Id_, Outcome.Handle_, Call[I].ResultBytes_,
+                     Now + Capacity.ResultLifetime_);
+      if (Cancelled_.count({Call[I].Owner_, Call[I].Piece_.RequestId_}))
+        release({Outcome.Handle_, Service});
+      else
+        addReport(Reports, Call[I], Outcome);
+      break;
+    case PieceEnd::Late:
+    case PieceEnd::Gone:
+      addReport(Reports, Call[I], Outcome);
+      break;
+    case PieceEnd::NoRoom:
+      Of.Ledger_.onNoRoom(Target.Id_, Now + NoRoomPause);
+      retryOrReport(Of, std::move(Call[I]), Outcome.End_, Reports);
+      break;
+    case PieceEnd::Failed:
+    case PieceEnd::Refused:
+      retryOrReport(Of, std::move(Call[I]), Outcome.End_, Reports);
+      break;
+    }
+  }
+  for (auto &[Owner, Batch] : Reports)
+    Listener_.onPieceReports(Owner, std::move(Batch));
+}
+
+void StageDispatcher::retryOrReport(
+    ServiceState &Of, QueuedPiece Piece, PieceEnd End,
+    std::map<std::string, PieceReports> &Reports) {
+  SteadyTime Now = SteadyClock::now();
+  if (Now < Piece.ExpiresAt_ && Context_.Budget_.tryTake(Piece.Service_, Now)) {
+    Piece.Repeat_ = true;
+    Of.Queue_.push(std::move(Piece));
+    return;
+  }
+  PieceOutcome Outcome{End, ""};
+  addReport(Reports, Piece, Outcome);
+}
+
+void StageDispatcher::release(const protocol::UnneededResult &Result) {
+  std::string Address = Context_.Edge_.makerOf(Result.Handle_);
+  for (const TargetRecord *Target :
+       Context_.Targets_.serving(Result.Service_)) {
+    if (Target->Address_ != Address)
+      continue;
+    TargetState &State = Services_[Result.Service_].Targets_[Target->Id_];
+    State.ToFree_.push_back(Result.Handle_);
+    if (!State.Freeing_) {
+      State.Freeing_ = true;
+      transport::startTask(Context_.Loop_,
+                           freeResults(Result.Service_, *Target));
+    }
+    return;
+  }
+}
+
+Awaitable<void> StageDispatcher::freeResults(std::string Service,
+                                             TargetRecord Target) {
+  // References into the maps stay valid: services and targets are not erased.
+  ServiceState &Of = Services_[Service];
+  TargetState &State = Of.Targets_[Target.Id_];
+  while (!State.ToFree_.empty()) {
+    std::vector<std::string> Handles = std::move(State.ToFree_);
+    State.ToFree_.clear();
+    std::string Request = Context_.Edge_.freeCall(Handles, Target.Id_);
+    TargetExchange Exchange(Context_.Connections_, Context_.Edge_, Target);
+    SteadyTime Deadline = SteadyClock::now() + Settings_.TimeoutBase_;
+    std::string NoId;
+    co_await Exchange.start(Request, NoId, Deadline);
+    co_await Exchange.readAll();
+    // Results that could not be freed expire by themselves.
+    if (Exchange.state() == ExchangeState::Complete)
+      for (const std::string &Handle : Handles)
+        Of.Ledger_.remove(Target.Id_, Handle);
+  }
+  State.Freeing_ = false;
+  pump(Service);
+}
+
+std::vector<protocol::QueueState> StageDispatcher::queues() const {
+  std::vector<protocol::QueueState> Out;
+  for (const auto &[Service, Of] : Services_)
+    if (!Of.Queue_.empty())
+      Out.push_back({Service, static_cast<std::uint32_t>(Of.Queue_.size()),
+                     Milliseconds(0)});
+  return Out;
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/StageDispatcher.h
@@ -0,0 +1,101 @@
+/// \file
+/// Makes stage results: one queue for each service, one dispatcher host.
+#ifndef AMARANTH_SERVING_STAGEDISPATCHER_H
+#define AMARANTH_SERVING_STAGEDISPATCHER_H
+
+#include "Coordination/Stages/ResultLedger.h"
+#include "Coordination/Stages/StageQueue.h"
+#include "Protocol/FleetMessages.h"
+#include "Serving/EntryContext.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace amaranth::serving {
+
+/// Settings of StageDispatcher.
+struct StageDispatcherSettings {
+  /// A call is given up when it takes this many times the expected time, and
+  /// a fixed time more.
+  int TimeoutFactor_ = 6;
+  Milliseconds TimeoutBase_{700};
+  /// A target that refused a call as full gets none for this long.
+  Milliseconds FullPause_{60};
+  /// How often queues are checked for expired pieces and for targets that have
+  /// become usable.
+  Milliseconds CheckPeriod_{20};
+  /// How long a cancelled request is remembered: longer than a call takes, so
+  /// that results made for it are freed.
+  Milliseconds CancelMemory_{10000};
+};
+
+/// Takes what became of pieces, for the host that ordered them.
+class PieceReportListener {
+public:
+  virtual ~PieceReportListener() = default;
+  virtual void onPieceReports(const std::string &Owner,
+                              protocol::PieceReports Reports) = 0;
+};
+
+/// The queues of the services for which this host is the dispatcher. Hosts
+/// choose the dispatcher of a service by themselves, so two may be active for a
+/// moment; that fills calls worse and harms nothing else.
+class StageDispatcher final {
+public:
+  StageDispatcher(EntryContext &Context, PieceReportListener &Listener,
+                  StageDispatcherSettings Settings = {});
+
+  void start();
+  void order(const std::string &Owner, const protocol::PieceOrder &Order);
+  void cancel(const std::string &Owner, const std::string &RequestId);
+  void cancelOwner(const std::string &Owner);
+  void release(const protocol::UnneededResult &Result);
+  /// Length of each queue that is not empty.
+  std::vector<protocol::QueueState> queues() const;
+
+private:
+  struct TargetState {
+    std::size_t Calls_ = 0; ///< In progress from here.
+    SteadyTime PausedUntil_{};
+    std::vector<std::string> ToFree_;
+    bool Freeing_ = false;
+  };
+  struct ServiceState {
+    coordination::StageQueue Queue_;
+    coordination::ResultLedger Ledger_;
+    std::map<std::string, TargetState> Targets_;
+  };
+  using Pieces = std::vector<coordination::QueuedPiece>;
+  using OwnedRequest = std::pair<std::string, std::string>;
+
+  transport::Awaitable<void> checkQueues();
+  void pump(const std::string &Service);
+  bool startCall(const std::string &Service, ServiceState &Of,
+                 const state::StageCapacity &Capacity);
+  transport::Awaitable<void> runCall(std::string Service,
+                                     state::TargetRecord Target,
+                                     state::StageCapacity Capacity,
+                                     Pieces Call);
+  void settle(const std::string &Service, const state::TargetRecord &Target,
+              const state::StageCapacity &Capacity, Pieces Call,
+              const std::vector<protocol::PieceOutcome> &Outcomes);
+  void retryOrReport(ServiceState &Of, coordination::QueuedPiece Piece,
+                     protocol::PieceEnd End,
+                     std::map<std::string, protocol::PieceReports> &Reports);
+  transport::Awaitable<void> freeResults(std::string Service,
+                                         state::TargetRecord Target);
+  void expirePieces(ServiceState &Of);
+
+  EntryContext &Context_;
+  PieceReportListener &Listener_;
+  StageDispatcherSettings Settings_;
+  std::map<std::string, ServiceState> Services_;
+  /// Cancelled requests by owner and id, with the time to forget them.
+  std::map<OwnedRequest, SteadyTime> Cancelled_;
+};
+
+} // namespace amaranth::serving
+
+#endif
--- /dev/null
+++ b/source/Serving/TargetConnections.cpp
@@ -0,0 +1,88 @@
+#include "Serving/TargetConnections.h"
+
+namespace amaranth::serving {
+
+using transport::Awaitable;
+using transport::TcpLink;
+
+TargetConnections::TargetConnections(transport::Loop &Executor,
+                                     TargetConnectionsSettings Settings)
+    : Loop_(Executor), Settings_(Settings) {}
+
+std::shared_ptr<TcpLink>
+TargetConnections::takeIdle(const std::string &TargetId) {
+  auto Found = Idle_.find(TargetId);
+  if (Found == Idle_.end())
+    return nullptr;
+  std::deque<Idle> &Links = Found->second;
+  SteadyTime Now = SteadyClock::now();
+  while (!Links.empty()) {
+    Idle Last = std::move(Links.back());
+    Links.pop_back();
+    if (Now < Last.Until_ && !Last.Link_->disturbed())
+      return Last.Link_;
+    Last.Link_->close();
+  }
+  return nullptr;
+}
+
+Awaitable<std::shared_ptr<TcpLink>>
+TargetConnections::take(state::TargetRecord Target, SteadyTime Deadline) {
+  std::shared_ptr<TcpLink> Kept = takeIdle(Target.Id_);
+  if (Kept) {
+    Kept->setDeadline(Deadline);
+    co_return Kept;
+  }
+  auto Endpoint = transport::parseEndpoint(Target.Address_);
+  if (!Endpoint)
+    co_return nullptr;
+  auto Link = std::make_shared<TcpLink>(Loop_);
+  SteadyTime ConnectBy = SteadyClock::now() + Settings_.ConnectTimeout_;
+  Link->setDeadline(std::min(ConnectBy, Deadline));
+  boost::asio::ip::tcp::endpoint Address = *Endpoint;
+  bool Connected = co_await Link->connect(Address);
+  if (!Connected) {
+    Link->close();
+    co_return nullptr;
+  }
+  Link->setDeadline(Deadline);
+  co_return Link;
+}
+
+void TargetConnections::giveBack(const std::string &TargetId,
+                                 std::shared_ptr<TcpLink> Link,
+                                 std::optional<Milliseconds> KeepAlive) {
+  Link->clearDeadline();
+  Milliseconds Lifetime =
+      KeepAlive.value_or(Settings_.IdleTimeout_) - Settings_.IdleMargin_;
+  std::deque<Idle> &Links = Idle_[TargetId];
+  if (Lifetime <= Milliseconds(0) ||
+      Links.size() >= Settings_.MaxIdlePerTarget_) {
+    Link->close();
+    return;
+  }
+  Links.push_back({std::move(Link), SteadyClock::now() + Lifetime});
+}
+
+void TargetConnections::drop(const std::string &TargetId) {
+  auto Found = Idle_.find(TargetId);
+  if (Found == Idle_.end())
+    return;
+  for (Idle &One : Found->second)
+    One.Link_->close();
+  Idle_.erase(Found);
+}
+
+void TargetConnections::expire(SteadyTime Now) {
+  for (auto It = Idle_.begin(); It != Idle_.end();) {
+    std::erase_if(It->second, [&](Idle &One) {
+      if (Now < One.Until_)
+        return false;
+      One.Link_->close();
+      return true;
+    });
+    It = It->second.empty() ? Idle_.erase(It) : std::next(It);
+  }
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/TargetExchange.h
@@ -0,0 +1,73 @@
+/// \file
+/// One request at one target.
+#ifndef AMARANTH_SERVING_TARGETEXCHANGE_H
+#define AMARANTH_SERVING_TARGETEXCHANGE_H
+
+#include "Protocol/EdgeProtocol.h"
+#include "Serving/TargetConnections.h"
+#include "Transport/HttpReader.h"
+
+#include <memory>
+#include <string>
+
+namespace amaranth::serving {
+
+/// What has become of an exchange.
+enum class ExchangeState {
+  NotSent,     ///< No byte was written; the target did not get the request.
+  Answering,   ///< The answer's head has arrived.
+  Complete,    ///< The whole answer has arrived.
+  NotExecuted, ///< The target states that it did not run the request.
+  Broken,      ///< Sent, and no usable answer: it may have run.
+  TimedOut,    ///< As Broken, because the deadline passed.
+};
+
+/// Sends one request and reads its answer. Answers to other requests that
+/// arrive on the connection are skipped.
+class TargetExchange final {
+public:
+  TargetExchange(TargetConnections &Connections,
+                 const protocol::EdgeProtocol &Edge,
+                 state::TargetRecord Target);
+  ~TargetExchange();
+
+  /// Sends \p Request and reads to the answer's head. \p RequestId empty: the
+  /// answer need not name it.
+  transport::Awaitable<ExchangeState>
+  start(std::string Request, std::string RequestId, SteadyTime Deadline);
+  /// Reads more of the body; call while the state is Answering.
+  transport::Awaitable<ExchangeState> readMore();
+  /// Reads the whole body, up to a bound.
+  transport::Awaitable<ExchangeState> readAll();
+
+  /// Closes the connection; operations in progress end as Broken.
+  void stop();
+
+  ExchangeState state() const { return State_; }
+  const transport::HttpHead &head() const { return Reader_->head(); }
+  const protocol::TargetReply &reply() const { return Reply_; }
+  const state::TargetRecord &target() const { return Target_; }
+  /// Body bytes received and not yet taken.
+  std::string takeBody();
+
+private:
+  transport::Awaitable<ExchangeState> readHead();
+  void finish();
+  ExchangeState fail(transport::LinkStatus Status);
+
+  TargetConnections &Connections_;
+  const protocol::EdgeProtocol &Edge_;
+  state::TargetRecord Target_;
+  std::string RequestId_;
+  std::shared_ptr<transport::TcpLink> Link_;
+  std::unique_ptr<transport::HttpReader> Reader_;
+  protocol::TargetReply Reply_;
+  std::string Body_;
+  ExchangeState State_ = ExchangeState::NotSent;
+  bool Skipped_ = false; ///< Foreign answers arrived on the connection.
+  bool Stopped_ = false;
+};
+
+} // namespace amaranth::serving
+
+#endif
--- /dev/null
+++ b/source/State/RoutingTable.cpp
@@ -0,0 +1,28 @@
+#include "State/RoutingTable.h"
+
+namespace amaranth::state {
+
+const Route *RoutingTable::findRoute(std::string_view Host,
+                                     std::string_view Path) const {
+  const Route *Best = nullptr;
+  for (const Route &Candidate : Routes_) {
+    if (Candidate.Host_ != Host ||
+        Path.substr(0, Candidate.Prefix_.size()) != Candidate.Prefix_)
+      continue;
+    if (!Best || Candidate.Prefix_.size() > Best->Prefix_.size())
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+const Service *RoutingTable::findService(const std::string &Name) const {
+  auto Found = Services_.find(Name);
+  return Found == Services_.end() ? nullptr : &Found->second;
+}
+
+const ClientAccount *RoutingTable::findAccount(std::string_view Key) const {
+  auto Found = AccountsByKey_.find(Key);
+  return Found == AccountsByKey_.end() ? nullptr : &Found->second;
+}
+
+} // namespace amaranth::state
--- /dev/null
+++ b/source/Transport/HttpReader.cpp
@@ -0,0 +1,114 @@
+#include "Transport/HttpReader.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <limits>
+#include <variant>
+
+namespace amaranth::transport {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Chunked must be the only transfer coding: anything else would leave the end
+/// of the message to guesswork.
+bool hasSoundFraming(const HttpHead &Head, bool Chunked) {
+  return Head.count("transfer-encoding") == 0 || Chunked;
+}
+
+} // namespace
+
+struct HttpReader::Parser {
+  std::variant<http::request_parser<http::string_body>,
+               http::response_parser<http::string_body>>
+      Of_;
+
+  template <typename F> auto visit(F &&Function) {
+    return std::visit(std::forward<F>(Function), Of_);
+  }
+};
+
+HttpReader::HttpReader(Kind What, std::size_t MaxHead, std::size_t MaxBody)
+    : Parser_(std::make_unique<Parser>()) {
+  if (What == Kind::Response)
+    Parser_->Of_.emplace<1>();
+  Parser_->visit([&](auto &P) {
+    P.eager(true);
+    P.header_limit(static_cast<std::uint32_t>(MaxHead));
+    P.body_limit(MaxBody);
+  });
+}
+
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader &&) noexcept = default;
+
+HttpReader::State HttpReader::feed(std::string &Input) {
+  if (Input.empty() || State_ == State::Complete)
+    return State_;
+  Started_ = true;
+  boost::system::error_code Failure;
+  std::size_t Used = Parser_->visit(
+      [&](auto &P) { return P.put(boost::asio::buffer(Input), Failure); });
+  Input.erase(0, Used);
+  if (Failure == http::error::header_limit)
+    return State_ = State::HeadTooLarge;
+  if (Failure == http::error::body_limit)
+    return State_ = State::BodyTooLarge;
+  if (Failure && Failure != http::error::need_more)
+    return State_ = State::Malformed;
+  if (State_ == State::Head &&
+      Parser_->visit([](auto &P) { return P.is_header_done(); }))
+    readHead();
+  if (hasHead() && Parser_->visit([](auto &P) { return P.is_done(); }))
+    State_ = State::Complete;
+  return State_;
+}
+
+HttpReader::State HttpReader::end() {
+  boost::system::error_code Failure;
+  Parser_->visit([&](auto &P) { P.put_eof(Failure); });
+  if (Failure)
+    return State_ = State::Malformed;
+  if (hasHead())
+    State_ = State::Complete;
+  return State_;
+}
+
+void HttpReader::readHead() {
+  State_ = State::Body;
+  if (auto *Request = std::get_if<0>(&Parser_->Of_)) {
+    Head_.Method_ = std::string(Request->get().method_string());
+    Head_.Target_ = std::string(Request->get().target());
+  } else {
+    Head_.Status_ = std::get_if<1>(&Parser_->Of_)->get().result_int();
+  }
+  Parser_->visit([&](auto &P) {
+    for (const auto &Field : P.get())
+      Head_.Fields_.emplace_back(std::string(Field.name_string()),
+                                 std::string(Field.value()));
+  });
+  if (!hasSoundFraming(Head_,
+                       Parser_->visit([](auto &P) { return P.chunked(); })))
+    State_ = State::Malformed;
+}
+
+std::string HttpReader::takeBody() {
+  return Parser_->visit([](auto &P) {
+    std::string Body = std::move(P.get().body());
+    P.get().body().clear();
+    return Body;
+  });
+}
+
+bool HttpReader::keepAlive() const {
+  return Parser_->visit([](auto &P) { return P.keep_alive(); });
+}
+
+bool HttpReader::framed() const {
+  return Parser_->visit([](auto &P) { return P.chunked() || !P.need_eof(); });
+}
+
+} // namespace amaranth::transport
--- /dev/null
+++ b/source/Transport/Loop.cpp
@@ -0,0 +1,46 @@
+#include "Transport/Loop.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+
+namespace amaranth::transport {
+
+namespace asio = boost::asio;
+
+void startTask(Loop &Executor, Awaitable<void> Task) {
+  asio::co_spawn(Executor, std::move(Task), [](std::exception_ptr Escaped) {
+    if (Escaped)
+      std::rethrow_exception(Escaped);
+  });
+}
+
+Awaitable<void> pause(Loop &Executor, Milliseconds Time) {
+  asio::steady_timer Timer(Executor, Time);
+  boost::system::error_code Failure;
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  co_await Timer.async_wait(Token);
+}
+
+Wakeup::Wakeup(Loop &Executor) : Timer_(Executor) {}
+
+void Wakeup::notify() {
+  Notified_ = true;
+  Timer_.cancel();
+}
+
+Awaitable<bool> Wakeup::wait(SteadyTime Until) {
+  if (!Notified_) {
+    Timer_.expires_at(Until);
+    boost::system::error_code Failure;
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    co_await Timer_.async_wait(Token);
+  }
+  bool Woken = Notified_;
+  Notified_ = false;
+  co_return Woken;
+}
+
+} // namespace amaranth::transport
--- /dev/null
+++ b/source/Transport/TcpLink.cpp
@@ -0,0 +1,222 @@
+#include "Transport/TcpLink.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
+namespace amaranth::transport {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Bytes read from the socket in one call.
+constexpr std::size_t ReadSize = 16 * 1024;
+/// Bytes kept of what a peer sends while its request is being worked on.
+constexpr std::size_t MaxWatchedInput = 64 * 1024;
+/// A peer that acknowledges nothing for this long is gone; connections can go
+/// silent without a reset.
+constexpr unsigned UserTimeoutMs = 3000;
+
+} // namespace
+
+std::optional<tcp::endpoint> parseEndpoint(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  error_code Failure;
+  auto Ip = asio::ip::make_address_v4(Address.substr(0, Colon), Failure);
+  std::uint16_t Port = 0;
+  const char *End = Address.data() + Address.size();
+  auto Parsed = std::from_chars(Address.data() + Colon + 1, End, Port);
+  if (Failure || Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return tcp::endpoint(Ip, Port);
+}
+
+TcpLink::TcpLink(Loop &Executor)
+    : Loop_(Executor), Socket_(Executor), Timer_(Executor) {}
+
+TcpLink::TcpLink(tcp::socket Accepted)
+    : Loop_(static_cast<Loop &>(Accepted.get_executor().context())),
+      Socket_(std::move(Accepted)), Timer_(Loop_) {
+  configure();
+}
+
+TcpLink::~TcpLink() = default;
+
+void TcpLink::configure() {
+  error_code Ignored;
+  Socket_.set_option(tcp::no_delay(true), Ignored);
+  Socket_.non_blocking(true, Ignored);
+  unsigned Timeout = UserTimeoutMs;
+  setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
+             sizeof Timeout);
+}
+
+void TcpLink::setDeadline(SteadyTime Deadline) {
+  if (Deadline_ == Deadline)
+    return;
+  Deadline_ = Deadline;
+  Timer_.expires_at(Deadline);
+  std::weak_ptr<TcpLink> Weak = weak_from_this();
+  Timer_.async_wait([Weak](const error_code &Failure) {
+    std::shared_ptr<TcpLink> Self = Weak.lock();
+    if (Failure || !Self || !Self->Deadline_ ||
+        SteadyClock::now() < *Self->Deadline_)
+      return;
+    Self->TimedOut_ = true;
+    Self->close();
+  });
+}
+
+void TcpLink::clearDeadline() {
+  if (!Deadline_)
+    return;
+  Deadline_.reset();
+  Timer_.cancel();
+}
+
+LinkStatus TcpLink::statusOf(const error_code &Failure) const {
+  if (TimedOut_)
+    return LinkStatus::TimedOut;
+  if (!Failure)
+    return LinkStatus::Ok;
+  if (Failure == asio::error::eof)
+    return LinkStatus::End;
+  if (Failure == asio::error::operation_aborted ||
+      Failure == asio::error::bad_descriptor)
+    return LinkStatus::Closed;
+  return LinkStatus::Reset;
+}
+
+Awaitable<bool> TcpLink::connect(tcp::endpoint Peer) {
+  error_code Failure;
+  Socket_.open(tcp::v4(), Failure);
+  if (Failure)
+    co_return false;
+  configure();
+  auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+  co_await Socket_.async_connect(Peer, Token);
+  co_return !Failure && !TimedOut_;
+}
+
+Awaitable<LinkStatus> TcpLink::readSome() {
+  std::size_t Before = Input_.size();
+  Input_.resize(Before + ReadSize);
+  error_code Failure;
+  std::size_t Count = Socket_.read_some(
+      asio::buffer(Input_.data() + Before, ReadSize), Failure);
+  if (Failure == asio::error::would_block ||
+      Failure == asio::error::try_again) {
+    Input_.resize(Before);
+    Failure.clear();
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    co_await Socket_.async_wait(tcp::socket::wait_read, Token);
+    Count = 0;
+    if (!Failure) {
+      Before = Input_.size();
+      Input_.resize(Before + ReadSize);
+      Count = Socket_.read_some(asio::buffer(Input_.data() + Before, ReadSize),
+                                Failure);
+    }
+  }
+  if (Input_.size() >= Before)
+    Input_.resize(Before + Count);
+  co_return statusOf(Failure);
+}
+
+Awaitable<LinkStatus> TcpLink::write(const std::string &Bytes) {
+  error_code Failure;
+  // Most messages fit the socket's buffer, so the wait is rarely needed.
+  std::size_t Done = Socket_.write_some(asio::buffer(Bytes), Failure);
+  if (Failure == asio::error::would_block || Failure == asio::error::try_again)
+    Failure.clear();
+  if (!Failure && Done < Bytes.size()) {
+    auto Token = asio::redirect_error(asio::use_awaitable, Failure);
+    auto Rest = asio::buffer(Bytes.data() + Done, Bytes.size() - Done);
+    co_await asio::async_write(Socket_, Rest, Token);
+  }
+  co_return statusOf(Failure);
+}
+
+void TcpLink::watchForEnd(std::function<void()> OnEnd) {
+  OnEnd_ = std::move(OnEnd);
+  ++WatchNumber_;
+  armWatch();
+}
+
+void TcpLink::stopWatching() {
+  OnEnd_ = nullptr;
+  ++WatchNumber_;
+  error_code Ignored;
+  if (Socket_.is_open())
+    Socket_.cancel(Ignored);
+}
+
+void TcpLink::armWatch() {
+  std::weak_ptr<TcpLink> Weak = weak_from_this();
+  std::uint64_t Number = WatchNumber_;
+  Socket_.async_wait(tcp::socket::wait_read,
+                     [Weak, Number](const error_code &Failure) {
+                       std::shared_ptr<TcpLink> Self = Weak.lock();
+                       if (!Failure && Self && Self->WatchNumber_ == Number)
+                         Self->onReadable();
+                     });
+}
+
+void TcpLink::onReadable() {
+  if (!OnEnd_)
+    return;
+  char Chunk[4096];
+  error_code Failure;
+  std::size_t Count = Socket_.read_some(asio::buffer(Chunk), Failure);
+  if (Failure && Failure != asio::error::would_block) {
+    std::function<void()> Callback = std::move(OnEnd_);
+    OnEnd_ = nullptr;
+    Callback();
+    return;
+  }
+  Input_.append(Chunk, Count);
+  if (Input_.size() < MaxWatchedInput)
+    armWatch();
+}
+
+bool TcpLink::disturbed() {
+  if (!Socket_.is_open() || !Input_.empty())
+    return true;
+  char Byte = 0;
+  ssize_t Count =
+      recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void TcpLink::close() {
+  error_code Ignored;
+  Timer_.cancel();
+  Socket_.close(Ignored);
+}
+
+void TcpLink::abort() {
+  error_code Ignored;
+  if (Socket_.is_open())
+    Socket_.set_option(asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+std::string TcpLink::peer() const {
+  error_code Failure;
+  tcp::endpoint Remote = Socket_.remote_endpoint(Failure);
+  if (Failure)
+    return "";
+  return Remote.address().to_string() + ":" + std::to_string(Remote.port());
+}
+
+} // namespace amaranth::transport
--- /dev/null
+++ b/source/Transport/TcpLink.h
@@ -0,0 +1,84 @@
+/// \file
+/// One TCP connection of the event loop.
+#ifndef AMARANTH_TRANSPORT_TCPLINK_H
+#define AMARANTH_TRANSPORT_TCPLINK_H
+
+#include "Transport/Loop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace amaranth::transport {
+
+/// How a read or write ended.
+enum class LinkStatus {
+  Ok,
+  End,      ///< The peer closed its side in order.
+  Reset,    ///< The connection broke.
+  TimedOut, ///< The link's deadline passed; the link is closed.
+  Closed,   ///< Closed by this process.
+};
+
+/// Reads "IP:PORT"; no name look-ups.
+std::optional<boost::asio::ip::tcp::endpoint>
+parseEndpoint(const std::string &Address);
+
+/// A TCP connection with one deadline for all its operations. Used by one
+/// task; close() and watchForEnd() may be called by others on the loop.
+class TcpLink final : public std::enable_shared_from_this<TcpLink> {
+public:
+  explicit TcpLink(Loop &Executor);
+  explicit TcpLink(boost::asio::ip::tcp::socket Accepted);
+  ~TcpLink();
+
+  /// Operations in progress fail with TimedOut at \p Deadline.
+  void setDeadline(SteadyTime Deadline);
+  void clearDeadline();
+
+  Awaitable<bool> connect(boost::asio::ip::tcp::endpoint Peer);
+  /// Appends what has arrived to input().
+  Awaitable<LinkStatus> readSome();
+  /// Writes all of \p Bytes, which must live until the end of the call.
+  Awaitable<LinkStatus> write(const std::string &Bytes);
+
+  /// Calls \p OnEnd once when the peer closes or resets the connection while no
+  /// read is in progress. Bytes that arrive are kept in input(), up to a bound.
+  void watchForEnd(std::function<void()> OnEnd);
+  void stopWatching();
+
+  /// True if the peer has closed an idle connection or sent bytes on it.
+  bool disturbed();
+
+  void close();
+  /// Closes with a reset, so that the peer cannot take what it got as complete.
+  void abort();
+  bool isOpen() const { return Socket_.is_open(); }
+
+  /// Bytes received and not yet consumed; the user erases what it takes.
+  std::string &input() { return Input_; }
+  std::string peer() const;
+  Loop &loop() { return Loop_; }
+
+private:
+  void configure();
+  void armWatch();
+  void onReadable();
+  LinkStatus statusOf(const boost::system::error_code &Failure) const;
+
+  Loop &Loop_;
+  boost::asio::ip::tcp::socket Socket_;
+  boost::asio::steady_timer Timer_;
+  std::optional<SteadyTime> Deadline_;
+  std::string Input_;
+  std::function<void()> OnEnd_;
+  std::uint64_t WatchNumber_ = 0;
+  bool TimedOut_ = false;
+};
+
+} // namespace amaranth::transport
+
+#endif
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -2,7 +2,7 @@
 add_library(amaranth_test_main STATIC tests/Main.cpp)
 
 function(amaranth_test Name Folder Timeout)
-  file(GLOB Sources CONFIGURE_DEPENDS tests/${Folder}/*.cpp)
+  file(GLOB_RECURSE Sources CONFIGURE_DEPENDS tests/${Folder}/*.cpp)
   if(NOT Sources)
     return()
   endif()
