Follow the dependencies of stages; keep a request's pieces in one call; strict order of kinds

Cause, from the trace of when each stage of a request was done: after a stage had used its inputs and they were freed, the stage before it was taken as needed again and made anew, so every reply ran its first stages twice (2.7 s at the median). Also: a request's pieces were divided over calls and so held room at the targets, and results were made anywhere. Ruled out: room at the targets alone (1 MB of 1.7 MB left after calls).

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -1,18 +1,33 @@
 #include "Coordination/Stages/StageQueue.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 
 namespace amaranth::coordination {
 
 namespace {
 
-/// Pieces past their aim come after all that can still meet theirs.
-constexpr Seconds LateOffset{3600};
+/// Time of a call of usual size.
+Milliseconds usualCallTime(const state::StageCapacity &Capacity) {
+  auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.Batch_);
+  return Capacity.CallTime_ + std::chrono::ceil<Milliseconds>(Work / 2);
+}
 
-} // namespace
+/// Whether \p Piece may be made at \p Target, or had better wait for a target
+/// in its own data centre. It can wait while another call fits before it is
+/// due.
+bool mayBeMadeAt(const QueuedPiece &Piece, const FreeTarget &Target,
+                 Milliseconds CallTime, SteadyTime Now) {
+  if (Piece.DataCentre_.empty() || Piece.DataCentre_ == Target.DataCentre_ ||
+      !Target.ServedDataCentres_.count(Piece.DataCentre_))
+    return true;
+  bool Late = Now > Piece.AimBy_;
+  SteadyTime Due = Late ? Piece.ExpiresAt_ : Piece.AimBy_;
+  return Due - Now < 2 * CallTime;
+}
 
-StageQueue::StageQueue(StageQueueSettings Settings) : Settings_(Settings) {}
+} // namespace
 
 void StageQueue::push(QueuedPiece Added) {
   Pieces_.push_back(std::move(Added));
@@ -31,52 +46,84 @@
 }
 
 std::vector<QueuedPiece> StageQueue::takeExpired(SteadyTime Now) {
-  auto Expired = std::stable_partition(
-      Pieces_.begin(), Pieces_.end(),
-      [&](const QueuedPiece &Piece) { return Now < Piece.ExpiresAt_; });
-  std::vector<QueuedPiece> Out(std::make_move_iterator(Expired),
-                               std::make_move_iterator(Pieces_.end()));
-  Pieces_.erase(Expired, Pieces_.end());
-  return Out;
+  std::vector<std::size_t> Expired;
+  for (std::size_t I = 0; I < Pieces_.size(); ++I)
+    if (Now >= Pieces_[I].ExpiresAt_)
+      Expired.push_back(I);
+  return take(Expired);
 }
 
-SteadyTime StageQueue::urgency(const QueuedPiece &Of, SteadyTime Now) const {
-  Milliseconds Rank = Settings_.RankDelay_ * Of.Priority_;
-  if (Now <= Of.AimBy_)
-    return Of.AimBy_ + Rank;
-  return Of.ExpiresAt_ + Rank + LateOffset;
+std::vector<StageQueue::Group>
+StageQueue::groupsFor(const FreeTarget &Target,
+                      const state::StageCapacity &Capacity,
+                      SteadyTime Now) const {
+  Milliseconds CallTime = usualCallTime(Capacity);
+  using Key = std::pair<std::string, std::size_t>;
+  std::map<Key, Group> ByRequest;
+  for (std::size_t I = 0; I < Pieces_.size(); ++I) {
+    const QueuedPiece &Piece = Pieces_[I];
+    if (!mayBeMadeAt(Piece, Target, CallTime, Now))
+      continue;
+    Group &Of = ByRequest[{Piece.Piece_.RequestId_, Piece.Piece_.Stage_}];
+    Of.Members_.push_back(I);
+    Of.Bytes_ += Piece.ResultBytes_;
+    Of.Late_ = Now > Piece.AimBy_;
+    Of.Priority_ = Piece.Priority_;
+    Of.DueBy_ = Of.Late_ ? Piece.ExpiresAt_ : Piece.AimBy_;
+  }
+  std::vector<Group> Out;
+  for (auto &[Id, Of] : ByRequest)
+    Out.push_back(std::move(Of));
+  std::sort(Out.begin(), Out.end(), [](const Group &A, const Group &B) {
+    return std::tie(A.Late_, A.Priority_, A.DueBy_) <
+           std::tie(B.Late_, B.Priority_, B.DueBy_);
+  });
+  return Out;
 }
 
 std::vector<QueuedPiece>
 StageQueue::compose(const FreeTarget &Target,
                     const state::StageCapacity &Capacity, SteadyTime Now) {
-  using Key = std::tuple<SteadyTime, std::size_t>;
-  std::vector<Key> Order;
-  Order.reserve(Pieces_.size());
-  for (std::size_t I = 0; I < Pieces_.size(); ++I)
-    Order.emplace_back(urgency(Pieces_[I], Now), I);
-  std::sort(Order.begin(), Order.end());
-  std::vector<QueuedPiece> Call;
-  std::vector<bool> Taken(Pieces_.size(), false);
+  std::vector<std::size_t> Chosen;
   std::uint64_t Room = Target.RoomLeft_;
-  for (const auto &[Urgency, I] : Order) {
-    if (Call.size() == Capacity.Batch_)
+  for (const Group &Of : groupsFor(Target, Capacity, Now)) {
+    std::size_t Places = Capacity.Batch_ - Chosen.size();
+    if (Places == 0)
       break;
-    if (Pieces_[I].ResultBytes_ > Room)
+    bool Whole = Of.Members_.size() <= Places && Of.Bytes_ <= Room;
+    // A request with more pieces than a call or a target holds is divided.
+    bool Divided = Of.Members_.size() > Capacity.Batch_ ||
+                   Of.Bytes_ > Capacity.ResultRoom_;
+    if (!Whole && !Divided)
       continue;
-    Room -= Pieces_[I].ResultBytes_;
+    for (std::size_t I : Of.Members_) {
+      if (Chosen.size() == Capacity.Batch_ || Pieces_[I].ResultBytes_ > Room)
+        break;
+      Room -= Pieces_[I].ResultBytes_;
+      Chosen.push_back(I);
+    }
+  }
+  return take(Chosen);
+}
+
+std::vector<QueuedPiece>
+StageQueue::take(const std::vector<std::size_t> &Chosen) {
+  std::vector<QueuedPiece> Out;
+  std::vector<bool> Taken(Pieces_.size(), false);
+  for (std::size_t I : Chosen) {
     Taken[I] = true;
-    Call.push_back(std::move(Pieces_[I]));
+    Out.push_back(std::move(Pieces_[I]));
   }
   std::size_t Kept = 0;
-  for (std::size_t I = 0; I < Pieces_.size(); ++I)
-    if (!Taken[I]) {
-      if (Kept != I)
-        Pieces_[Kept] = std::move(Pieces_[I]);
-      ++Kept;
-    }
+  for (std::size_t I = 0; I < Pieces_.size(); ++I) {
+    if (Taken[I])
+      continue;
+    if (Kept != I)
+      Pieces_[Kept] = std::move(Pieces_[I]);
+    ++Kept;
+  }
   Pieces_.resize(Kept);
-  return Call;
+  return Out;
 }
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -7,6 +7,7 @@
 #include "State/RoutingTable.h"
 #include "Support/Time.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,29 +27,30 @@
   /// Where the result is best made, because it will be read there.
   std::string DataCentre_;
   bool Repeat_ = false; ///< Sent to the service before.
+  SteadyTime Since_{};  ///< When it was ordered.
 };
 
 /// A target that can take a call now.
 struct FreeTarget {
   std::string DataCentre_;
   std::uint64_t RoomLeft_ = 0; ///< Bytes for results.
-};
-
-/// Settings of StageQueue.
-struct StageQueueSettings {
-  /// Added to the time of a piece for each rank of its priority: how much
-  /// longer than a more urgent one it is let wait.
-  Milliseconds RankDelay_{400};
+  /// Data centres that have a target of the service.
+  std::set<std::string> ServedDataCentres_;
 };
 
 /// Composes calls at the moment when a target is free. A call costs almost the
 /// same however few pieces it holds, so it takes as many as fit; which ones is
-/// decided by urgency. Pieces that can still meet their request's aim go first;
-/// those that cannot are made with what capacity is left, before they expire.
+/// decided by urgency:
+/// - Pieces that can still meet their request's aim go before those that
+///   cannot; the latter use what capacity is left before they expire.
+/// - Among these, more urgent kinds of request go first, then those with the
+///   least time left.
+/// - The pieces of a request go into one call: a request waits for its last
+///   piece, and the others take up room meanwhile.
+/// - A piece is made in the data centre where its result is best made, unless
+///   it has no time to wait for a target there.
 class StageQueue final {
 public:
-  explicit StageQueue(StageQueueSettings Settings = {});
-
   void push(QueuedPiece Added);
   /// Removes the pieces of a request that its owner gave up.
   void cancel(const std::string &Owner, const std::string &RequestId);
@@ -65,11 +67,21 @@
   bool empty() const { return Pieces_.empty(); }
 
 private:
-  /// Pieces with a lower key go first.
-  SteadyTime urgency(const QueuedPiece &Of, SteadyTime Now) const;
+  /// The waiting pieces of one stage of one request.
+  struct Group {
+    std::vector<std::size_t> Members_; ///< Indices into Pieces_.
+    std::uint64_t Bytes_ = 0;
+    bool Late_ = false;
+    int Priority_ = 0;
+    SteadyTime DueBy_;
+  };
+
+  std::vector<Group> groupsFor(const FreeTarget &Target,
+                               const state::StageCapacity &Capacity,
+                               SteadyTime Now) const;
+  std::vector<QueuedPiece> take(const std::vector<std::size_t> &Chosen);
 
-  StageQueueSettings Settings_;
-  std::vector<QueuedPiece> Pieces_;
+  std::vector<QueuedPiece> Pieces_; ///< In order of arrival.
 };
 
 } // namespace amaranth::coordination
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -34,6 +34,15 @@
   return Sum;
 }
 
+/// How long the piece that came first waited for its call.
+Milliseconds longestWait(const std::vector<QueuedPiece> &Call,
+                         SteadyTime Begin) {
+  SteadyTime First = Begin;
+  for (const QueuedPiece &Piece : Call)
+    First = std::min(First, Piece.Since_);
+  return std::chrono::floor<Milliseconds>(Begin - First);
+}
+
 void addReport(std::map<std::string, PieceReports> &Reports,
                const QueuedPiece &Piece, const PieceOutcome &Outcome) {
   Reports[Piece.Owner_].Reports_.push_back({Piece.Piece_.RequestId_,
@@ -92,6 +101,7 @@
   Piece.ExpiresAt_ = Now + Order.ExpiryLeft_;
   Piece.DataCentre_ = Order.DataCentre_;
   Piece.Repeat_ = Order.Repeat_;
+  Piece.Since_ = Now;
   Context_.Budget_.onRequest(Order.Service_, Now);
   Services_[Order.Service_].Queue_.push(std::move(Piece));
   pump(Order.Service_);
@@ -142,8 +152,13 @@
       Free.emplace_back(Context_.Health_.cost(Target->Id_, Now), Target);
   }
   std::sort(Free.begin(), Free.end());
+  std::set<std::string> DataCentres;
+  for (const TargetRecord *Target : Context_.Targets_.serving(Service))
+    if (Context_.Health_.usable(Target->Id_, Now))
+      DataCentres.insert(Target->DataCentre_);
   for (const auto &[Cost, Target] : Free) {
     coordination::FreeTarget Offer;
+    Offer.ServedDataCentres_ = DataCentres;
     Offer.DataCentre_ = Target->DataCentre_;
     Offer.RoomLeft_ = Of.Ledger_.left(Target->Id_, Capacity.ResultRoom_, Now);
     Pieces Call = Of.Queue_.compose(Offer, Capacity, Now);
@@ -212,6 +227,16 @@
         .field("state", static_cast<int>(Exchange.state()))
         .field("took_ms", Took.count());
   }
+  LogEvent(LogLevel::Info, "stage_call")
+      .field("service", Service)
+      .field("target", Target.Id_)
+      .field("pieces", Call.size())
+      .field("waited_ms", longestWait(Call, Begin).count())
+      .field("took_ms", Took.count())
+      .field("expected_ms", Expected.count())
+      .field("queue", Of.Queue_.size())
+      .field("room_left",
+             Of.Ledger_.left(Target.Id_, Capacity.ResultRoom_, Now));
   settle(Service, Target, Capacity, std::move(Call), Outcomes);
   pump(Service);
 }
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -1,6 +1,9 @@
 #include "Serving/StageRun.h"
 
+#include "Support/Log.h"
+
 #include <algorithm>
+#include <map>
 
 namespace amaranth::serving {
 
@@ -38,7 +41,7 @@
   for (std::size_t I = 0; I < Steps.size(); ++I) {
     Stages_[I].Pieces_.resize(I < Counts.size() ? Counts[I] : 0);
     for (std::size_t Earlier : Steps[I].After_)
-      if (Earlier < I)
+      if (Earlier < Steps.size())
         Stages_[Earlier].Last_ = false;
   }
   computeTimes();
@@ -52,15 +55,19 @@
 
 void StageRun::computeTimes() {
   const std::vector<StageStep> &Steps = Scope_.Route_->Stages_;
-  for (std::size_t I = Steps.size(); I-- > 0;) {
-    if (Stages_[I].Pieces_.empty())
-      continue;
-    Milliseconds Mine = expectedStageTime(*Scope_.Table_, Steps[I].Service_);
-    for (std::size_t Earlier : Steps[I].After_)
-      if (Earlier < I)
-        Stages_[Earlier].TimeAfter_ =
-            std::max(Stages_[Earlier].TimeAfter_, Stages_[I].TimeAfter_ + Mine);
-  }
+  // Stages may be listed in any order; each round reaches one step further
+  // back from the last stages.
+  for (std::size_t Round = 0; Round < Steps.size(); ++Round)
+    for (std::size_t I = 0; I < Steps.size(); ++I) {
+      Milliseconds Mine =
+          Stages_[I].Pieces_.empty()
+              ? Milliseconds(0)
+              : expectedStageTime(*Scope_.Table_, Steps[I].Service_);
+      for (std::size_t Earlier : Steps[I].After_)
+        if (Earlier < Steps.size())
+          Stages_[Earlier].TimeAfter_ = std::max(Stages_[Earlier].TimeAfter_,
+                                                 Stages_[I].TimeAfter_ + Mine);
+    }
 }
 
 bool StageRun::stageMade(std::size_t Index) const {
@@ -69,12 +76,16 @@
       [](const Piece &One) { return One.State_ == PieceState::Made; });
 }
 
-bool StageRun::neededByOthers(std::size_t Index) const {
+bool StageRun::needed(std::size_t Index) const {
+  if (Stages_[Index].Last_)
+    return true;
+  // Results that were used and freed are needed again only if a stage that
+  // reads them is itself still to be made for a later one.
   const std::vector<StageStep> &Steps = Scope_.Route_->Stages_;
-  for (std::size_t I = Index + 1; I < Steps.size(); ++I) {
+  for (std::size_t I = 0; I < Steps.size(); ++I) {
     const std::vector<std::size_t> &After = Steps[I].After_;
-    if (std::find(After.begin(), After.end(), Index) != After.end() &&
-        !stageMade(I))
+    bool Follows = std::find(After.begin(), After.end(), Index) != After.end();
+    if (Follows && !stageMade(I) && needed(I))
       return true;
   }
   return false;
@@ -82,7 +93,7 @@
 
 bool StageRun::allMade() const {
   for (std::size_t I = 0; I < Stages_.size(); ++I)
-    if (!stageMade(I) && (Stages_[I].Last_ || neededByOthers(I)))
+    if (!stageMade(I) && needed(I))
       return false;
   return true;
 }
@@ -103,7 +114,7 @@
   Order.Service_ = Step.Service_;
   Order.ResultBytes_ = Step.ResultBytes_;
   Order.Priority_ = Scope_.Priority_;
-  Order.DataCentre_ = DataCentre_;
+  Order.DataCentre_ = preferredDataCentre(StageIndex);
   Order.Repeat_ = Stages_[StageIndex].Pieces_[PieceIndex].Ordered_;
   Milliseconds After = Stages_[StageIndex].TimeAfter_;
   Out.AimBy_ = ReadyBy_ - After;
@@ -111,6 +122,53 @@
   return Out;
 }
 
+std::string StageRun::preferredDataCentre(std::size_t Index) const {
+  const std::vector<StageStep> &Steps = Scope_.Route_->Stages_;
+  std::map<std::string, std::uint64_t> Bytes;
+  for (std::size_t Earlier : Steps[Index].After_) {
+    if (Earlier >= Stages_.size())
+      continue;
+    for (const Piece &Input : Stages_[Earlier].Pieces_)
+      for (const state::TargetRecord *Maker :
+           Scope_.Context_.Targets_.serving(Steps[Earlier].Service_))
+        if (Maker->Address_ == Scope_.Context_.Edge_.makerOf(Input.Handle_))
+          Bytes[Maker->DataCentre_] += Steps[Earlier].ResultBytes_;
+  }
+  std::string Best;
+  std::uint64_t Most = Steps[Index].ResultBytes_;
+  if (Stages_[Index].Last_)
+    Best = DataCentre_;
+  for (const auto &[DataCentre, Sum] : Bytes)
+    if (Sum > Most) {
+      Best = DataCentre;
+      Most = Sum;
+    }
+  return Best;
+}
+
+Milliseconds StageRun::timeOfOthers(std::size_t Index) const {
+  const std::vector<StageStep> &Steps = Scope_.Route_->Stages_;
+  Milliseconds Longest{0};
+  for (std::size_t I = 0; I < Stages_.size(); ++I) {
+    if (I == Index || stageMade(I) || !needed(I))
+      continue;
+    Longest = std::max(
+        Longest, Stages_[I].TimeAfter_ +
+                     expectedStageTime(*Scope_.Table_, Steps[I].Service_));
+  }
+  return Longest;
+}
+
+bool StageRun::canWait(std::size_t Index) const {
+  // Results that nobody can use yet only take up room at their target. Twice
+  // the stage's own time is left for its wait and its call.
+  if (!Stages_[Index].Last_)
+    return false;
+  const StageStep &Step = Scope_.Route_->Stages_[Index];
+  return timeOfOthers(Index) >
+         2 * expectedStageTime(*Scope_.Table_, Step.Service_);
+}
+
 void StageRun::orderReady() {
   const std::vector<StageStep> &Steps = Scope_.Route_->Stages_;
   std::vector<PieceRequest> Orders;
@@ -120,8 +178,8 @@
                     [&](std::size_t Earlier) {
                       return Earlier >= Stages_.size() || stageMade(Earlier);
                     });
-    bool Needed = Stages_[I].Last_ || neededByOthers(I);
-    if (!Ready || !Needed)
+    bool Needed = needed(I);
+    if (!Ready || !Needed || canWait(I))
       continue;
     for (std::size_t J = 0; J < Stages_[I].Pieces_.size(); ++J) {
       Piece &One = Stages_[I].Pieces_[J];
@@ -161,8 +219,10 @@
   if (Report.Outcome_.End_ == PieceEnd::Made) {
     Of.State_ = PieceState::Made;
     Of.Handle_ = Report.Outcome_.Handle_;
+    if (stageMade(Report.Stage_))
+      logStageDone(Report.Stage_);
     for (std::size_t Earlier : Scope_.Route_->Stages_[Report.Stage_].After_)
-      if (Earlier < Stages_.size() && !neededByOthers(Earlier))
+      if (Earlier < Stages_.size() && !needed(Earlier))
         releaseStage(Earlier);
     return;
   }
@@ -177,6 +237,16 @@
     remakeInputs(Report.Stage_);
 }
 
+void StageRun::logStageDone(std::size_t Index) const {
+  auto Since = std::chrono::duration_cast<Milliseconds>(SteadyClock::now() -
+                                                        Scope_.Arrival_);
+  LogEvent(LogLevel::Info, "stage_done")
+      .field("id", Scope_.Request_.Id_)
+      .field("stage", Index)
+      .field("pieces", Stages_[Index].Pieces_.size())
+      .field("ms", Since.count());
+}
+
 void StageRun::remakeInputs(std::size_t Index) {
   for (std::size_t Earlier : Scope_.Route_->Stages_[Index].After_)
     if (Earlier < Stages_.size())
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -57,9 +57,18 @@
 
   void computeTimes();
   bool stageMade(std::size_t Index) const;
-  bool neededByOthers(std::size_t Index) const;
+  /// Whether the results of a stage are still to be read by someone.
+  bool needed(std::size_t Index) const;
   bool allMade() const;
+  void logStageDone(std::size_t Index) const;
   void orderReady();
+  /// Whether a stage would only wait for others if it began now.
+  bool canWait(std::size_t Index) const;
+  /// Time that the stages other than \p Index still need.
+  Milliseconds timeOfOthers(std::size_t Index) const;
+  /// Where most of the bytes are that \p Index reads; else where the results
+  /// of the last stages are read.
+  std::string preferredDataCentre(std::size_t Index) const;
   PieceRequest request(std::size_t StageIndex, std::size_t PieceIndex);
   void remakeInputs(std::size_t Index);
   void releaseStage(std::size_t Index);
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -22,11 +22,24 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// The data centre of the engine that the request will probably go to.
+std::string likelyDataCentre(const RequestScope &Scope) {
+  EntryContext &Context = Scope.Context_;
+  std::vector<const TargetRecord *> Engines =
+      Context.Targets_.serving(Scope.Service_);
+  std::set<std::string> None;
+  const TargetRecord *Engine =
+      Context.Engines_.choose(Engines, Scope.Request_.Prompt_, None,
+                              Context.Health_, SteadyClock::now());
+  return Engine ? Engine->DataCentre_ : "";
+}
+
 } // namespace
 
 StreamRun::StreamRun(RequestScope &Scope, StageClient &Client)
-    : Scope_(Scope), Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
-                             Scope.Deadline_ - GenerationReserve, "") {}
+    : Scope_(Scope),
+      Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
+              Scope.Deadline_ - GenerationReserve, likelyDataCentre(Scope)) {}
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
