Count a piece as late when the stages after it no longer fit before the aim

Cause: the time reserved for later stages had no wait for a free target in it, so that under a burst every reply was begun just too late for its aim. Ruled out: batch size (calls of 10 of 16 pieces at the crest are bound by the room for results).

--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -24,10 +24,13 @@
   const state::Service *Known = Table.findService(Service);
   if (!Known || !Known->Stage_)
     return Milliseconds(0);
-  // Calls are half full on the average.
+  // Calls are half full on the average, and a piece waits for the end of
+  // another call, half a call on the average.
   auto Work = Known->Stage_->PieceTime_ *
               static_cast<std::int64_t>(Known->Stage_->Batch_) / 2;
-  return Known->Stage_->CallTime_ + std::chrono::ceil<Milliseconds>(Work);
+  Milliseconds Call =
+      Known->Stage_->CallTime_ + std::chrono::ceil<Milliseconds>(Work);
+  return Call + Known->Stage_->CallTime_ / 2;
 }
 
 StageRun::StageRun(RequestScope &Scope, StageClient &Client, SteadyTime ReadyBy,
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -84,7 +84,7 @@
   bool Failed_ = false;
 };
 
-/// Expected time of one stage call of usual size.
+/// Expected time from ordering a piece to its result, without a backlog.
 Milliseconds expectedStageTime(const state::RoutingTable &Table,
                                const std::string &Service);
 
