--- a/source/Coordination/Stages/StagePlan.cpp
+++ b/source/Coordination/Stages/StagePlan.cpp
@@ -170,20 +170,28 @@
   }
 }
 
+std::vector<std::string> StagePlan::handles(std::size_t Stage) const {
+  std::vector<std::string> Out;
+  for (const Piece &One : Stages_[Stage].Pieces_)
+    if (One.State_ == State::Made)
+      Out.push_back(One.Handle_);
+  return Out;
+}
+
 std::vector<std::string> StagePlan::inputsOf(std::size_t Stage) const {
   std::vector<std::string> Out;
   for (std::size_t Earlier : Steps_[Stage].After_)
-    for (const Piece &Input : Stages_[Earlier].Pieces_)
-      Out.push_back(Input.Handle_);
+    for (std::string &Handle : handles(Earlier))
+      Out.push_back(std::move(Handle));
   return Out;
 }
 
 std::vector<std::string> StagePlan::lastHandles() const {
   std::vector<std::string> Out;
-  for (const StageState &One : Stages_)
-    if (One.Last_)
-      for (const Piece &Made : One.Pieces_)
-        Out.push_back(Made.Handle_);
+  for (std::size_t I = 0; I < Stages_.size(); ++I)
+    if (Stages_[I].Last_)
+      for (std::string &Handle : handles(I))
+        Out.push_back(std::move(Handle));
   return Out;
 }
 
--- a/source/Coordination/Stages/StagePlan.h
+++ b/source/Coordination/Stages/StagePlan.h
@@ -68,6 +68,9 @@
   std::size_t pieces(std::size_t Stage) const {
     return Stages_[Stage].Pieces_.size();
   }
+  std::size_t stages() const { return Stages_.size(); }
+  /// Handles of the results of \p Stage that exist.
+  std::vector<std::string> handles(std::size_t Stage) const;
   bool contains(PieceId Id) const;
 
 private:
--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -15,16 +15,17 @@
 }
 
 /// Whether \p Piece may be made at \p Target, or had better wait for a target
-/// in its own data centre. It can wait while another call fits before it is
-/// due.
+/// in its own data centre: while a call there still ends before it is due.
 bool mayBeMadeAt(const QueuedPiece &Piece, const FreeTarget &Target,
                  Milliseconds CallTime, SteadyTime Now) {
-  if (Piece.DataCentre_.empty() || Piece.DataCentre_ == Target.DataCentre_ ||
-      !Target.ServedDataCentres_.count(Piece.DataCentre_))
+  if (Piece.DataCentre_.empty() || Piece.DataCentre_ == Target.DataCentre_)
+    return true;
+  auto Home = Target.NextFree_.find(Piece.DataCentre_);
+  if (Home == Target.NextFree_.end())
     return true;
   bool Late = Now > Piece.AimBy_;
   SteadyTime Due = Late ? Piece.ExpiresAt_ : Piece.AimBy_;
-  return Due - Now < 2 * CallTime;
+  return std::max(Now, Home->second) + CallTime > Due;
 }
 
 } // namespace
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -7,7 +7,7 @@
 #include "State/RoutingTable.h"
 #include "Support/Time.h"
 
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -34,8 +34,9 @@
 struct FreeTarget {
   std::string DataCentre_;
   std::uint64_t RoomLeft_ = 0; ///< Bytes for results.
-  /// Data centres that have a target of the service.
-  std::set<std::string> ServedDataCentres_;
+  /// When a target of the service is expected to be free in each data centre
+  /// that has one.
+  std::map<std::string, SteadyTime> NextFree_;
 };
 
 /// Composes calls at the moment when a target is free. A call costs almost the
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -40,7 +40,8 @@
   int Status_ = 0;
   std::string Reason_ = "answered";
   std::string TargetId_;
-  int Attempts_ = 0;
+  std::size_t InputsAway_ = 0; ///< Results read from other data centres.
+  std::optional<Milliseconds> FirstEvent_; ///< Since the arrival.
 
   bool repeatable() const {
     return Route_->Kind_ == state::RequestKind::Idempotent;
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -93,6 +93,9 @@
       .field("target", Scope.TargetId_.empty() ? "none" : Scope.TargetId_)
       .field("status", Scope.Status_)
       .field("ms", Took.count())
+      .field("first_event_ms",
+             Scope.FirstEvent_ ? Scope.FirstEvent_->count() : -1)
+      .field("inputs_away", Scope.InputsAway_)
       .field("reason", Scope.Gone_ ? "caller_gone" : Scope.Reason_);
 }
 
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -43,6 +43,16 @@
   return std::chrono::floor<Milliseconds>(Begin - First);
 }
 
+/// Pieces that had better been made in another data centre.
+std::size_t piecesAway(const std::vector<QueuedPiece> &Call,
+                       const TargetRecord &Target) {
+  return static_cast<std::size_t>(
+      std::count_if(Call.begin(), Call.end(), [&](const QueuedPiece &Piece) {
+        return !Piece.DataCentre_.empty() &&
+               Piece.DataCentre_ != Target.DataCentre_;
+      }));
+}
+
 void addReport(std::map<std::string, PieceReports> &Reports,
                const QueuedPiece &Piece, const PieceOutcome &Outcome) {
   Reports[Piece.Owner_].Reports_.push_back({Piece.Piece_.RequestId_,
@@ -141,6 +151,24 @@
     ;
 }
 
+std::map<std::string, SteadyTime>
+StageDispatcher::nextFree(const std::string &Service, ServiceState &Of,
+                          const StageCapacity &Capacity, SteadyTime Now) {
+  std::map<std::string, SteadyTime> Out;
+  for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
+    if (!Context_.Health_.usable(Target->Id_, Now))
+      continue;
+    const TargetState &State = Of.Targets_[Target->Id_];
+    SteadyTime Free =
+        std::max(State.PausedUntil_,
+                 State.Calls_ < Capacity.Slots_ ? Now : State.FreeAt_);
+    auto [Known, Added] = Out.emplace(Target->DataCentre_, Free);
+    if (!Added)
+      Known->second = std::min(Known->second, Free);
+  }
+  return Out;
+}
+
 bool StageDispatcher::startCall(const std::string &Service, ServiceState &Of,
                                 const StageCapacity &Capacity) {
   SteadyTime Now = SteadyClock::now();
@@ -152,19 +180,19 @@
       Free.emplace_back(Context_.Health_.cost(Target->Id_, Now), Target);
   }
   std::sort(Free.begin(), Free.end());
-  std::set<std::string> DataCentres;
-  for (const TargetRecord *Target : Context_.Targets_.serving(Service))
-    if (Context_.Health_.usable(Target->Id_, Now))
-      DataCentres.insert(Target->DataCentre_);
+  std::map<std::string, SteadyTime> NextFree =
+      nextFree(Service, Of, Capacity, Now);
   for (const auto &[Cost, Target] : Free) {
     coordination::FreeTarget Offer;
-    Offer.ServedDataCentres_ = DataCentres;
+    Offer.NextFree_ = NextFree;
     Offer.DataCentre_ = Target->DataCentre_;
     Offer.RoomLeft_ = Of.Ledger_.left(Target->Id_, Capacity.ResultRoom_, Now);
     Pieces Call = Of.Queue_.compose(Offer, Capacity, Now);
     if (Call.empty())
       continue;
-    ++Of.Targets_[Target->Id_].Calls_;
+    TargetState &State = Of.Targets_[Target->Id_];
+    ++State.Calls_;
+    State.FreeAt_ = Now + expectedTime(Capacity, Call.size());
     Of.Ledger_.reserve(Target->Id_, totalBytes(Call));
     transport::startTask(Context_.Loop_,
                          runCall(Service, *Target, Capacity, std::move(Call)));
@@ -231,6 +259,7 @@
       .field("service", Service)
       .field("target", Target.Id_)
       .field("pieces", Call.size())
+      .field("away", piecesAway(Call, Target))
       .field("waited_ms", longestWait(Call, Begin).count())
       .field("took_ms", Took.count())
       .field("expected_ms", Expected.count())
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -58,6 +58,7 @@
 private:
   struct TargetState {
     std::size_t Calls_ = 0; ///< In progress from here.
+    SteadyTime FreeAt_{};   ///< Expected end of the last call.
     SteadyTime PausedUntil_{};
     std::vector<std::string> ToFree_;
     bool Freeing_ = false;
@@ -72,6 +73,10 @@
 
   transport::Awaitable<void> checkQueues();
   void pump(const std::string &Service);
+  /// When a usable target is free in each data centre.
+  std::map<std::string, SteadyTime>
+  nextFree(const std::string &Service, ServiceState &Of,
+           const state::StageCapacity &Capacity, SteadyTime Now);
   bool startCall(const std::string &Service, ServiceState &Of,
                  const state::StageCapacity &Capacity);
   transport::Awaitable<void> runCall(std::string Service,
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -2,8 +2,6 @@
 
 #include "Support/Log.h"
 
-#include <map>
-
 namespace amaranth::serving {
 
 using coordination::StagePlan;
@@ -76,20 +74,22 @@
   return Out;
 }
 
-std::string StageRun::preferredDataCentre(std::size_t Stage) const {
+std::string StageRun::dataCentreOf(const std::string &Handle,
+                                   const std::string &Service) const {
   const EntryContext &Context = Scope_.Context_;
+  std::string Address = Context.Edge_.makerOf(Handle);
+  for (const state::TargetRecord *Maker : Context.Targets_.serving(Service))
+    if (Maker->Address_ == Address)
+      return Maker->DataCentre_;
+  return "";
+}
+
+std::string StageRun::preferredDataCentre(std::size_t Stage) const {
   std::map<std::string, std::uint64_t> BytesAt;
   for (std::size_t Earlier : Plan_.step(Stage).After_) {
     const StageStep &Step = Plan_.step(Earlier);
-    std::map<std::string, std::string> DataCentreOf;
-    for (const state::TargetRecord *Maker :
-         Context.Targets_.serving(Step.Service_))
-      DataCentreOf[Maker->Address_] = Maker->DataCentre_;
-    for (const std::string &Handle : Plan_.inputsOf(Stage)) {
-      auto Maker = DataCentreOf.find(Context.Edge_.makerOf(Handle));
-      if (Maker != DataCentreOf.end())
-        BytesAt[Maker->second] += Step.ResultBytes_;
-    }
+    for (const std::string &Handle : Plan_.handles(Earlier))
+      BytesAt[dataCentreOf(Handle, Step.Service_)] += Step.ResultBytes_;
   }
   std::string Best = Plan_.isLast(Stage) ? DataCentre_ : "";
   std::uint64_t Most = Plan_.step(Stage).ResultBytes_;
@@ -101,6 +101,25 @@
   return Best;
 }
 
+std::map<std::string, std::uint64_t> StageRun::inputBytes() const {
+  std::map<std::string, std::uint64_t> Out;
+  for (std::size_t Stage = 0; Stage < Plan_.stages(); ++Stage)
+    if (Plan_.isLast(Stage))
+      for (const std::string &Handle : Plan_.handles(Stage))
+        Out[dataCentreOf(Handle, Plan_.step(Stage).Service_)] +=
+            Plan_.step(Stage).ResultBytes_;
+  return Out;
+}
+
+std::size_t StageRun::inputsAway(const std::string &DataCentre) const {
+  std::size_t Away = 0;
+  for (std::size_t Stage = 0; Stage < Plan_.stages(); ++Stage)
+    if (Plan_.isLast(Stage))
+      for (const std::string &Handle : Plan_.handles(Stage))
+        Away += dataCentreOf(Handle, Plan_.step(Stage).Service_) != DataCentre;
+  return Away;
+}
+
 void StageRun::onPiece(const protocol::PieceReport &Report) {
   PieceId Id{Report.Stage_, Report.Piece_};
   if (!Plan_.contains(Id))
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -8,6 +8,7 @@
 #include "Serving/StageClient.h"
 #include "Transport/Loop.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,10 @@
   transport::Awaitable<StageEnd> run();
   /// Handles of the stages that no other stage follows.
   std::vector<std::string> inputs() const { return Plan_.lastHandles(); }
+  /// How many of them are not in \p DataCentre.
+  std::size_t inputsAway(const std::string &DataCentre) const;
+  /// Bytes of the last stages' results in each data centre.
+  std::map<std::string, std::uint64_t> inputBytes() const;
   /// A target found inputs gone: the results of the last stages are made anew.
   void forgetInputs();
   /// Frees all results.
@@ -49,6 +54,9 @@
   PieceRequest request(PieceId Id);
   /// Where most of the bytes are that \p Stage reads or makes.
   std::string preferredDataCentre(std::size_t Stage) const;
+  /// Data centre of the target that made a result, if it is still known.
+  std::string dataCentreOf(const std::string &Handle,
+                           const std::string &Service) const;
   void free(const std::vector<coordination::StagePlan::Freed> &Results);
   void logStageDone(std::size_t Stage) const;
 
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -103,6 +103,7 @@
   protocol::TargetCallFields Fields =
       targetFields(Scope_, Target, Scope_.Deadline_);
   Fields.Inputs_ = Stages_.inputs();
+  Scope_.InputsAway_ = Stages_.inputsAway(Target.DataCentre_);
   if (Events_.started())
     Fields.LastEventId_ = Events_.lastId();
   std::string Request =
@@ -200,6 +201,8 @@
     // The engine has read its inputs.
     Stages_.release();
     HeadWritten_ = true;
+    Scope_.FirstEvent_ = std::chrono::duration_cast<Milliseconds>(
+        SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
     Message = Scope_.Context_.Edge_.answerHead(Exchange.head());
     if (Scope_.Context_.Draining_) {
--- a/tests/Coordination/Stages/StageQueueTest.cpp
+++ b/tests/Coordination/Stages/StageQueueTest.cpp
@@ -14,7 +14,7 @@
 
 FreeTarget target(const std::string &DataCentre = "a",
                   std::uint64_t Room = 10000) {
-  return {DataCentre, Room, {"a", "b"}};
+  return {DataCentre, Room, {{"a", Now}, {"b", Now + Milliseconds{300}}}};
 }
 
 std::vector<std::string> requests(const std::vector<QueuedPiece> &Call) {
@@ -98,7 +98,7 @@
               .size() == 1);
   }
   SECTION("it is taken elsewhere when its data centre has no target") {
-    FreeTarget Only{"a", 10000, {"a"}};
+    FreeTarget Only{"a", 10000, {{"a", Now}}};
     CHECK(Queue.compose(Only, capacity(8), Now).size() == 1);
   }
   SECTION("it is taken at home") {
