Compose stage calls once per turn of the loop, from a queue kept in order

And the first piece of a request that came while a target was free left alone, before its siblings of the same message were queued.

Ruled out as a gain by itself: the order, which is unchanged.

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -1,13 +1,17 @@
 #include "Coordination/Stages/StageQueue.h"
 
 #include <algorithm>
-#include <map>
-#include <tuple>
+#include <iterator>
 
 namespace amaranth::coordination {
 
 namespace {
 
+/// Groups that are passed over in composing one call, because they do not fit
+/// or wait for another target, before it is sent as it is. Bounds the time that
+/// a long queue takes.
+constexpr std::size_t MaxPassedOver = 200;
+
 /// Time of a call of usual size.
 Milliseconds usualCallTime(const state::StageCapacity &Capacity) {
   auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.Batch_);
@@ -30,101 +34,129 @@
 
 } // namespace
 
+StageQueue::GroupKey StageQueue::keyOf(const QueuedPiece &Piece) {
+  return {Piece.Owner_, Piece.Piece_.RequestId_, Piece.Piece_.Stage_};
+}
+
+StageQueue::Rank StageQueue::rankOf(const Groups::value_type &Item) {
+  const Group &Of = Item.second;
+  return {Of.Priority_, Of.Late_ ? Of.ExpiresAt_ : Of.AimBy_, &Item.first};
+}
+
+void StageQueue::file(const Groups::value_type &Item) {
+  (Item.second.Late_ ? Late_ : InTime_).insert(rankOf(Item));
+}
+
+void StageQueue::unfile(const Groups::value_type &Item) {
+  (Item.second.Late_ ? Late_ : InTime_).erase(rankOf(Item));
+}
+
+StageQueue::Groups::iterator StageQueue::remove(Groups::iterator At) {
+  unfile(*At);
+  Size_ -= At->second.Pieces_.size();
+  return Groups_.erase(At);
+}
+
 void StageQueue::push(QueuedPiece Added) {
-  Pieces_.push_back(std::move(Added));
+  auto [At, IsNew] = Groups_.try_emplace(keyOf(Added));
+  Group &Of = At->second;
+  if (IsNew) {
+    Of.Priority_ = Added.Priority_;
+    Of.AimBy_ = Added.AimBy_;
+    Of.ExpiresAt_ = Added.ExpiresAt_;
+    file(*At);
+  }
+  Of.Bytes_ += Added.ResultBytes_;
+  Of.Pieces_.push_back(std::move(Added));
+  ++Size_;
 }
 
 void StageQueue::cancel(const std::string &Owner,
                         const std::string &RequestId) {
-  std::erase_if(Pieces_, [&](const QueuedPiece &Piece) {
-    return Piece.Owner_ == Owner && Piece.Piece_.RequestId_ == RequestId;
-  });
+  auto At = Groups_.lower_bound(GroupKey{Owner, RequestId, 0});
+  while (At != Groups_.end() && std::get<0>(At->first) == Owner &&
+         std::get<1>(At->first) == RequestId)
+    At = remove(At);
 }
 
 void StageQueue::cancelOwner(const std::string &Owner) {
-  std::erase_if(
-      Pieces_, [&](const QueuedPiece &Piece) { return Piece.Owner_ == Owner; });
+  auto At = Groups_.lower_bound(GroupKey{Owner, "", 0});
+  while (At != Groups_.end() && std::get<0>(At->first) == Owner)
+    At = remove(At);
 }
 
 std::vector<QueuedPiece> StageQueue::takeExpired(SteadyTime Now) {
-  std::vector<std::size_t> Expired;
-  for (std::size_t I = 0; I < Pieces_.size(); ++I)
-    if (Now >= Pieces_[I].ExpiresAt_)
-      Expired.push_back(I);
-  return take(Expired);
-}
-
-std::vector<StageQueue::Group>
-StageQueue::groupsFor(const FreeTarget &Target,
-                      const state::StageCapacity &Capacity,
-                      SteadyTime Now) const {
-  Milliseconds CallTime = usualCallTime(Capacity);
-  using Key = std::pair<std::string, std::size_t>;
-  std::map<Key, Group> ByRequest;
-  for (std::size_t I = 0; I < Pieces_.size(); ++I) {
-    const QueuedPiece &Piece = Pieces_[I];
-    if (!mayBeMadeAt(Piece, Target, CallTime, Now))
+  std::vector<QueuedPiece> Out;
+  for (auto At = Groups_.begin(); At != Groups_.end();) {
+    if (Now < At->second.ExpiresAt_) {
+      ++At;
       continue;
-    Group &Of = ByRequest[{Piece.Piece_.RequestId_, Piece.Piece_.Stage_}];
-    Of.Members_.push_back(I);
-    Of.Bytes_ += Piece.ResultBytes_;
-    Of.Late_ = Now > Piece.AimBy_;
-    Of.Priority_ = Piece.Priority_;
-    Of.DueBy_ = Of.Late_ ? Piece.ExpiresAt_ : Piece.AimBy_;
+    }
+    std::move(At->second.Pieces_.begin(), At->second.Pieces_.end(),
+              std::back_inserter(Out));
+    At = remove(At);
   }
-  std::vector<Group> Out;
-  for (auto &[Id, Of] : ByRequest)
-    Out.push_back(std::move(Of));
-  std::sort(Out.begin(), Out.end(), [](const Group &A, const Group &B) {
-    return std::tie(A.Late_, A.Priority_, A.DueBy_) <
-           std::tie(B.Late_, B.Priority_, B.DueBy_);
-  });
   return Out;
 }
 
-std::vector<QueuedPiece>
-StageQueue::compose(const FreeTarget &Target,
-                    const state::StageCapacity &Capacity, SteadyTime Now) {
-  std::vector<std::size_t> Chosen;
-  std::uint64_t Room = Target.RoomLeft_;
-  for (const Group &Of : groupsFor(Target, Capacity, Now)) {
-    std::size_t Places = Capacity.Batch_ - Chosen.size();
-    if (Places == 0)
-      break;
-    bool Whole = Of.Members_.size() <= Places && Of.Bytes_ <= Room;
-    // A request with more pieces than a call or a target holds is divided.
-    bool Divided = Of.Members_.size() > Capacity.Batch_ ||
-                   Of.Bytes_ > Capacity.ResultRoom_;
-    if (!Whole && !Divided)
+void StageQueue::noteLate(SteadyTime Now) {
+  // Within a priority the groups are ordered by their aim.
+  for (auto At = InTime_.begin(); At != InTime_.end();) {
+    auto [Priority, AimBy, Key] = *At;
+    if (AimBy >= Now) {
+      At = InTime_.lower_bound(Rank{Priority + 1, SteadyTime::min(), nullptr});
       continue;
-    for (std::size_t I : Of.Members_) {
-      if (Chosen.size() == Capacity.Batch_ || Pieces_[I].ResultBytes_ > Room)
-        break;
-      Room -= Pieces_[I].ResultBytes_;
-      Chosen.push_back(I);
     }
+    At = InTime_.erase(At);
+    auto Of = Groups_.find(*Key);
+    Of->second.Late_ = true;
+    file(*Of);
   }
-  return take(Chosen);
 }
 
-std::vector<QueuedPiece>
-StageQueue::take(const std::vector<std::size_t> &Chosen) {
-  std::vector<QueuedPiece> Out;
-  std::vector<bool> Taken(Pieces_.size(), false);
-  for (std::size_t I : Chosen) {
-    Taken[I] = true;
-    Out.push_back(std::move(Pieces_[I]));
+void StageQueue::takeFrom(Group &From, const state::StageCapacity &Capacity,
+                          std::uint64_t &Room, std::vector<QueuedPiece> &Call) {
+  while (!From.Pieces_.empty() && Call.size() < Capacity.Batch_ &&
+         From.Pieces_.back().ResultBytes_ <= Room) {
+    Room -= From.Pieces_.back().ResultBytes_;
+    From.Bytes_ -= From.Pieces_.back().ResultBytes_;
+    Call.push_back(std::move(From.Pieces_.back()));
+    From.Pieces_.pop_back();
+    --Size_;
   }
-  std::size_t Kept = 0;
-  for (std::size_t I = 0; I < Pieces_.size(); ++I) {
-    if (Taken[I])
-      continue;
-    if (Kept != I)
-      Pieces_[Kept] = std::move(Pieces_[I]);
-    ++Kept;
+}
+
+std::vector<QueuedPiece>
+StageQueue::compose(const FreeTarget &Target,
+                    const state::StageCapacity &Capacity, SteadyTime Now) {
+  noteLate(Now);
+  std::vector<QueuedPiece> Call;
+  std::uint64_t Room = Target.RoomLeft_;
+  Milliseconds CallTime = usualCallTime(Capacity);
+  std::size_t Passed = 0;
+  for (std::set<Rank> *Filed : {&InTime_, &Late_}) {
+    for (auto At = Filed->begin(); At != Filed->end();) {
+      std::size_t Places = Capacity.Batch_ - Call.size();
+      if (Places == 0 || Passed > MaxPassedOver)
+        return Call;
+      auto Found = Groups_.find(*std::get<2>(*At));
+      Group &Of = Found->second;
+      ++At;
+      bool Whole = Of.Pieces_.size() <= Places && Of.Bytes_ <= Room;
+      // A request with more pieces than a call or a target holds is divided.
+      bool Divided = Of.Pieces_.size() > Capacity.Batch_ ||
+                     Of.Bytes_ > Capacity.ResultRoom_;
+      if ((!Whole && !Divided) ||
+          !mayBeMadeAt(Of.Pieces_.front(), Target, CallTime, Now)) {
+        ++Passed;
+        continue;
+      }
+      takeFrom(Of, Capacity, Room, Call);
+      if (Of.Pieces_.empty())
+        remove(Found);
+    }
   }
-  Pieces_.resize(Kept);
-  return Out;
+  return Call;
 }
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -8,7 +8,9 @@
 #include "Support/Time.h"
 
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace amaranth::coordination {
@@ -64,25 +66,40 @@
                                    const state::StageCapacity &Capacity,
                                    SteadyTime Now);
 
-  std::size_t size() const { return Pieces_.size(); }
-  bool empty() const { return Pieces_.empty(); }
+  std::size_t size() const { return Size_; }
+  bool empty() const { return Size_ == 0; }
 
 private:
+  using GroupKey = std::tuple<std::string, std::string, std::size_t>;
   /// The waiting pieces of one stage of one request.
   struct Group {
-    std::vector<std::size_t> Members_; ///< Indices into Pieces_.
+    std::vector<QueuedPiece> Pieces_;
     std::uint64_t Bytes_ = 0;
-    bool Late_ = false;
     int Priority_ = 0;
-    SteadyTime DueBy_;
+    SteadyTime AimBy_;
+    SteadyTime ExpiresAt_;
+    bool Late_ = false; ///< Filed in Late_, else in InTime_.
   };
+  using Groups = std::map<GroupKey, Group>;
+  /// Order in which groups are made: more urgent kinds first, then what is due
+  /// first. The key makes it strict.
+  using Rank = std::tuple<int, SteadyTime, const GroupKey *>;
 
-  std::vector<Group> groupsFor(const FreeTarget &Target,
-                               const state::StageCapacity &Capacity,
-                               SteadyTime Now) const;
-  std::vector<QueuedPiece> take(const std::vector<std::size_t> &Chosen);
+  static GroupKey keyOf(const QueuedPiece &Piece);
+  static Rank rankOf(const Groups::value_type &Item);
+  void file(const Groups::value_type &Item);
+  void unfile(const Groups::value_type &Item);
+  Groups::iterator remove(Groups::iterator At);
+  /// Files the groups that have missed their aim as late.
+  void noteLate(SteadyTime Now);
+  /// Moves pieces of \p From into \p Call as far as they fit.
+  void takeFrom(Group &From, const state::StageCapacity &Capacity,
+                std::uint64_t &Room, std::vector<QueuedPiece> &Call);
 
-  std::vector<QueuedPiece> Pieces_; ///< In order of arrival.
+  Groups Groups_;
+  std::set<Rank> InTime_;
+  std::set<Rank> Late_;
+  std::size_t Size_ = 0;
 };
 
 } // namespace amaranth::coordination
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -3,6 +3,8 @@
 #include "Serving/TargetExchange.h"
 #include "Support/Log.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 
 namespace amaranth::serving {
@@ -114,7 +116,7 @@
   Piece.Since_ = Now;
   Context_.Budget_.onRequest(Order.Service_, Now);
   Services_[Order.Service_].Queue_.push(std::move(Piece));
-  pump(Order.Service_);
+  pumpSoon(Order.Service_);
 }
 
 void StageDispatcher::cancel(const std::string &Owner,
@@ -141,6 +143,17 @@
     Listener_.onPieceReports(Owner, std::move(Batch));
 }
 
+void StageDispatcher::pumpSoon(const std::string &Service) {
+  ServiceState &Of = Services_[Service];
+  if (Of.PumpPending_)
+    return;
+  Of.PumpPending_ = true;
+  boost::asio::post(Context_.Loop_, [this, Service] {
+    Services_[Service].PumpPending_ = false;
+    pump(Service);
+  });
+}
+
 void StageDispatcher::pump(const std::string &Service) {
   state::RoutingTablePtr Table = Context_.Table_;
   const state::Service *Known = Table ? Table->findService(Service) : nullptr;
@@ -267,7 +280,7 @@
       .field("room_left",
              Of.Ledger_.left(Target.Id_, Capacity.ResultRoom_, Now));
   settle(Service, Target, Capacity, std::move(Call), Outcomes);
-  pump(Service);
+  pumpSoon(Service);
 }
 
 void StageDispatcher::settle(const std::string &Service,
@@ -290,7 +303,8 @@
       }
       Of.Ledger_.add(Target.Id_, Outcome.Handle_, Call[I].ResultBytes_,
                      Now + Capacity.ResultLifetime_);
-      if (Cancelled_.count({Call[I].Owner_, Call[I].Piece_.RequestId_}))
+      if (Cancelled_.count(
+              OwnedRequest{Call[I].Owner_, Call[I].Piece_.RequestId_}))
         release({Outcome.Handle_, Service});
       else
         addReport(Reports, Call[I], Outcome);
@@ -363,7 +377,7 @@
         Of.Ledger_.remove(Target.Id_, Handle);
   }
   State.Freeing_ = false;
-  pump(Service);
+  pumpSoon(Service);
 }
 
 std::vector<protocol::QueueState> StageDispatcher::queues() const {
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -67,11 +67,14 @@
     coordination::StageQueue Queue_;
     coordination::ResultLedger Ledger_;
     std::map<std::string, TargetState> Targets_;
+    bool PumpPending_ = false;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
   using OwnedRequest = std::pair<std::string, std::string>;
 
   transport::Awaitable<void> checkQueues();
+  /// Starts calls once the loop has handled what has arrived.
+  void pumpSoon(const std::string &Service);
   void pump(const std::string &Service);
   /// When a usable target is free in each data centre.
   std::map<std::string, SteadyTime>
