--- /dev/null
+++ b/source/Coordination/Store/StoreMirror.cpp
@@ -0,0 +1,86 @@
+#include "Coordination/Store/StoreMirror.h"
+
+#include "Coordination/Engines/EngineChooser.h"
+
+#include <algorithm>
+#include <set>
+
+namespace amaranth::coordination {
+
+using protocol::StoreItem;
+
+namespace {
+
+/// Removals remembered; beyond them the oldest are forgotten.
+constexpr std::size_t MaxRemovals = 4096;
+
+std::uint64_t itemDigest(const StoreItem &Item) {
+  return rendezvousRank(Item.Key_, std::to_string(Item.Revision_));
+}
+
+} // namespace
+
+bool StoreMirror::take(const StoreItem &Item) {
+  Revision_ = std::max(Revision_, Item.Revision_);
+  auto [At, IsNew] = Known_.try_emplace(Item.Key_, Item);
+  StoreItem &Known = At->second;
+  if (!IsNew) {
+    if (Item.Revision_ <= Known.Revision_)
+      return false;
+    if (Known.Removed_)
+      --Removals_;
+    else
+      Digest_ ^= itemDigest(Known);
+    Known = Item;
+  }
+  if (Item.Removed_)
+    ++Removals_;
+  else
+    Digest_ ^= itemDigest(Item);
+  return true;
+}
+
+StoreMirror::Items StoreMirror::apply(const Items &Changes) {
+  Items News;
+  for (const StoreItem &Item : Changes)
+    if (take(Item))
+      News.push_back(Item);
+  forgetRemovals();
+  return News;
+}
+
+StoreMirror::Items StoreMirror::replace(const Items &All,
+                                        std::uint64_t Revision) {
+  std::set<std::string> Present;
+  for (const StoreItem &Item : All)
+    Present.insert(Item.Key_);
+  Items Changes = All;
+  for (const auto &[Key, Known] : Known_)
+    if (!Known.Removed_ && !Present.count(Key) && Known.Revision_ < Revision)
+      Changes.push_back({Key, "", Revision, true});
+  Revision_ = std::max(Revision_, Revision);
+  return apply(Changes);
+}
+
+StoreMirror::Items StoreMirror::items() const {
+  Items Out;
+  for (const auto &[Key, Item] : Known_)
+    if (!Item.Removed_)
+      Out.push_back(Item);
+  return Out;
+}
+
+void StoreMirror::forgetRemovals() {
+  if (Removals_ <= MaxRemovals)
+    return;
+  std::vector<std::pair<std::uint64_t, std::string>> Removed;
+  for (const auto &[Key, Item] : Known_)
+    if (Item.Removed_)
+      Removed.emplace_back(Item.Revision_, Key);
+  std::sort(Removed.begin(), Removed.end());
+  for (std::size_t I = 0; I < Removed.size() / 2; ++I)
+    Known_.erase(Removed[I].second);
+  Removals_ -= Removed.size() / 2;
+}
+
+} // namespace amaranth::coordination
--- a/source/Coordination/Targets/TargetRegistry.cpp
+++ b/source/Coordination/Targets/TargetRegistry.cpp
@@ -15,7 +15,6 @@
       (Change.Revision_ == Known.Revision_ && !Known.MissingUntil_ &&
        Known.Revision_ != 0))
     return;
-  Revision_ = std::max(Revision_, Change.Revision_);
   if (!Change.Record_) {
     remove(Known, Change.Revision_, Now);
     return;
@@ -47,20 +46,6 @@
   Of.MissingUntil_.reset();
 }
 
-void TargetRegistry::replace(const std::vector<TargetChange> &All,
-                             std::uint64_t Revision, SteadyTime Now) {
-  std::set<std::string> Present;
-  for (const TargetChange &Change : All) {
-    Present.insert(Change.Id_);
-    apply(Change, Now);
-  }
-  for (auto &[Id, Known] : Records_)
-    if (Known.Record_ && !Known.MissingUntil_ && !Present.count(Id) &&
-        Known.Revision_ <= Revision)
-      remove(Known, Revision, Now);
-  Revision_ = std::max(Revision_, Revision);
-}
-
 void TargetRegistry::onStoreLost() { StoreLost_ = true; }
 
 void TargetRegistry::onStoreBack(SteadyTime Now) {
@@ -108,11 +93,4 @@
   return &*Found->second.Record_;
 }
 
-std::vector<TargetChange> TargetRegistry::changes() const {
-  std::vector<TargetChange> Out;
-  for (const auto &[Id, Known] : Records_)
-    Out.push_back({Id, Known.Revision_, Known.Record_});
-  return Out;
-}
-
 } // namespace amaranth::coordination
--- a/source/Coordination/Targets/TargetRegistry.h
+++ b/source/Coordination/Targets/TargetRegistry.h
@@ -42,10 +42,6 @@
   explicit TargetRegistry(TargetRegistrySettings Settings = {});
 
   void apply(const TargetChange &Change, SteadyTime Now);
-  /// Takes a whole range read at \p Revision: what it lacks is gone, or missing
-  /// for a while if the store has just returned.
-  void replace(const std::vector<TargetChange> &All, std::uint64_t Revision,
-               SteadyTime Now);
   /// The store does not answer; or it does again.
   void onStoreLost();
   void onStoreBack(SteadyTime Now);
@@ -57,9 +53,6 @@
   serving(const std::string &Service) const;
   /// A target that may get new work, or null.
   const state::TargetRecord *find(const std::string &Id) const;
-  std::uint64_t revision() const { return Revision_; }
-  /// Everything known, for a peer whose store does not answer.
-  std::vector<TargetChange> changes() const;
   std::size_t size() const { return Records_.size(); }
 
 private:
@@ -75,7 +68,6 @@
   TargetRegistrySettings Settings_;
   std::map<std::string, Entry> Records_;
   std::map<std::string, std::set<std::string>> ByService_;
-  std::uint64_t Revision_ = 0;
   bool StoreLost_ = false;
   SteadyTime DoubtUntil_{};
 };
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -13,9 +13,8 @@
     outcomes @3 :List(Outcome);
     cancel @4 :Text;          # a request whose pieces are no longer wanted
     release @5 :List(Result); # results that are no longer needed
-    configuration @6 :Record; # from the store, for hosts that it turns away
-    targets @7 :List(Record); # likewise
-    suspects @8 :List(Suspect);
+    records @6 :StoreRecords; # for hosts that do not watch the store
+    suspects @7 :List(Suspect);
   }
 }
 
@@ -27,8 +26,8 @@
   incarnation @4 :UInt64;
   serving @5 :Bool;        # takes requests; false while starting or draining
   storeConnected @6 :Bool;
-  configurationRevision @7 :UInt64;
-  targetsRevision @8 :UInt64;
+  watching @7 :Bool;         # passes on what the store says
+  digests @8 :List(UInt64);  # of the store's records, one for each prefix
   queues @9 :List(QueueState);
 }
 
@@ -66,6 +65,13 @@
   service @1 :Text;
 }
 
+struct StoreRecords {
+  prefix @0 :Text;
+  records @1 :List(Record);
+  complete @2 :Bool;    # all records, as they were at the revision
+  revision @3 :UInt64;
+}
+
 struct Record {
   key @0 :Text;
   value @1 :Data;
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(adb4b7e9911aa29d);
 CAPNP_DECLARE_SCHEMA(c23d965bc8868669);
 CAPNP_DECLARE_SCHEMA(f67f920d3aa90049);
+CAPNP_DECLARE_SCHEMA(9b843466040b44cf);
 CAPNP_DECLARE_SCHEMA(9b923c22699e8736);
 CAPNP_DECLARE_SCHEMA(fe1435118b07275f);
 
@@ -45,8 +46,7 @@
     OUTCOMES,
     CANCEL,
     RELEASE,
-    CONFIGURATION,
-    TARGETS,
+    RECORDS,
     SUSPECTS,
   };
 
@@ -66,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 2, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -133,6 +133,21 @@
   };
 };
 
+struct StoreRecords {
+  StoreRecords() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b843466040b44cf, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Record {
   Record() = delete;
 
@@ -207,13 +222,9 @@
   inline bool hasRelease() const;
   inline  ::capnp::List< ::amaranth::protocol::fleet::Result,  ::capnp::Kind::STRUCT>::Reader getRelease() const;
 
-  inline bool isConfiguration() const;
-  inline bool hasConfiguration() const;
-  inline  ::amaranth::protocol::fleet::Record::Reader getConfiguration() const;
-
-  inline bool isTargets() const;
-  inline bool hasTargets() const;
-  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader getTargets() const;
+  inline bool isRecords() const;
+  inline bool hasRecords() const;
+  inline  ::amaranth::protocol::fleet::StoreRecords::Reader getRecords() const;
 
   inline bool isSuspects() const;
   inline bool hasSuspects() const;
@@ -296,21 +307,13 @@
   inline void adoptRelease(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Result,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Result,  ::capnp::Kind::STRUCT>> disownRelease();
 
-  inline bool isConfiguration();
-  inline bool hasConfiguration();
-  inline  ::amaranth::protocol::fleet::Record::Builder getConfiguration();
-  inline void setConfiguration( ::amaranth::protocol::fleet::Record::Reader value);
-  inline  ::amaranth::protocol::fleet::Record::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::amaranth::protocol::fleet::Record>&& value);
-  inline ::capnp::Orphan< ::amaranth::protocol::fleet::Record> disownConfiguration();
-
-  inline bool isTargets();
-  inline bool hasTargets();
-  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder getTargets();
-  inline void setTargets( ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder initTargets(unsigned int size);
-  inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>> disownTargets();
+  inline bool isRecords();
+  inline bool hasRecords();
+  inline  ::amaranth::protocol::fleet::StoreRecords::Builder getRecords();
+  inline void setRecords( ::amaranth::protocol::fleet::StoreRecords::Reader value);
+  inline  ::amaranth::protocol::fleet::StoreRecords::Builder initRecords();
+  inline void adoptRecords(::capnp::Orphan< ::amaranth::protocol::fleet::StoreRecords>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::StoreRecords> disownRecords();
 
   inline bool isSuspects();
   inline bool hasSuspects();
@@ -381,9 +384,10 @@
 
   inline bool getStoreConnected() const;
 
-  inline  ::uint64_t getConfigurationRevision() const;
+  inline bool getWatching() const;
 
-  inline  ::uint64_t getTargetsRevision() const;
+  inline bool hasDigests() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDigests() const;
 
   inline bool hasQueues() const;
   inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader getQueues() const;
@@ -453,11 +457,16 @@
   inline bool getStoreConnected();
   inline void setStoreConnected(bool value);
 
-  inline  ::uint64_t getConfigurationRevision();
-  inline void setConfigurationRevision( ::uint64_t value);
+  inline bool getWatching();
+  inline void setWatching(bool value);
 
-  inline  ::uint64_t getTargetsRevision();
-  inline void setTargetsRevision( ::uint64_t value);
+  inline bool hasDigests();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDigests();
+  inline void setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDigests(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDigests(unsigned int size);
+  inline void adoptDigests(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDigests();
 
   inline bool hasQueues();
   inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder getQueues();
@@ -937,6 +946,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class StoreRecords::Reader {
+public:
+  typedef StoreRecords Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
+
+  inline bool getComplete() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreRecords::Builder {
+public:
+  typedef StoreRecords Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+
+  inline bool hasRecords();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
+  inline void setRecords( ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>> disownRecords();
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreRecords::Pipeline {
+public:
+  typedef StoreRecords Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Record::Reader {
 public:
   typedef Record Reads;
@@ -1465,111 +1575,57 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FleetMessage::Reader::isConfiguration() const {
-  return which() == FleetMessage::CONFIGURATION;
+inline bool FleetMessage::Reader::isRecords() const {
+  return which() == FleetMessage::RECORDS;
 }
-inline bool FleetMessage::Builder::isConfiguration() {
-  return which() == FleetMessage::CONFIGURATION;
+inline bool FleetMessage::Builder::isRecords() {
+  return which() == FleetMessage::RECORDS;
 }
-inline bool FleetMessage::Reader::hasConfiguration() const {
-  if (which() != FleetMessage::CONFIGURATION) return false;
+inline bool FleetMessage::Reader::hasRecords() const {
+  if (which() != FleetMessage::RECORDS) return false;
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FleetMessage::Builder::hasConfiguration() {
-  if (which() != FleetMessage::CONFIGURATION) return false;
+inline bool FleetMessage::Builder::hasRecords() {
+  if (which() != FleetMessage::RECORDS) return false;
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::amaranth::protocol::fleet::Record::Reader FleetMessage::Reader::getConfiguration() const {
-  KJ_IREQUIRE((which() == FleetMessage::CONFIGURATION),
+inline  ::amaranth::protocol::fleet::StoreRecords::Reader FleetMessage::Reader::getRecords() const {
+  KJ_IREQUIRE((which() == FleetMessage::RECORDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::amaranth::protocol::fleet::Record::Builder FleetMessage::Builder::getConfiguration() {
-  KJ_IREQUIRE((which() == FleetMessage::CONFIGURATION),
+inline  ::amaranth::protocol::fleet::StoreRecords::Builder FleetMessage::Builder::getRecords() {
+  KJ_IREQUIRE((which() == FleetMessage::RECORDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetMessage::Builder::setConfiguration( ::amaranth::protocol::fleet::Record::Reader value) {
+inline void FleetMessage::Builder::setRecords( ::amaranth::protocol::fleet::StoreRecords::Reader value) {
   _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::RECORDS);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::amaranth::protocol::fleet::Record::Builder FleetMessage::Builder::initConfiguration() {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::CONFIGURATION);
-  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::adoptConfiguration(
-    ::capnp::Orphan< ::amaranth::protocol::fleet::Record>&& value) {
+inline  ::amaranth::protocol::fleet::StoreRecords::Builder FleetMessage::Builder::initRecords() {
   _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::CONFIGURATION);
-  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::amaranth::protocol::fleet::Record> FleetMessage::Builder::disownConfiguration() {
-  KJ_IREQUIRE((which() == FleetMessage::CONFIGURATION),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::Record>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::RECORDS);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool FleetMessage::Reader::isTargets() const {
-  return which() == FleetMessage::TARGETS;
-}
-inline bool FleetMessage::Builder::isTargets() {
-  return which() == FleetMessage::TARGETS;
-}
-inline bool FleetMessage::Reader::hasTargets() const {
-  if (which() != FleetMessage::TARGETS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetMessage::Builder::hasTargets() {
-  if (which() != FleetMessage::TARGETS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader FleetMessage::Reader::getTargets() const {
-  KJ_IREQUIRE((which() == FleetMessage::TARGETS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder FleetMessage::Builder::getTargets() {
-  KJ_IREQUIRE((which() == FleetMessage::TARGETS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::setTargets( ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::TARGETS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder FleetMessage::Builder::initTargets(unsigned int size) {
+inline void FleetMessage::Builder::adoptRecords(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::StoreRecords>&& value) {
   _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::TARGETS);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void FleetMessage::Builder::adoptTargets(
-    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>&& value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::TARGETS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::RECORDS);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>> FleetMessage::Builder::disownTargets() {
-  KJ_IREQUIRE((which() == FleetMessage::TARGETS),
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::StoreRecords> FleetMessage::Builder::disownRecords() {
+  KJ_IREQUIRE((which() == FleetMessage::RECORDS),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StoreRecords>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
@@ -1805,66 +1861,90 @@
       ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HostState::Reader::getConfigurationRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool HostState::Reader::getWatching() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t HostState::Builder::getConfigurationRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool HostState::Builder::getWatching() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
 }
-inline void HostState::Builder::setConfigurationRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void HostState::Builder::setWatching(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t HostState::Reader::getTargetsRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HostState::Reader::hasDigests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t HostState::Builder::getTargetsRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool HostState::Builder::hasDigests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void HostState::Builder::setTargetsRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader HostState::Reader::getDigests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder HostState::Builder::getDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void HostState::Builder::setDigests( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void HostState::Builder::setDigests(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder HostState::Builder::initDigests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void HostState::Builder::adoptDigests(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> HostState::Builder::disownDigests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool HostState::Reader::hasQueues() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool HostState::Builder::hasQueues() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader HostState::Reader::getQueues() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::getQueues() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 inline void HostState::Builder::setQueues( ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::initQueues(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void HostState::Builder::adoptQueues(
     ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>> HostState::Builder::disownQueues() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool QueueState::Reader::hasService() const {
@@ -2379,6 +2459,102 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool StoreRecords::Reader::hasPrefix() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRecords::Builder::hasPrefix() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StoreRecords::Reader::getPrefix() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StoreRecords::Builder::getPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StoreRecords::Builder::setPrefix( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StoreRecords::Builder::initPrefix(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StoreRecords::Builder::adoptPrefix(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StoreRecords::Builder::disownPrefix() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StoreRecords::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StoreRecords::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader StoreRecords::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder StoreRecords::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StoreRecords::Builder::setRecords( ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>::Builder StoreRecords::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StoreRecords::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>> StoreRecords::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Record,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StoreRecords::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreRecords::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreRecords::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t StoreRecords::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreRecords::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void StoreRecords::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Record::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -28,8 +28,10 @@
   To.setIncarnation(From.Incarnation_);
   To.setServing(From.Serving_);
   To.setStoreConnected(From.StoreConnected_);
-  To.setConfigurationRevision(From.ConfigurationRevision_);
-  To.setTargetsRevision(From.TargetsRevision_);
+  To.setWatching(From.Watching_);
+  auto Digests = To.initDigests(From.Digests_.size());
+  for (unsigned I = 0; I < From.Digests_.size(); ++I)
+    Digests.set(I, From.Digests_[I]);
   auto Queues = To.initQueues(From.Queues_.size());
   for (unsigned I = 0; I < From.Queues_.size(); ++I) {
     Queues[I].setService(From.Queues_[I].Service_);
@@ -48,8 +50,9 @@
   To.Incarnation_ = From.getIncarnation();
   To.Serving_ = From.getServing();
   To.StoreConnected_ = From.getStoreConnected();
-  To.ConfigurationRevision_ = From.getConfigurationRevision();
-  To.TargetsRevision_ = From.getTargetsRevision();
+  To.Watching_ = From.getWatching();
+  for (std::uint64_t Digest : From.getDigests())
+    To.Digests_.push_back(Digest);
   for (auto Queue : From.getQueues())
     To.Queues_.push_back({text(Queue.getService()), Queue.getWaiting(),
                           Milliseconds(Queue.getDelayMs())});
@@ -151,11 +154,12 @@
       List[I].setService(From.Results_[I].Service_);
     }
   }
-  void operator()(const ConfigurationRecord &From) {
-    write(From.Item_, To_.initConfiguration());
-  }
-  void operator()(const TargetRecords &From) {
-    auto List = To_.initTargets(From.Items_.size());
+  void operator()(const StoreRecords &From) {
+    auto Out = To_.initRecords();
+    Out.setPrefix(From.Prefix_);
+    Out.setComplete(From.Complete_);
+    Out.setRevision(From.Revision_);
+    auto List = Out.initRecords(From.Items_.size());
     for (unsigned I = 0; I < From.Items_.size(); ++I)
       write(From.Items_[I], List[I]);
   }
@@ -210,11 +214,13 @@
       Out.Results_.push_back({text(One.getHandle()), text(One.getService())});
     return Out;
   }
-  case Which::CONFIGURATION:
-    return ConfigurationRecord{read(From.getConfiguration())};
-  case Which::TARGETS: {
-    TargetRecords Out;
-    for (auto One : From.getTargets())
+  case Which::RECORDS: {
+    auto Records = From.getRecords();
+    StoreRecords Out;
+    Out.Prefix_ = text(Records.getPrefix());
+    Out.Complete_ = Records.getComplete();
+    Out.Revision_ = Records.getRevision();
+    for (auto One : Records.getRecords())
       Out.Items_.push_back(read(One));
     return Out;
   }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -31,8 +31,9 @@
   std::uint64_t Incarnation_ = 0;
   bool Serving_ = false; ///< Takes requests; not while starting or draining.
   bool StoreConnected_ = false;
-  std::uint64_t ConfigurationRevision_ = 0;
-  std::uint64_t TargetsRevision_ = 0;
+  bool Watching_ = false; ///< Passes on what the store says.
+  /// Of the store's records that it knows, one for each prefix.
+  std::vector<std::uint64_t> Digests_;
   std::vector<QueueState> Queues_;
 };
 
@@ -83,12 +84,12 @@
   std::vector<UnneededResult> Results_;
 };
 
-/// Records of the store, for hosts that it turns away.
-struct ConfigurationRecord {
-  StoreItem Item_;
-};
-struct TargetRecords {
+/// Records of the store, for hosts that do not watch it.
+struct StoreRecords {
+  std::string Prefix_;
   std::vector<StoreItem> Items_;
+  bool Complete_ = false; ///< All records, as they were at the revision.
+  std::uint64_t Revision_ = 0;
 };
 
 /// An input that may crash targets.
@@ -102,8 +103,7 @@
 
 using FleetMessage =
     std::variant<Ping, Pong, PieceOrders, PieceReports, CancelPieces,
-                 ReleaseResults, ConfigurationRecord, TargetRecords,
-                 SuspectRequests>;
+                 ReleaseResults, StoreRecords, SuspectRequests>;
 
 /// Bytes of one message without its length.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -1,5 +1,6 @@
 #include "Serving/EntryHost.h"
 
+#include "Coordination/Store/WatcherElection.h"
 #include "Support/Log.h"
 
 #include <algorithm>
@@ -18,8 +19,11 @@
 const std::string HostPrefix = "amaranth/hosts/";
 
 constexpr Milliseconds MaintenancePeriod{100};
-/// A host without the store is sent records at most this often by each peer.
-constexpr Milliseconds HelpPeriod{300};
+/// A host whose records differ for longer than a change takes to be passed on
+/// is sent all of them.
+constexpr Milliseconds HelpDelay{600};
+/// A host that the store did not answer is a candidate for watching again.
+constexpr Milliseconds StoreRetrial{5000};
 /// Time before the end of the grace period at which a draining host stops.
 constexpr Milliseconds DrainReserve{700};
 /// A draining host stays this long at least: callers with an answer of the
@@ -59,21 +63,36 @@
       Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
-      ConfigurationFollower_(Executor, Store, *this,
-                             following(Codec.configurationKey())),
-      TargetFollower_(Executor, Store, *this, following(Codec.targetPrefix())),
-      HostFollower_(Executor, Store, *this, following(HostPrefix)),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
-      Incarnation_(std::random_device{}() | 1ULL) {}
+      Incarnation_(std::random_device{}() | 1ULL) {
+  follow(Store, Codec.configurationKey());
+  follow(Store, Codec.targetPrefix());
+  follow(Store, HostPrefix);
+}
+
+void EntryHost::follow(protocol::PlatformStore &Store,
+                       const std::string &Prefix) {
+  Followed Added;
+  Added.Prefix_ = Prefix;
+  Added.Follower_ = std::make_unique<StoreFollower>(Context_.Loop_, Store,
+                                                    *this, following(Prefix));
+  Followed_.push_back(std::move(Added));
+}
+
+EntryHost::Followed *EntryHost::findFollowed(const std::string &Prefix) {
+  for (Followed &One : Followed_)
+    if (One.Prefix_ == Prefix)
+      return &One;
+  return nullptr;
+}
 
 bool EntryHost::start() {
   if (!Callers_.start() || !Peers_.start())
     return false;
   Dispatcher_.start();
-  ConfigurationFollower_.start();
-  TargetFollower_.start();
-  HostFollower_.start();
+  for (Followed &One : Followed_)
+    One.Follower_->start();
   Registration_.start();
   transport::startTask(Context_.Loop_, maintain());
   return true;
@@ -103,9 +122,10 @@
   Out.PeerAddress_ = Context_.Settings_.PeerAddress_;
   Out.Incarnation_ = Incarnation_;
   Out.Serving_ = ready();
-  Out.StoreConnected_ = StoreConnected_;
-  Out.ConfigurationRevision_ = Configuration_.Revision_;
-  Out.TargetsRevision_ = Context_.Targets_.revision();
+  Out.StoreConnected_ = storeConnected();
+  Out.Watching_ = Watching_;
+  for (const Followed &One : Followed_)
+    Out.Digests_.push_back(One.Mirror_.digest());
   Out.Queues_ = Dispatcher_.queues();
   return Out;
 }
@@ -113,26 +133,89 @@
 void EntryHost::onPeerState(const HostState &State) { helpPeer(State); }
 
 void EntryHost::helpPeer(const HostState &State) {
-  if (State.Host_ == Context_.Settings_.Host_)
+  bool PeerFollows = State.Watching_ && State.StoreConnected_;
+  std::vector<const Followed *> Differing;
+  for (std::size_t I = 0; I < Followed_.size(); ++I)
+    if (I < State.Digests_.size() &&
+        State.Digests_[I] != Followed_[I].Mirror_.digest())
+      Differing.push_back(&Followed_[I]);
+  if (!Watching_ || !storeConnected() || PeerFollows || Differing.empty()) {
+    DiffersSince_.erase(State.Host_);
     return;
+  }
   SteadyTime Now = SteadyClock::now();
-  SteadyTime &Last = HelpedAt_[State.Host_];
-  if (Now - Last < HelpPeriod)
+  auto [Since, First] = DiffersSince_.emplace(State.Host_, Now);
+  if (First || Now - Since->second < HelpDelay)
     return;
-  bool OlderConfiguration =
-      State.ConfigurationRevision_ < Configuration_.Revision_;
-  bool OlderTargets = !State.StoreConnected_ && StoreConnected_ &&
-                      State.TargetsRevision_ < Context_.Targets_.revision();
-  if (OlderConfiguration)
-    Peers_.send(State.Host_, protocol::ConfigurationRecord{Configuration_});
-  if (OlderTargets) {
-    protocol::TargetRecords Records;
-    for (const auto &[Key, Item] : TargetItems_)
-      Records.Items_.push_back(Item);
+  DiffersSince_.erase(Since);
+  for (const Followed *One : Differing) {
+    protocol::StoreRecords Records;
+    Records.Prefix_ = One->Prefix_;
+    Records.Items_ = One->Mirror_.items();
+    Records.Complete_ = true;
+    Records.Revision_ = One->Mirror_.revision();
+    LogEvent(LogLevel::Info, "records_sent")
+        .field("host", State.Host_)
+        .field("prefix", One->Prefix_)
+        .field("records", Records.Items_.size());
     Peers_.send(State.Host_, FleetMessage(std::move(Records)));
   }
-  if (OlderConfiguration || OlderTargets)
-    Last = Now;
+}
+
+void EntryHost::relay(const std::string &Prefix,
+                      const std::vector<StoreItem> &News) {
+  if (!Watching_ || News.empty())
+    return;
+  protocol::StoreRecords Records;
+  Records.Prefix_ = Prefix;
+  Records.Items_ = News;
+  Peers_.broadcast(FleetMessage(std::move(Records)));
+}
+
+void EntryHost::takeRecords(const protocol::StoreRecords &Records) {
+  Followed *Of = findFollowed(Records.Prefix_);
+  if (!Of)
+    return;
+  takeNews(Records.Prefix_,
+           Records.Complete_
+               ? Of->Mirror_.replace(Records.Items_, Records.Revision_)
+               : Of->Mirror_.apply(Records.Items_));
+  if (Records.Complete_ && Records.Prefix_ == Codec_.targetPrefix())
+    TargetsKnown_ = true;
+}
+
+void EntryHost::electWatchers() {
+  std::vector<coordination::WatcherCandidate> Candidates;
+  HostState Own = ownState();
+  Candidates.push_back({Own.Host_, Own.StoreConnected_});
+  for (const HostState &Peer : Peers_.serving())
+    Candidates.push_back({Peer.Host_, Peer.StoreConnected_});
+  bool Watch = coordination::isWatcher(Own.Host_, Candidates);
+  if (Watch != Watching_)
+    LogEvent(LogLevel::Info, Watch ? "watching_store" : "not_watching_store")
+        .field("hosts", Candidates.size());
+  Watching_ = Watch;
+  for (Followed &One : Followed_)
+    One.Follower_->setActive(Watch);
+}
+
+bool EntryHost::storeConnected() const {
+  if (Watching_)
+    return std::all_of(
+        Followed_.begin(), Followed_.end(),
+        [](const Followed &One) { return One.Follower_->connected(); });
+  return !StoreFailed_ || SteadyClock::now() - *StoreFailed_ > StoreRetrial;
+}
+
+void EntryHost::noteStore() {
+  // Hosts that do not watch know the store's state from those that do.
+  bool Connected = Watching_ && storeConnected();
+  for (const HostState &Peer : Peers_.serving())
+    Connected = Connected || (Peer.Watching_ && Peer.StoreConnected_);
+  if (Connected)
+    Context_.Targets_.onStoreBack(SteadyClock::now());
+  else
+    Context_.Targets_.onStoreLost();
 }
 
 void EntryHost::onPeerMessage(const std::string &Host,
@@ -155,14 +238,9 @@
                  std::get_if<protocol::ReleaseResults>(&Message)) {
     for (const protocol::UnneededResult &Result : Release->Results_)
       Dispatcher_.release(Result);
-  } else if (const auto *Record =
-                 std::get_if<protocol::ConfigurationRecord>(&Message)) {
-    takeConfiguration(Record->Item_);
   } else if (const auto *Records =
-                 std::get_if<protocol::TargetRecords>(&Message)) {
-    for (const StoreItem &Item : Records->Items_)
-      takeTarget(Item);
-    TargetsKnown_ = true;
+                 std::get_if<protocol::StoreRecords>(&Message)) {
+    takeRecords(*Records);
   }
 }
 
@@ -201,7 +279,7 @@
 }
 
 void EntryHost::takeConfiguration(const StoreItem &Item) {
-  if (Item.Removed_ || Item.Revision_ <= Configuration_.Revision_)
+  if (Item.Removed_ || Item.Key_ != Codec_.configurationKey())
     return;
   auto Read = capture([&] { return Codec_.readConfiguration(Item.Value_); });
   if (!Read) {
@@ -210,7 +288,6 @@
         .field("error", Read.error().Message_);
     return;
   }
-  Configuration_ = Item;
   state::RoutingTable Table = std::move(*Read);
   Table.Revision_ = Item.Revision_;
   LogEvent(LogLevel::Info, "configuration_taken")
@@ -221,31 +298,22 @@
       std::make_shared<const state::RoutingTable>(std::move(Table));
 }
 
-coordination::TargetChange EntryHost::readTarget(const StoreItem &Item) {
+void EntryHost::takeTarget(const StoreItem &Item) {
   coordination::TargetChange Change;
   Change.Id_ = Item.Key_.substr(Codec_.targetPrefix().size());
   Change.Revision_ = Item.Revision_;
-  if (Item.Removed_)
-    return Change;
-  auto Read =
-      capture([&] { return Codec_.readTarget(Item.Key_, Item.Value_); });
-  if (Read)
-    Change.Record_ = *Read;
-  else
-    LogEvent(LogLevel::Warn, "target_record_unreadable")
-        .field("key", Item.Key_)
-        .field("error", Read.error().Message_);
-  return Change;
-}
-
-void EntryHost::takeTarget(const StoreItem &Item) {
-  StoreItem &Known = TargetItems_[Item.Key_];
-  if (Item.Revision_ >= Known.Revision_)
-    Known = Item;
-  coordination::TargetChange Change = readTarget(Item);
+  if (!Item.Removed_) {
+    auto Read =
+        capture([&] { return Codec_.readTarget(Item.Key_, Item.Value_); });
+    if (Read)
+      Change.Record_ = *Read;
+    else
+      LogEvent(LogLevel::Warn, "target_record_unreadable")
+          .field("key", Item.Key_)
+          .field("error", Read.error().Message_);
+  }
   Context_.Targets_.apply(Change, SteadyClock::now());
-  const state::TargetRecord *Serving = Context_.Targets_.find(Change.Id_);
-  if (!Serving) {
+  if (!Context_.Targets_.find(Change.Id_)) {
     Context_.Connections_.drop(Change.Id_);
     LogEvent(LogLevel::Info, "target_leaving").field("target", Change.Id_);
   }
@@ -261,43 +329,41 @@
     Peers_.know(Host, Item.Value_);
 }
 
+void EntryHost::takeNews(const std::string &Prefix,
+                         const std::vector<StoreItem> &News) {
+  for (const StoreItem &Item : News) {
+    if (Prefix == Codec_.targetPrefix())
+      takeTarget(Item);
+    else if (Prefix == HostPrefix)
+      takeHost(Item);
+    else
+      takeConfiguration(Item);
+  }
+}
+
 void EntryHost::onStoreRange(const std::string &Prefix,
                              const std::vector<StoreItem> &Items,
                              std::uint64_t Revision) {
-  if (Prefix == Codec_.targetPrefix()) {
-    std::vector<coordination::TargetChange> All;
-    TargetItems_.clear();
-    for (const StoreItem &Item : Items) {
-      TargetItems_[Item.Key_] = Item;
-      All.push_back(readTarget(Item));
-    }
-    Context_.Targets_.replace(All, Revision, SteadyClock::now());
+  std::vector<StoreItem> News =
+      findFollowed(Prefix)->Mirror_.replace(Items, Revision);
+  takeNews(Prefix, News);
+  relay(Prefix, News);
+  if (Prefix == Codec_.targetPrefix())
     TargetsKnown_ = true;
-    return;
-  }
-  onStoreChanges(Prefix, Items);
 }
 
 void EntryHost::onStoreChanges(const std::string &Prefix,
                                const std::vector<StoreItem> &Items) {
-  for (const StoreItem &Item : Items) {
-    if (Prefix == Codec_.targetPrefix())
-      takeTarget(Item);
-    else if (Prefix == HostPrefix)
-      takeHost(Item);
-    else if (Item.Key_ == Codec_.configurationKey())
-      takeConfiguration(Item);
-  }
+  std::vector<StoreItem> News = findFollowed(Prefix)->Mirror_.apply(Items);
+  takeNews(Prefix, News);
+  relay(Prefix, News);
 }
 
 void EntryHost::onStoreConnected(const std::string &Prefix, bool Connected) {
-  if (Prefix != Codec_.targetPrefix())
-    return;
-  StoreConnected_ = Connected;
-  if (Connected)
-    Context_.Targets_.onStoreBack(SteadyClock::now());
-  else
-    Context_.Targets_.onStoreLost();
+  if (!Connected)
+    StoreFailed_ = SteadyClock::now();
+  if (Prefix == Codec_.targetPrefix())
+    noteStore();
 }
 
 Awaitable<void> EntryHost::maintain() {
@@ -309,6 +375,8 @@
     Context_.Health_.forget(Now);
     Context_.Budget_.setHosts(Peers_.serving().size() + 1);
     Stages_.retryUnsent();
+    electWatchers();
+    noteStore();
   }
 }
 
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_SERVING_ENTRYHOST_H
 #define AMARANTH_SERVING_ENTRYHOST_H
 
+#include "Coordination/Store/StoreMirror.h"
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
 #include "Serving/HostRegistration.h"
@@ -12,7 +13,10 @@
 #include "Serving/StoreFollower.h"
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace amaranth::serving {
 
@@ -57,11 +61,29 @@
                       protocol::PieceReports Reports) override;
 
 private:
+  /// One prefix of the store, followed directly or through other hosts.
+  struct Followed {
+    std::string Prefix_;
+    coordination::StoreMirror Mirror_;
+    std::unique_ptr<StoreFollower> Follower_;
+  };
+
+  void follow(protocol::PlatformStore &Store, const std::string &Prefix);
+  Followed *findFollowed(const std::string &Prefix);
+  void takeNews(const std::string &Prefix,
+                const std::vector<protocol::StoreItem> &News);
   void takeConfiguration(const protocol::StoreItem &Item);
   void takeTarget(const protocol::StoreItem &Item);
-  coordination::TargetChange readTarget(const protocol::StoreItem &Item);
   void takeHost(const protocol::StoreItem &Item);
+  void takeRecords(const protocol::StoreRecords &Records);
+  /// Passes news on to the hosts that do not watch.
+  void relay(const std::string &Prefix,
+             const std::vector<protocol::StoreItem> &News);
   void helpPeer(const protocol::HostState &State);
+  void electWatchers();
+  /// Whether the store answers this host, or would probably do so.
+  bool storeConnected() const;
+  void noteStore();
   void onMessage(const std::string &Host,
                  const protocol::FleetMessage &Message);
   transport::Awaitable<void> maintain();
@@ -73,18 +95,15 @@
   StageDispatcher Dispatcher_;
   PeerMesh Peers_;
   CallerServer Callers_;
-  StoreFollower ConfigurationFollower_;
-  StoreFollower TargetFollower_;
-  StoreFollower HostFollower_;
   HostRegistration Registration_;
   std::uint64_t Incarnation_;
-  bool StoreConnected_ = false;
+  std::vector<Followed> Followed_;
+  bool Watching_ = true;
   bool TargetsKnown_ = false;
-  /// The newest configuration as the store has it, for peers.
-  protocol::StoreItem Configuration_;
-  /// Records of targets as the store has them, for peers.
-  std::map<std::string, protocol::StoreItem> TargetItems_;
-  std::map<std::string, SteadyTime> HelpedAt_;
+  /// When this host last found that the store does not answer it.
+  std::optional<SteadyTime> StoreFailed_;
+  /// Hosts whose records differ from this host's, and since when.
+  std::map<std::string, SteadyTime> DiffersSince_;
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -15,10 +15,16 @@
                              StoreListener &Listener,
                              StoreFollowerSettings Settings)
     : Loop_(Executor), Store_(Store), Listener_(Listener),
-      Settings_(std::move(Settings)) {}
+      Settings_(std::move(Settings)), Activated_(Executor) {}
 
 void StoreFollower::start() { transport::startTask(Loop_, follow()); }
 
+void StoreFollower::setActive(bool Active) {
+  if (Active && !Active_)
+    Activated_.notify();
+  Active_ = Active;
+}
+
 void StoreFollower::setConnected(bool Connected) {
   if (Connected == Connected_)
     return;
@@ -43,6 +49,12 @@
     setConnected(true);
     Listener_.onStoreRange(Settings_.Prefix_, All.Items_, All.Revision_);
     StoreStatus End = co_await watch(All.Revision_);
+    if (End == StoreStatus::Ok) {
+      // Others watch; what they pass on takes the place of the watch.
+      SteadyTime Never = SteadyTime::max();
+      co_await Activated_.wait(Never);
+      continue;
+    }
     if (End != StoreStatus::Compacted)
       setConnected(false);
     LogEvent(LogLevel::Info, "watch_ended")
@@ -52,7 +64,7 @@
 }
 
 Awaitable<StoreStatus> StoreFollower::watch(std::uint64_t After) {
-  for (;;) {
+  while (Active_) {
     std::string Prefix = Settings_.Prefix_;
     StoreItems Changes = co_await Store_.watch(Prefix, After, Settings_.Wait_);
     if (Changes.Status_ != StoreStatus::Ok)
@@ -61,6 +73,7 @@
       Listener_.onStoreChanges(Settings_.Prefix_, Changes.Items_);
     After = std::max(After, Changes.Revision_);
   }
+  co_return StoreStatus::Ok;
 }
 
 } // namespace amaranth::serving
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -45,10 +45,15 @@
                 StoreListener &Listener, StoreFollowerSettings Settings);
 
   void start();
+  /// Whether to watch. The prefix is read once in any case.
+  void setActive(bool Active);
+  /// The last call was answered.
+  bool connected() const { return Connected_; }
 
 private:
   transport::Awaitable<void> follow();
-  /// Watches from a revision until the watch cannot continue.
+  /// Watches from a revision until the watch cannot continue, or until this
+  /// host is not to watch any more (Ok).
   transport::Awaitable<protocol::StoreStatus> watch(std::uint64_t After);
   void setConnected(bool Connected);
 
@@ -56,6 +61,8 @@
   protocol::PlatformStore &Store_;
   StoreListener &Listener_;
   StoreFollowerSettings Settings_;
+  transport::Wakeup Activated_;
+  bool Active_ = true;
   bool Connected_ = false;
 };
 
--- a/tests/Coordination/Targets/TargetRegistryTest.cpp
+++ b/tests/Coordination/Targets/TargetRegistryTest.cpp
@@ -68,7 +68,8 @@
   Registry.apply(change("gone", 6), Now);
   Registry.onStoreLost();
   Registry.onStoreBack(Now);
-  Registry.replace({}, 20, Now);
+  Registry.apply(removal("back", 20), Now);
+  Registry.apply(removal("gone", 20), Now);
   CHECK(Registry.serving("s").size() == 2);
   Registry.apply(change("back", 21), Now + Seconds{1});
   Registry.expire(Now + Seconds{2});
@@ -76,18 +77,6 @@
   CHECK(Registry.find("gone") == nullptr);
 }
 
-// Guards against serving by a stale list after the history was dropped: what a
-// complete reading lacks is gone.
-TEST_CASE("target registry: a range read while the store is well is complete") {
-  TargetRegistry Registry;
-  Registry.apply(change("kept", 5), Now);
-  Registry.apply(change("gone", 6), Now);
-  Registry.replace({change("kept", 5)}, 20, Now);
-  CHECK(Registry.find("kept") != nullptr);
-  CHECK(Registry.find("gone") == nullptr);
-  CHECK(Registry.revision() == 20);
-}
-
 // Guards against a record that becomes unreadable and leaves its target in use,
 // and against a target that moves to another service and is found under both.
 TEST_CASE("target registry: unreadable and moved records") {
