Refuse inputs that crash targets, on all hosts; answer slow heads with 408

Cause: a request that crashes each target that begins to run it came back at another host and crashed one target more each time. SuspectRegistry, which the product has, now counts broken runs by path, account and body; hosts tell each other; after three targets the input is refused as not run. A head that does not end in time was cut without a word; it now gets 408. ClientAccount of the routing table is renamed: the name was taken in the same namespace with another layout.

--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -82,4 +82,5 @@
 struct Suspect {
   digest @0 :Text;
   targets @1 :List(Text);  # ids of targets that ended while they ran it
+  cleared @2 :Bool;        # a target has completed it
 }
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -171,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe1435118b07275f, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fe1435118b07275f, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1171,6 +1171,8 @@
   inline bool hasTargets() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTargets() const;
 
+  inline bool getCleared() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1214,6 +1216,9 @@
   inline void adoptTargets(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTargets();
 
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2723,6 +2728,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Suspect::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Suspect::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Suspect::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -164,12 +164,14 @@
       write(From.Items_[I], List[I]);
   }
   void operator()(const SuspectRequests &From) {
-    auto List = To_.initSuspects(From.Requests_.size());
-    for (unsigned I = 0; I < From.Requests_.size(); ++I) {
-      List[I].setDigest(From.Requests_[I].Digest_);
-      auto Targets = List[I].initTargets(From.Requests_[I].Targets_.size());
-      for (unsigned J = 0; J < From.Requests_[I].Targets_.size(); ++J)
-        Targets.set(J, From.Requests_[I].Targets_[J]);
+    auto List = To_.initSuspects(From.Inputs_.size());
+    for (unsigned I = 0; I < From.Inputs_.size(); ++I) {
+      const SuspectInput &Input = From.Inputs_[I];
+      List[I].setDigest(Input.Digest_);
+      List[I].setCleared(Input.Cleared_);
+      auto Targets = List[I].initTargets(Input.CrashedTargets_.size());
+      for (unsigned J = 0; J < Input.CrashedTargets_.size(); ++J)
+        Targets.set(J, Input.CrashedTargets_[J]);
     }
   }
 };
@@ -178,11 +180,12 @@
 readSuspects(capnp::List<fleet::Suspect, capnp::Kind::STRUCT>::Reader List) {
   SuspectRequests Out;
   for (auto One : List) {
-    SuspectRequest Suspect;
-    Suspect.Digest_ = text(One.getDigest());
+    SuspectInput Input;
+    Input.Digest_ = text(One.getDigest());
+    Input.Cleared_ = One.getCleared();
     for (auto Target : One.getTargets())
-      Suspect.Targets_.push_back(text(Target));
-    Out.Requests_.push_back(std::move(Suspect));
+      Input.CrashedTargets_.push_back(text(Target));
+    Out.Inputs_.push_back(std::move(Input));
   }
   return Out;
 }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -4,6 +4,7 @@
 #define AMARANTH_PROTOCOL_FLEETMESSAGES_H
 
 #include "Protocol/EdgeProtocol.h"
+#include "Protocol/PeerMessages.h"
 #include "Protocol/PlatformStore.h"
 #include "Support/Time.h"
 
@@ -92,13 +93,9 @@
   std::uint64_t Revision_ = 0;
 };
 
-/// An input that may crash targets.
-struct SuspectRequest {
-  std::string Digest_;
-  std::vector<std::string> Targets_; ///< Ended while they ran it.
-};
+/// Inputs that may crash targets.
 struct SuspectRequests {
-  std::vector<SuspectRequest> Requests_;
+  std::vector<SuspectInput> Inputs_;
 };
 
 using FleetMessage =
--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -21,6 +21,9 @@
 /// Time for the whole body of a request after its head.
 constexpr Milliseconds BodyTimeout{10000};
 
+/// Time for a caller to take the refusal of a request that was not read.
+constexpr Milliseconds RefusalTimeout{1000};
+
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 bool expectsContinue(const transport::HttpHead &Head) {
@@ -139,7 +142,8 @@
       co_return false;
   }
   Arrival = SteadyClock::now();
-  Caller->setDeadline(Arrival + Limits.HeaderTimeout_);
+  Caller->setDeadline(Arrival + Limits.HeaderTimeout_,
+                      TcpLink::AtDeadline::Interrupt);
   bool Continued = false;
   for (;;) {
     Reader.feed(Input);
@@ -147,7 +151,8 @@
       break;
     if (Reader.state() == HttpReader::State::Body && !Continued) {
       Continued = true;
-      Caller->setDeadline(SteadyClock::now() + BodyTimeout);
+      Caller->setDeadline(SteadyClock::now() + BodyTimeout,
+                          TcpLink::AtDeadline::Interrupt);
       if (expectsContinue(Reader.head())) {
         std::string Continue(ContinueAnswer);
         co_await Caller->write(Continue);
@@ -170,6 +175,11 @@
       co_return false;
     }
     LinkStatus Received = co_await Caller->readSome();
+    if (Received == LinkStatus::TimedOut) {
+      Caller->clearDeadline();
+      Reason = "the request was not received in time";
+      co_await refuseUnread(Caller, 408, Reason);
+    }
     if (Received != LinkStatus::Ok)
       co_return false;
   }
@@ -186,6 +196,7 @@
   std::string NoId;
   std::string Answer =
       Context_.Edge_.ownAnswer(Status, NoId, Reason, std::nullopt, true);
+  Caller->setDeadline(SteadyClock::now() + RefusalTimeout);
   co_await Caller->write(Answer);
 }
 
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -4,6 +4,7 @@
 #define AMARANTH_SERVING_ENTRYCONTEXT_H
 
 #include "Coordination/Engines/EngineChooser.h"
+#include "Coordination/SuspectRegistry.h"
 #include "Coordination/Targets/TargetHealth.h"
 #include "Coordination/Targets/TargetRegistry.h"
 #include "Coordination/Targets/WindowBudget.h"
@@ -17,12 +18,18 @@
 
 /// State of an entry host that its tasks read and change on the loop's thread.
 struct EntryContext {
+  /// Targets that an input may crash before it is refused. Connections also
+  /// break for other reasons, so two broken runs prove nothing.
+  static constexpr std::size_t MaxCrashes = 3;
+
   EntryContext(transport::Loop &Executor, state::HostSettings HostSettings,
-               const protocol::EdgeProtocol &EdgeProtocol)
+               const protocol::EdgeProtocol &EdgeProtocol,
+               coordination::SuspectListener &SuspectNews)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
         Edge_(EdgeProtocol), Connections_(Executor),
         Budget_({Settings_.RetryRatio_, Settings_.RetryExtra_,
-                 Settings_.RetryWindow_}) {}
+                 Settings_.RetryWindow_}),
+        Suspects_(suspectSettings(), &SuspectNews) {}
 
   transport::Loop &Loop_;
   state::HostSettings Settings_;
@@ -34,9 +41,17 @@
   coordination::EngineChooser Engines_;
   TargetConnections Connections_;
   coordination::WindowBudget Budget_;
+  coordination::SuspectRegistry Suspects_;
   bool Draining_ = false;
   SteadyTime DrainStarted_{};
   std::size_t RequestsInProgress_ = 0;
+
+private:
+  static coordination::SuspectRegistrySettings suspectSettings() {
+    coordination::SuspectRegistrySettings Out;
+    Out.CrashLimit_ = MaxCrashes;
+    return Out;
+  }
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -59,7 +59,7 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : Context_(Executor, Settings, Edge), Codec_(Codec), Stages_(*this),
+    : Context_(Executor, Settings, Edge, *this), Codec_(Codec), Stages_(*this),
       Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
@@ -241,6 +241,10 @@
   } else if (const auto *Records =
                  std::get_if<protocol::StoreRecords>(&Message)) {
     takeRecords(*Records);
+  } else if (const auto *Suspects =
+                 std::get_if<protocol::SuspectRequests>(&Message)) {
+    for (const protocol::SuspectInput &One : Suspects->Inputs_)
+      Context_.Suspects_.merge(One);
   }
 }
 
@@ -249,6 +253,16 @@
   Stages_.onDispatcherLost(Host);
 }
 
+void EntryHost::onSuspectChanged(const protocol::SuspectInput &Suspect) {
+  LogEvent(LogLevel::Info, "suspect_input")
+      .field("digest", Suspect.Digest_.substr(0, 16))
+      .field("targets", Suspect.CrashedTargets_.size())
+      .field("cleared", Suspect.Cleared_ ? 1 : 0);
+  protocol::SuspectRequests News;
+  News.Inputs_.push_back(Suspect);
+  Peers_.broadcast(FleetMessage(std::move(News)));
+}
+
 std::string EntryHost::dispatcherOf(const std::string &Service) {
   std::string Best;
   std::uint64_t BestRank = 0;
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -25,7 +25,8 @@
                         public StoreListener,
                         public HostStatus,
                         public DispatcherGate,
-                        public PieceReportListener {
+                        public PieceReportListener,
+                        public coordination::SuspectListener {
 public:
   EntryHost(transport::Loop &Executor, const state::HostSettings &Settings,
             const protocol::EdgeProtocol &Edge,
@@ -59,6 +60,8 @@
   // PieceReportListener
   void onPieceReports(const std::string &Owner,
                       protocol::PieceReports Reports) override;
+  // SuspectListener
+  void onSuspectChanged(const protocol::SuspectInput &Suspect) override;
 
 private:
   /// One prefix of the store, followed directly or through other hosts.
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -4,6 +4,7 @@
 #define AMARANTH_SERVING_REQUESTSCOPE_H
 
 #include "Serving/EntryContext.h"
+#include "Serving/TargetExchange.h"
 
 #include <functional>
 #include <string>
@@ -24,8 +25,10 @@
   protocol::CallerRequest Request_;
   state::RoutingTablePtr Table_; ///< Owns Route_ and Account_.
   const state::Route *Route_ = nullptr;
-  const state::ClientAccount *Account_ = nullptr;
+  const state::RoutedAccount *Account_ = nullptr;
   std::string Service_;
+  /// Equal for requests of one account with the same method, path and body.
+  std::string InputDigest_;
   int Priority_ = 0;
   SteadyTime Deadline_; ///< The caller's or the route's, whichever is first.
   SteadyTime AimBy_;    ///< Full worth until then.
@@ -58,6 +61,9 @@
                                        transport::HttpHead FromTarget,
                                        std::string Body);
 
+/// Notes for the registry of suspect inputs how an exchange ended.
+void noteSuspicion(RequestScope &Scope, const TargetExchange &Exchange);
+
 /// Fields that the system adds to the request for \p Target.
 protocol::TargetCallFields targetFields(const RequestScope &Scope,
                                         const state::TargetRecord &Target,
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -2,6 +2,7 @@
 
 #include "Serving/PlainRun.h"
 #include "Serving/StreamRun.h"
+#include "Support/Digest.h"
 #include "Support/Log.h"
 
 #include <random>
@@ -23,6 +24,7 @@
 constexpr Milliseconds DrainAccept{3000};
 constexpr Milliseconds RetryAfterStart{300};
 constexpr Milliseconds RetryAfterDrain{50};
+constexpr Milliseconds RetryAfterCrashes{30000};
 
 /// Why a request is refused before anything is run.
 struct Refusal {
@@ -45,6 +47,14 @@
   return Route.Services_.empty() ? "" : Route.Services_.front().Service_;
 }
 
+std::string inputDigest(const RequestScope &Scope) {
+  std::string Input = Scope.Head_.Method_ + " " + Scope.Head_.Target_ + "\n";
+  if (Scope.Account_)
+    Input += Scope.Account_->Name_;
+  Input.append("\n").append(Scope.Body_);
+  return sha256Hex(Input);
+}
+
 /// Decodes the request and finds its route, account and times.
 std::optional<Refusal> admit(RequestScope &Scope) {
   EntryContext &Context = Scope.Context_;
@@ -68,6 +78,11 @@
     if (!Scope.Account_)
       return Refusal{401, "the key belongs to no client account", std::nullopt};
   }
+  Scope.InputDigest_ = inputDigest(Scope);
+  if (Context.Suspects_.standing(Scope.InputDigest_) ==
+      coordination::InputStanding::Refused)
+    return Refusal{503, "this input has crashed the targets that ran it",
+                   RetryAfterCrashes};
   Scope.Priority_ = Scope.Route_->Priority_;
   if (Scope.Account_ && Scope.Account_->Priority_)
     Scope.Priority_ = *Scope.Account_->Priority_;
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -147,6 +147,7 @@
     Context.Health_.cancelled(Id);
     return;
   }
+  noteSuspicion(Scope_, Exchange);
   TargetResult Result = TargetResult::Broken;
   if (Exchange.state() == ExchangeState::NotSent)
     Result = TargetResult::Unreachable;
--- a/source/State/RoutingTable.cpp
+++ b/source/State/RoutingTable.cpp
@@ -20,7 +20,7 @@
   return Found == Services_.end() ? nullptr : &Found->second;
 }
 
-const ClientAccount *RoutingTable::findAccount(std::string_view Key) const {
+const RoutedAccount *RoutingTable::findAccount(std::string_view Key) const {
   auto Found = AccountsByKey_.find(Key);
   return Found == AccountsByKey_.end() ? nullptr : &Found->second;
 }
--- a/source/State/RoutingTable.h
+++ b/source/State/RoutingTable.h
@@ -83,7 +83,7 @@
   Milliseconds IdleTimeout_{15000};
 };
 
-struct ClientAccount {
+struct RoutedAccount {
   std::string Name_;
   std::optional<int> Priority_; ///< Goes before the route's.
 };
@@ -97,12 +97,12 @@
   std::map<std::string, Service> Services_;
   CallerLimits Limits_;
   bool HasAccounts_ = false;
-  std::map<std::string, ClientAccount, std::less<>> AccountsByKey_;
+  std::map<std::string, RoutedAccount, std::less<>> AccountsByKey_;
 
   /// The route of \p Host with the longest prefix that begins \p Path.
   const Route *findRoute(std::string_view Host, std::string_view Path) const;
   const Service *findService(const std::string &Name) const;
-  const ClientAccount *findAccount(std::string_view Key) const;
+  const RoutedAccount *findAccount(std::string_view Key) const;
 };
 
 using RoutingTablePtr = std::shared_ptr<const RoutingTable>;
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -61,7 +61,8 @@
              sizeof Timeout);
 }
 
-void TcpLink::setDeadline(SteadyTime Deadline) {
+void TcpLink::setDeadline(SteadyTime Deadline, AtDeadline Action) {
+  Action_ = Action;
   if (Deadline_ == Deadline)
     return;
   Deadline_ = Deadline;
@@ -73,11 +74,16 @@
         SteadyClock::now() < *Self->Deadline_)
       return;
     Self->TimedOut_ = true;
-    Self->close();
+    error_code Ignored;
+    if (Self->Action_ == AtDeadline::Close)
+      Self->close();
+    else if (Self->Socket_.is_open())
+      Self->Socket_.cancel(Ignored);
   });
 }
 
 void TcpLink::clearDeadline() {
+  TimedOut_ = false;
   if (!Deadline_)
     return;
   Deadline_.reset();
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -35,8 +35,15 @@
   explicit TcpLink(boost::asio::ip::tcp::socket Accepted);
   ~TcpLink();
 
+  /// What happens to the connection at its deadline.
+  enum class AtDeadline {
+    Close,
+    Interrupt, ///< Operations end as TimedOut; the connection stays open.
+  };
+
   /// Operations in progress fail with TimedOut at \p Deadline.
-  void setDeadline(SteadyTime Deadline);
+  void setDeadline(SteadyTime Deadline, AtDeadline Action = AtDeadline::Close);
+  /// Forgets the deadline, and that it has passed.
   void clearDeadline();
 
   Awaitable<bool> connect(boost::asio::ip::tcp::endpoint Peer);
@@ -76,6 +83,7 @@
   std::string Input_;
   std::function<void()> OnEnd_;
   std::uint64_t WatchNumber_ = 0;
+  AtDeadline Action_ = AtDeadline::Close;
   bool TimedOut_ = false;
 };
 
