--- /dev/null
+++ b/tests/Platform/CodecTest.cpp
@@ -0,0 +1,272 @@
+#include "platform/EdgeCodec.h"
+#include "platform/RecordCodec.h"
+#include "platform/SettingsFile.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace amaranth;
+using protocol::CallerRequest;
+using transport::HttpHead;
+
+namespace {
+
+const char *Settings = "node=front-a-1\nzone=a\nregion=r\nip=10.1.0.41\n"
+                       "listen.front=10.1.0.41:8625\n"
+                       "listen.ready=10.1.0.41:8621\n"
+                       "listen.directory=10.1.0.41:8620\n"
+                       "platform.address=10.200.1.7:8624\n"
+                       "internal_port_range=7740,7755\n"
+                       "bounds.grace_s=8\nbounds.ttl_max_s=5\n"
+                       "bounds.retry_budget_ratio=0.25\n"
+                       "limits.memory_mb=260\nsome.new.field=1\n";
+
+const char *Configuration = R"({"version":7,"routes":[
+  {"name":"r1","host":"h.example","prefix":"/a/","kind":"streaming",
+   "timeout_ms":12000,"target_latency_ms":2200,"priority":2,
+   "weighted_services":[{"service":"m","weight":90},{"service":"n","weight":10}],
+   "max_attempts":2,"stages":[{"service":"s","after":[],"bytes":8000},
+   {"service":"s","after":[0],"bytes":60}],"public":false,
+   "session_affinity":true,"stream_resume":true,"gap_aim_ms":600},
+  {"name":"r2","host":"h.example","prefix":"/a/b/","kind":"idempotent",
+   "service":"p","public":true}],
+ "services":[{"name":"s","max_connections":280,"pieces":{"slots":1,"queue":2,
+   "batch":8,"call_ms":240.0,"item_ms":26.5,"headroom_mb":9.6,"handle_s":4.0}},
+  {"name":"m","engine":{"slots":64,"kv_capacity_tokens":1000}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
+
+HttpHead request() {
+  HttpHead Head;
+  Head.Method_ = "POST";
+  Head.Target_ = "/a/x?y=1";
+  Head.Fields_ = {
+      {"Host", "h.example"},      {"Request-Id", "id1"},
+      {"Deadline-Ms", "1500"},    {"Key", "secret"},
+      {"Token-Count", "1460,80"}, {"Prompt-Prefix", "5c:800, 91:410"},
+      {"Pieces", "1,0,4"},        {"Piece-Key", "pk"},
+      {"X-Own", "kept"}};
+  return Head;
+}
+
+/// True if \p Message has the header line \p Line.
+bool hasLine(const std::string &Message, const std::string &Line) {
+  return Message.find("\r\n" + Line + "\r\n") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a wrong reading of the settings and against a start with
+// values that cannot work.
+TEST_CASE("settings file: values, unknown fields and faults") {
+  auto Good = platform::readSettingsFile(Settings);
+  REQUIRE(Good.Settings_);
+  CHECK(Good.Settings_->PeerAddress_ == "10.1.0.41:7740");
+  CHECK(Good.Settings_->Grace_ == Seconds{8});
+  CHECK(Good.Settings_->RetryRatio_ == 0.25);
+  CHECK(Good.Settings_->MemoryMegabytes_ == 260);
+
+  std::string Text = Settings;
+  auto Bad = platform::readSettingsFile(
+      Text + "bounds.grace_s=soon\nlisten.front=nowhere\nzone=\n");
+  CHECK_FALSE(Bad.Settings_);
+  REQUIRE(Bad.Faults_.size() == 3);
+  CHECK(Bad.Faults_[0] == "zone is missing");
+  CHECK(Bad.Faults_[1] == "listen.front=nowhere: expected IP:PORT");
+  CHECK(Bad.Faults_[2].find("bounds.grace_s=soon") == 0);
+  CHECK_FALSE(platform::readSettingsFile("").Settings_);
+}
+
+// Guards against fields of the configuration that are lost or misread.
+TEST_CASE("record codec: a configuration") {
+  platform::RecordCodec Codec;
+  auto Read = capture([&] { return Codec.readConfiguration(Configuration); });
+  REQUIRE(Read);
+  CHECK(Read->Version_ == 7);
+  const state::Route *Route = Read->findRoute("h.example", "/a/x");
+  REQUIRE(Route);
+  CHECK(Route->Kind_ == state::RequestKind::Stream);
+  CHECK(Route->Resumable_);
+  CHECK(Route->MaxAttempts_ == 2);
+  CHECK(Route->Services_.size() == 2);
+  REQUIRE(Route->Stages_.size() == 2);
+  CHECK(Route->Stages_[1].After_ == std::vector<std::size_t>{0});
+  // The longest prefix that begins the path wins.
+  CHECK(Read->findRoute("h.example", "/a/b/c")->Name_ == "r2");
+  CHECK(Read->findRoute("other.example", "/a/x") == nullptr);
+  CHECK(Read->findRoute("h.example", "/c") == nullptr);
+  const state::Service *Stage = Read->findService("s");
+  REQUIRE((Stage && Stage->Stage_));
+  CHECK(Stage->Stage_->PieceTime_ == Microseconds{26500});
+  CHECK(Stage->Stage_->ResultRoom_ == 9600000);
+  CHECK(Read->Limits_.MaxBodyBytes_ == 100);
+  REQUIRE(Read->findAccount("k2"));
+  CHECK(Read->findAccount("k2")->Name_ == "t");
+  CHECK(Read->findAccount("k3") == nullptr);
+}
+
+// Guards against using a target whose record another writer made.
+TEST_CASE("record codec: foreign target records name no target") {
+  platform::RecordCodec Codec;
+  auto read = [&](const std::string &Value) {
+    return capture([&] { return Codec.readTarget("servers/i-1", Value); });
+  };
+  auto Good = read(R"({"service":"s","address":"10.0.0.1:80","zone":"a",
+    "slots":64,"state":"draining","born":1700000000000,"sequence":4})");
+  REQUIRE(Good);
+  CHECK(Good->Id_ == "i-1");
+  CHECK(Good->Leaving_);
+  CHECK(Good->Incarnation_ == 1700000000000);
+  for (const char *Bad :
+       {"", "[]", "null", "{", "\xff\xfe", R"({"service":"s"})",
+        R"({"service":1,"address":"x","state":"ready"})",
+        R"({"service":"s","address":"x","state":"broken"})",
+        R"({"service":"s","address":"x","state":["ready"]})"}) {
+    INFO(Bad);
+    CHECK_FALSE(read(Bad));
+  }
+}
+
+// Guards against crashes on whatever bytes the store may hold.
+TEST_CASE("record codec: damaged records never stop the process") {
+  platform::RecordCodec Codec;
+  std::mt19937 Random(7);
+  std::string Whole = Configuration;
+  for (int Round = 0; Round < 3000; ++Round) {
+    std::string Damaged = Whole;
+    for (int I = 0; I < 1 + Round % 6; ++I)
+      Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
+    Damaged.resize(Random() % (Damaged.size() + 1));
+    (void)capture([&] { return Codec.readConfiguration(Damaged); });
+    (void)capture([&] { return Codec.readTarget("servers/x", Damaged); });
+    platform::EdgeCodec Edge;
+    (void)capture([&] { return Edge.readStageAnswer(Damaged); });
+    (void)platform::readSettingsFile(Damaged);
+  }
+  SUCCEED();
+}
+
+// Guards against what a caller must not set reaching a target, and against the
+// key leaving this host.
+TEST_CASE("edge codec: a target gets the caller's request without secrets") {
+  platform::EdgeCodec Edge;
+  HttpHead Head = request();
+  for (const char *Name :
+       {"Tenant", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch",
+        "Expect-Instance", "Expect-Version", "Inputs", "Request-Priority"})
+    Head.Fields_.emplace_back(Name, "forged");
+  Head.Fields_.emplace_back("Connection", "keep-alive, X-Hop");
+  Head.Fields_.emplace_back("X-Hop", "dropped");
+  protocol::TargetCallFields Fields;
+  Fields.TargetId_ = "i-1";
+  Fields.Account_ = "t";
+  Fields.Deadline_ = Milliseconds{900};
+  Fields.Inputs_ = {"a/1", "b/2"};
+  Fields.Generation_ = true;
+  std::string Out = Edge.targetRequest(Head, "body", Fields);
+  CHECK(Out.rfind("POST /a/x?y=1 HTTP/1.1\r\n", 0) == 0);
+  CHECK(Out.find("forged") == std::string::npos);
+  CHECK(Out.find("secret") == std::string::npos);
+  CHECK(Out.find("dropped") == std::string::npos);
+  CHECK(hasLine(Out, "Request-Id: id1"));
+  CHECK(hasLine(Out, "Tenant: t"));
+  CHECK(hasLine(Out, "Expect-Instance: i-1"));
+  CHECK(hasLine(Out, "Deadline-Ms: 900"));
+  CHECK(hasLine(Out, "Inputs: a/1,b/2"));
+  CHECK(hasLine(Out, "X-Own: kept"));
+  CHECK(hasLine(Out, "Token-Count: 1460,80"));
+  CHECK(hasLine(Out, "Content-Length: 4"));
+  CHECK(Out.substr(Out.size() - 8) == "\r\n\r\nbody");
+}
+
+// Guards against a misread request, and against serving one that is malformed.
+TEST_CASE("edge codec: a caller's request") {
+  platform::EdgeCodec Edge;
+  auto Read = capture([&] { return Edge.readRequest(request()); });
+  REQUIRE(Read);
+  CHECK(Read->Path_ == "/a/x");
+  CHECK(Read->Deadline_ == Milliseconds{1500});
+  CHECK(Read->PromptTokens_ == 1460);
+  REQUIRE(Read->Prompt_.size() == 2);
+  CHECK(Read->Prompt_[1].Id_ == "91");
+  CHECK(Read->Pieces_ == std::vector<std::size_t>{1, 0, 4});
+  for (auto [Name, Value] :
+       {std::pair<const char *, const char *>{"Deadline-Ms", "-1"},
+        {"Deadline-Ms", "1.5"},
+        {"Token-Count", "5"},
+        {"Prompt-Prefix", "abc"},
+        {"Pieces", "1,x"}}) {
+    INFO(Name << ": " << Value);
+    HttpHead Head = request();
+    for (auto &[Field, Old] : Head.Fields_)
+      if (Field == Name)
+        Old = Value;
+    CHECK_FALSE(capture([&] { return Edge.readRequest(Head); }));
+  }
+  HttpHead TwoHosts = request();
+  TwoHosts.Fields_.emplace_back("host", "other.example");
+  CHECK_FALSE(capture([&] { return Edge.readRequest(TwoHosts); }));
+}
+
+// Guards against answers whose meaning is lost: whether the request ran, and
+// whose answer it is.
+TEST_CASE("edge codec: a target's answer") {
+  platform::EdgeCodec Edge;
+  HttpHead Head;
+  Head.Status_ = 503;
+  Head.Fields_ = {{"Not-Executed", "1"},
+                  {"Server-Load", "3,1,8,150"},
+                  {"Keep-Alive", "timeout=5"},
+                  {"Request-Id", "id1"}};
+  protocol::TargetReply Reply = Edge.readReply(Head);
+  CHECK(Reply.NotExecuted_);
+  CHECK_FALSE(Reply.Signed_);
+  CHECK(Reply.RequestId_ == "id1");
+  REQUIRE(Reply.Load_);
+  CHECK(Reply.Load_->Slowness_ == 1.5);
+  CHECK(Reply.KeepAlive_ == Seconds{5});
+  Head.Fields_ = {{"Server-Load", "3,x"}};
+  CHECK_FALSE(Edge.readReply(Head).Load_);
+  CHECK_FALSE(Edge.readReply(Head).NotExecuted_);
+  Head.Status_ = 421;
+  CHECK(Edge.readReply(Head).NotExecuted_);
+}
+
+// Guards against fields of a target's answer that are for the system only, and
+// against framing that is passed on although the body is framed anew.
+TEST_CASE("edge codec: what callers see of a target's answer") {
+  platform::EdgeCodec Edge;
+  HttpHead Head;
+  Head.Status_ = 200;
+  Head.Fields_ = {{"Response-Signature", "sig"},
+                  {"Server-Load", "1,2,3"},
+                  {"Transfer-Encoding", "chunked"},
+                  {"Connection", "close"},
+                  {"Instance-Id", "i"},
+                  {"Content-Type", "x/y"}};
+  CHECK(Edge.answerHead(Head) ==
+        "HTTP/1.1 200 OK\r\nResponse-Signature: sig\r\n"
+        "Content-Type: x/y\r\n");
+}
+
+// Guards against a stage answer that is read with the wrong meaning.
+TEST_CASE("edge codec: stage answers") {
+  platform::EdgeCodec Edge;
+  auto Read = capture([&] {
+    return Edge.readStageAnswer(
+        R"({"items":[{"handle":"10.0.0.1:80/ab"},{"reason":"gone"},
+        {"reason":"late"},{"reason":"room"},{"reason":"other"},{}]})");
+  });
+  REQUIRE(Read);
+  using protocol::PieceEnd;
+  std::vector<PieceEnd> Ends;
+  for (const protocol::PieceOutcome &One : *Read)
+    Ends.push_back(One.End_);
+  CHECK(Ends == std::vector<PieceEnd>{PieceEnd::Made, PieceEnd::Gone,
+                                      PieceEnd::Late, PieceEnd::NoRoom,
+                                      PieceEnd::Failed, PieceEnd::Failed});
+  CHECK(Edge.makerOf((*Read)[0].Handle_) == "10.0.0.1:80");
+  CHECK_FALSE(capture([&] { return Edge.readStageAnswer("{}"); }));
+}
--- /dev/null
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -0,0 +1,86 @@
+#include "Protocol/FleetMessages.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace amaranth;
+using namespace amaranth::protocol;
+
+namespace {
+
+template <typename T> T roundTrip(const T &Message) {
+  std::string Bytes = encodeFleetMessage(FleetMessage(Message));
+  std::optional<FleetMessage> Read = decodeFleetMessage(Bytes);
+  REQUIRE(Read);
+  REQUIRE(std::holds_alternative<T>(*Read));
+  return std::get<T>(*Read);
+}
+
+PieceOrders orders() {
+  PieceOrder Order;
+  Order.Piece_ = {"request", 2, 3, "key", {"a/1", "b/2"}};
+  Order.Service_ = "service";
+  Order.ResultBytes_ = 800000;
+  Order.Priority_ = -1;
+  Order.AimLeft_ = Milliseconds{-250};
+  Order.ExpiryLeft_ = Milliseconds{9000};
+  Order.DataCentre_ = "dc";
+  Order.Repeat_ = true;
+  return {{Order}};
+}
+
+} // namespace
+
+// Guards against fields that one host writes and another does not read.
+TEST_CASE("fleet messages: fields survive the way to another host") {
+  PieceOrder Order = roundTrip(orders()).Orders_.at(0);
+  CHECK(Order.Piece_.RequestId_ == "request");
+  CHECK(Order.Piece_.Stage_ == 2);
+  CHECK(Order.Piece_.Inputs_ == std::vector<std::string>{"a/1", "b/2"});
+  CHECK(Order.AimLeft_ == Milliseconds{-250});
+  CHECK(Order.Priority_ == -1);
+  CHECK(Order.Repeat_);
+
+  HostState State;
+  State.Host_ = "h";
+  State.Incarnation_ = 77;
+  State.Serving_ = true;
+  State.Watching_ = true;
+  State.Digests_ = {1, ~0ULL};
+  State.Queues_ = {{"s", 12, Milliseconds{30}}};
+  HostState Read = roundTrip(Ping{State}).State_;
+  CHECK(Read.Incarnation_ == 77);
+  CHECK(Read.Digests_ == State.Digests_);
+  CHECK(Read.Watching_);
+  CHECK(Read.Queues_.at(0).Waiting_ == 12);
+
+  PieceReports Reports{{{"r", 1, 2, {PieceEnd::NoRoom, "h/1"}}}};
+  CHECK(roundTrip(Reports).Reports_.at(0).Outcome_.End_ == PieceEnd::NoRoom);
+
+  StoreRecords Records{
+      "op/", {{"op/k", std::string("\0\xff", 2), 9, true}}, true, 12};
+  StoreRecords ReadRecords = roundTrip(Records);
+  CHECK(ReadRecords.Items_.at(0).Value_ == Records.Items_[0].Value_);
+  CHECK(ReadRecords.Items_.at(0).Removed_);
+  CHECK(ReadRecords.Complete_);
+
+  SuspectRequests Suspects{{{"digest", {"t1", "t2"}, true}}};
+  CHECK(roundTrip(Suspects).Inputs_.at(0).CrashedTargets_.size() == 2);
+  CHECK(roundTrip(Suspects).Inputs_.at(0).Cleared_);
+}
+
+// Guards against a damaged message that stops the process.
+TEST_CASE("fleet messages: damaged bytes are no message or another one") {
+  std::mt19937 Random(11);
+  std::string Whole = encodeFleetMessage(FleetMessage(orders()));
+  for (int Round = 0; Round < 3000; ++Round) {
+    std::string Damaged = Whole;
+    for (int I = 0; I < 1 + Round % 5; ++I)
+      Damaged[Random() % Damaged.size()] = static_cast<char>(Random());
+    Damaged.resize(Random() % (Damaged.size() + 1));
+    (void)decodeFleetMessage(Damaged);
+  }
+  CHECK_FALSE(decodeFleetMessage(""));
+  CHECK_FALSE(decodeFleetMessage("1234567"));
+}
