--- a/source/Serving/PeerMesh.cpp
+++ b/source/Serving/PeerMesh.cpp
@@ -179,7 +179,8 @@
       Used += LengthBytes + Length;
       std::optional<FleetMessage> Message = protocol::decodeFleetMessage(Bytes);
       if (!Message) {
-        LogEvent(LogLevel::Warn, "peer_message_malformed");
+        LogEvent(LogLevel::Warn, "peer_message_malformed")
+            .field("host", Over->Host_);
         co_return;
       }
       take(Over, *Message);
@@ -245,7 +246,8 @@
   if (!Over->Open_)
     return false;
   if (Over->Outbox_.size() > Settings_.MaxOutbox_) {
-    LogEvent(LogLevel::Warn, "peer_takes_no_bytes");
+    LogEvent(LogLevel::Warn, "peer_takes_no_bytes")
+        .field("host", Over->Host_);
     closeSession(Over);
     return false;
   }
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -110,10 +110,10 @@
 // Guards against using a target whose record another writer made.
 TEST_CASE("record codec: foreign target records name no target") {
   platform::RecordCodec Codec;
-  auto read = [&](const std::string &Value) {
+  auto Decode = [&](const std::string &Value) {
     return capture([&] { return Codec.readTarget("servers/i-1", Value); });
   };
-  auto Good = read(R"({"service":"s","address":"10.0.0.1:80","zone":"a",
+  auto Good = Decode(R"({"service":"s","address":"10.0.0.1:80","zone":"a",
     "slots":64,"state":"draining","born":1700000000000,"sequence":4})");
   REQUIRE(Good);
   CHECK(Good->Id_ == "i-1");
@@ -125,7 +125,7 @@
         R"({"service":"s","address":"x","state":"broken"})",
         R"({"service":"s","address":"x","state":["ready"]})"}) {
     INFO(Bad);
-    CHECK_FALSE(read(Bad));
+    CHECK_FALSE(Decode(Bad));
   }
 }
 
