--- a/source/Coordination/Stages/StagePlan.cpp
+++ b/source/Coordination/Stages/StagePlan.cpp
@@ -50,6 +50,24 @@
                      Stages_[I].TimeAfter_ + Stages_[I].Time_);
 }
 
+Milliseconds StagePlan::timeToFinish(
+    const std::function<Milliseconds(const std::string &)> &Delay) const {
+  std::vector<Milliseconds> EndsAt(Stages_.size(), Milliseconds(0));
+  Milliseconds Longest{0};
+  // As in computeTimesAfter(), but forwards from the first stages.
+  for (std::size_t Round = 0; Round < Steps_.size(); ++Round)
+    for (std::size_t I = 0; I < Steps_.size(); ++I) {
+      Milliseconds Begin{0};
+      for (std::size_t Earlier : Steps_[I].After_)
+        Begin = std::max(Begin, EndsAt[Earlier]);
+      bool ToDo = !stageMade(I) && isNeeded(I);
+      EndsAt[I] =
+          ToDo ? Begin + Stages_[I].Time_ + Delay(Steps_[I].Service_) : Begin;
+      Longest = std::max(Longest, EndsAt[I]);
+    }
+  return Longest;
+}
+
 bool StagePlan::contains(PieceId Id) const {
   return Id.Stage_ < Stages_.size() &&
          Id.Piece_ < Stages_[Id.Stage_].Pieces_.size();
--- a/source/Coordination/Stages/StagePlan.h
+++ b/source/Coordination/Stages/StagePlan.h
@@ -6,6 +6,7 @@
 #include "State/RoutingTable.h"
 #include "Support/Time.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,10 @@
   Milliseconds timeAfter(std::size_t Stage) const {
     return Stages_[Stage].TimeAfter_;
   }
+  /// Expected time until all stages that are still needed are made, when a
+  /// piece of each service is delayed by what \p Delay returns.
+  Milliseconds timeToFinish(
+      const std::function<Milliseconds(const std::string &)> &Delay) const;
   const state::StageStep &step(std::size_t Stage) const {
     return Steps_[Stage];
   }
--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -12,6 +12,9 @@
 /// a long queue takes.
 constexpr std::size_t MaxPassedOver = 200;
 
+/// Priorities from here on are counted together.
+constexpr int MaxCountedPriority = 9;
+
 /// Time of a call of usual size.
 Milliseconds usualCallTime(const state::StageCapacity &Capacity) {
   auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.Batch_);
@@ -114,6 +117,23 @@
   }
 }
 
+StageQueue::Waiting StageQueue::waiting() const {
+  Waiting Out;
+  for (const auto &[Key, Of] : Groups_) {
+    auto Pieces = static_cast<std::uint32_t>(Of.Pieces_.size());
+    if (Of.Late_) {
+      Out.Late_ += Pieces;
+      continue;
+    }
+    std::size_t Counted = static_cast<std::size_t>(
+        std::clamp(Of.Priority_, 0, MaxCountedPriority));
+    if (Out.InTime_.size() <= Counted)
+      Out.InTime_.resize(Counted + 1);
+    Out.InTime_[Counted] += Pieces;
+  }
+  return Out;
+}
+
 void StageQueue::takeFrom(Group &From, const state::StageCapacity &Capacity,
                           std::uint64_t &Room, std::vector<QueuedPiece> &Call) {
   while (!From.Pieces_.empty() && Call.size() < Capacity.Batch_ &&
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -66,6 +66,13 @@
                                    const state::StageCapacity &Capacity,
                                    SteadyTime Now);
 
+  /// Waiting pieces that can meet their aim by priority, and those that cannot.
+  struct Waiting {
+    std::vector<std::uint32_t> InTime_;
+    std::uint32_t Late_ = 0;
+  };
+  Waiting waiting() const;
+
   std::size_t size() const { return Size_; }
   bool empty() const { return Size_ == 0; }
 
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -33,8 +33,9 @@
 
 struct QueueState {
   service @0 :Text;
-  waiting @1 :UInt32;  # pieces
-  delayMs @2 :UInt32;  # until a new piece of usual urgency is made
+  inTime @1 :List(UInt32);  # waiting pieces that can meet their aim, by priority
+  late @2 :UInt32;          # waiting pieces that cannot
+  piecesPerSecond @3 :Float64;
 }
 
 struct Piece {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -81,7 +81,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e214b82b18fb5fed, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e214b82b18fb5fed, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -521,9 +521,12 @@
   inline bool hasService() const;
   inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getWaiting() const;
+  inline bool hasInTime() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getInTime() const;
 
-  inline  ::uint32_t getDelayMs() const;
+  inline  ::uint32_t getLate() const;
+
+  inline double getPiecesPerSecond() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -560,11 +563,19 @@
   inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline  ::uint32_t getWaiting();
-  inline void setWaiting( ::uint32_t value);
+  inline bool hasInTime();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getInTime();
+  inline void setInTime( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setInTime(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initInTime(unsigned int size);
+  inline void adoptInTime(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownInTime();
+
+  inline  ::uint32_t getLate();
+  inline void setLate( ::uint32_t value);
 
-  inline  ::uint32_t getDelayMs();
-  inline void setDelayMs( ::uint32_t value);
+  inline double getPiecesPerSecond();
+  inline void setPiecesPerSecond(double value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1986,31 +1997,69 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QueueState::Reader::getWaiting() const {
+inline bool QueueState::Reader::hasInTime() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueueState::Builder::hasInTime() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueState::Reader::getInTime() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::getInTime() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QueueState::Builder::setInTime( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QueueState::Builder::setInTime(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::initInTime(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QueueState::Builder::adoptInTime(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QueueState::Builder::disownInTime() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t QueueState::Reader::getLate() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QueueState::Builder::getWaiting() {
+inline  ::uint32_t QueueState::Builder::getLate() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void QueueState::Builder::setWaiting( ::uint32_t value) {
+inline void QueueState::Builder::setLate( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QueueState::Reader::getDelayMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double QueueState::Reader::getPiecesPerSecond() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t QueueState::Builder::getDelayMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline double QueueState::Builder::getPiecesPerSecond() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void QueueState::Builder::setDelayMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void QueueState::Builder::setPiecesPerSecond(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -35,9 +35,12 @@
   auto Queues = To.initQueues(From.Queues_.size());
   for (unsigned I = 0; I < From.Queues_.size(); ++I) {
     Queues[I].setService(From.Queues_[I].Service_);
-    Queues[I].setWaiting(From.Queues_[I].Waiting_);
-    Queues[I].setDelayMs(
-        static_cast<std::uint32_t>(From.Queues_[I].Delay_.count()));
+    const QueueState &Queue = From.Queues_[I];
+    auto InTime = Queues[I].initInTime(Queue.InTime_.size());
+    for (unsigned J = 0; J < Queue.InTime_.size(); ++J)
+      InTime.set(J, Queue.InTime_[J]);
+    Queues[I].setLate(Queue.Late_);
+    Queues[I].setPiecesPerSecond(Queue.PiecesPerSecond_);
   }
 }
 
@@ -53,9 +56,15 @@
   To.Watching_ = From.getWatching();
   for (std::uint64_t Digest : From.getDigests())
     To.Digests_.push_back(Digest);
-  for (auto Queue : From.getQueues())
-    To.Queues_.push_back({text(Queue.getService()), Queue.getWaiting(),
-                          Milliseconds(Queue.getDelayMs())});
+  for (auto Queue : From.getQueues()) {
+    QueueState Read;
+    Read.Service_ = text(Queue.getService());
+    for (std::uint32_t Waiting : Queue.getInTime())
+      Read.InTime_.push_back(Waiting);
+    Read.Late_ = Queue.getLate();
+    Read.PiecesPerSecond_ = Queue.getPiecesPerSecond();
+    To.Queues_.push_back(std::move(Read));
+  }
   return To;
 }
 
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -16,11 +16,13 @@
 
 namespace amaranth::protocol {
 
-/// How long new pieces wait at a dispatcher.
+/// What waits at the dispatcher of a stage service.
 struct QueueState {
   std::string Service_;
-  std::uint32_t Waiting_ = 0;
-  Milliseconds Delay_{0};
+  /// Pieces that can meet their request's aim, by priority.
+  std::vector<std::uint32_t> InTime_;
+  std::uint32_t Late_ = 0;     ///< Pieces that cannot.
+  double PiecesPerSecond_ = 0; ///< Made of late; 0 if not known.
 };
 
 /// What a host says of itself.
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -4,6 +4,7 @@
 #define AMARANTH_SERVING_ENTRYCONTEXT_H
 
 #include "Coordination/Engines/EngineChooser.h"
+#include "Coordination/Stages/StageAdmission.h"
 #include "Coordination/SuspectRegistry.h"
 #include "Coordination/Targets/TargetHealth.h"
 #include "Coordination/Targets/TargetRegistry.h"
@@ -24,12 +25,13 @@
 
   EntryContext(transport::Loop &Executor, state::HostSettings HostSettings,
                const protocol::EdgeProtocol &EdgeProtocol,
-               coordination::SuspectListener &SuspectNews)
+               coordination::SuspectListener &SuspectNews,
+               const coordination::QueueView &Queues)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
         Edge_(EdgeProtocol), Connections_(Executor),
         Budget_({Settings_.RetryRatio_, Settings_.RetryExtra_,
                  Settings_.RetryWindow_}),
-        Suspects_(suspectSettings(), &SuspectNews) {}
+        Suspects_(suspectSettings(), &SuspectNews), StageAdmission_(Queues) {}
 
   transport::Loop &Loop_;
   state::HostSettings Settings_;
@@ -42,6 +44,7 @@
   TargetConnections Connections_;
   coordination::WindowBudget Budget_;
   coordination::SuspectRegistry Suspects_;
+  coordination::StageAdmission StageAdmission_;
   bool Draining_ = false;
   SteadyTime DrainStarted_{};
   std::size_t RequestsInProgress_ = 0;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -59,8 +59,8 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : Context_(Executor, Settings, Edge, *this), Codec_(Codec), Stages_(*this),
-      Dispatcher_(Context_, *this),
+    : Context_(Executor, Settings, Edge, *this, *this), Codec_(Codec),
+      Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
@@ -263,7 +263,18 @@
   Peers_.broadcast(FleetMessage(std::move(News)));
 }
 
-std::string EntryHost::dispatcherOf(const std::string &Service) {
+protocol::QueueState EntryHost::queueOf(const std::string &Service) const {
+  std::string Host = dispatcherOf(Service);
+  if (Host == Context_.Settings_.Host_)
+    return Dispatcher_.queueOf(Service);
+  if (const HostState *Peer = Peers_.find(Host))
+    for (const protocol::QueueState &Queue : Peer->Queues_)
+      if (Queue.Service_ == Service)
+        return Queue;
+  return {};
+}
+
+std::string EntryHost::dispatcherOf(const std::string &Service) const {
   std::string Best;
   std::uint64_t BestRank = 0;
   auto Consider = [&](const std::string &Host) {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -26,7 +26,8 @@
                         public HostStatus,
                         public DispatcherGate,
                         public PieceReportListener,
-                        public coordination::SuspectListener {
+                        public coordination::SuspectListener,
+                        public coordination::QueueView {
 public:
   EntryHost(transport::Loop &Executor, const state::HostSettings &Settings,
             const protocol::EdgeProtocol &Edge,
@@ -54,7 +55,7 @@
                       const std::vector<protocol::StoreItem> &Items) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
   // DispatcherGate
-  std::string dispatcherOf(const std::string &Service) override;
+  std::string dispatcherOf(const std::string &Service) const override;
   bool sendTo(const std::string &Host,
               const protocol::FleetMessage &Message) override;
   // PieceReportListener
@@ -62,6 +63,8 @@
                       protocol::PieceReports Reports) override;
   // SuspectListener
   void onSuspectChanged(const protocol::SuspectInput &Suspect) override;
+  // QueueView
+  protocol::QueueState queueOf(const std::string &Service) const override;
 
 private:
   /// One prefix of the store, followed directly or through other hosts.
@@ -95,7 +98,7 @@
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
-  StageDispatcher Dispatcher_;
+  mutable StageDispatcher Dispatcher_; ///< Its counts age when they are read.
   PeerMesh Peers_;
   CallerServer Callers_;
   HostRegistration Registration_;
--- a/source/Serving/PeerMesh.cpp
+++ b/source/Serving/PeerMesh.cpp
@@ -246,8 +246,7 @@
   if (!Over->Open_)
     return false;
   if (Over->Outbox_.size() > Settings_.MaxOutbox_) {
-    LogEvent(LogLevel::Warn, "peer_takes_no_bytes")
-        .field("host", Over->Host_);
+    LogEvent(LogLevel::Warn, "peer_takes_no_bytes").field("host", Over->Host_);
     closeSession(Over);
     return false;
   }
--- a/source/Serving/StageClient.h
+++ b/source/Serving/StageClient.h
@@ -26,7 +26,7 @@
 public:
   virtual ~DispatcherGate() = default;
   /// The host that dispatches for \p Service.
-  virtual std::string dispatcherOf(const std::string &Service) = 0;
+  virtual std::string dispatcherOf(const std::string &Service) const = 0;
   /// False if the host cannot be reached now.
   virtual bool sendTo(const std::string &Host,
                       const protocol::FleetMessage &Message) = 0;
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -290,6 +290,10 @@
   ServiceState &Of = Services_[Service];
   SteadyTime Now = SteadyClock::now();
   std::map<std::string, PieceReports> Reports;
+  auto Made = std::count_if(
+      Outcomes.begin(), Outcomes.end(),
+      [](const PieceOutcome &One) { return One.End_ == PieceEnd::Made; });
+  Of.Made_.emplace_back(Now, static_cast<std::size_t>(Made));
   for (std::size_t I = 0; I < Call.size(); ++I) {
     const PieceOutcome &Outcome = Outcomes[I];
     switch (Outcome.End_) {
@@ -380,12 +384,32 @@
   pumpSoon(Service);
 }
 
-std::vector<protocol::QueueState> StageDispatcher::queues() const {
+protocol::QueueState StageDispatcher::queueOf(const std::string &Service) {
+  protocol::QueueState Out;
+  Out.Service_ = Service;
+  auto Found = Services_.find(Service);
+  if (Found == Services_.end())
+    return Out;
+  ServiceState &Of = Found->second;
+  coordination::StageQueue::Waiting Waiting = Of.Queue_.waiting();
+  Out.InTime_ = std::move(Waiting.InTime_);
+  Out.Late_ = Waiting.Late_;
+  SteadyTime Oldest = SteadyClock::now() - Settings_.RateWindow_;
+  while (!Of.Made_.empty() && Of.Made_.front().first < Oldest)
+    Of.Made_.pop_front();
+  std::size_t Made = 0;
+  for (const auto &[Time, Count] : Of.Made_)
+    Made += Count;
+  Out.PiecesPerSecond_ = 1000.0 * static_cast<double>(Made) /
+                         static_cast<double>(Settings_.RateWindow_.count());
+  return Out;
+}
+
+std::vector<protocol::QueueState> StageDispatcher::queues() {
   std::vector<protocol::QueueState> Out;
   for (const auto &[Service, Of] : Services_)
     if (!Of.Queue_.empty())
-      Out.push_back({Service, static_cast<std::uint32_t>(Of.Queue_.size()),
-                     Milliseconds(0)});
+      Out.push_back(queueOf(Service));
   return Out;
 }
 
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -8,6 +8,7 @@
 #include "Protocol/FleetMessages.h"
 #include "Serving/EntryContext.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,6 +30,8 @@
   /// How long a cancelled request is remembered: longer than a call takes, so
   /// that results made for it are freed.
   Milliseconds CancelMemory_{10000};
+  /// Over which the rate of a service is measured: some calls of each target.
+  Milliseconds RateWindow_{2000};
 };
 
 /// Takes what became of pieces, for the host that ordered them.
@@ -53,7 +56,8 @@
   void cancelOwner(const std::string &Owner);
   void release(const protocol::UnneededResult &Result);
   /// Length of each queue that is not empty.
-  std::vector<protocol::QueueState> queues() const;
+  std::vector<protocol::QueueState> queues();
+  protocol::QueueState queueOf(const std::string &Service);
 
 private:
   struct TargetState {
@@ -68,6 +72,8 @@
     coordination::ResultLedger Ledger_;
     std::map<std::string, TargetState> Targets_;
     bool PumpPending_ = false;
+    /// Pieces made lately, with the time of their call's end.
+    std::deque<std::pair<SteadyTime, std::size_t>> Made_;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
   using OwnedRequest = std::pair<std::string, std::string>;
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -13,6 +13,8 @@
 
 /// Times that a piece is made anew before the request is given up.
 constexpr int MaxPieceFailures = 4;
+/// How often a request that is held asks whether its stages may begin.
+constexpr Milliseconds HoldPeriod{60};
 
 } // namespace
 
@@ -31,6 +33,9 @@
 
 Awaitable<StageEnd> StageRun::run() {
   Scope_.Interrupt_ = [this] { Changed_.notify(); };
+  std::optional<StageEnd> Early = co_await waitForStart();
+  if (Early)
+    co_return *Early;
   while (!Plan_.allMade()) {
     orderReady();
     bool Woken = co_await Changed_.wait(UsableUntil_);
@@ -45,6 +50,29 @@
   co_return StageEnd::Done;
 }
 
+Awaitable<std::optional<StageEnd>> StageRun::waitForStart() {
+  using coordination::StageStart;
+  while (!Begun_ && !Plan_.allMade()) {
+    SteadyTime Now = SteadyClock::now();
+    StageStart Start = Scope_.Context_.StageAdmission_.decide(
+        Plan_, Scope_.Priority_, ReadyBy_, UsableUntil_, Now);
+    if (Start == StageStart::Begin)
+      break;
+    if (Start == StageStart::Refuse)
+      co_return StageEnd::OutOfTime;
+    SteadyTime Next = Now + HoldPeriod;
+    co_await Changed_.wait(Next);
+    if (Scope_.Gone_)
+      co_return StageEnd::CallerGone;
+  }
+  Begun_ = true;
+  co_return std::nullopt;
+}
+
+Milliseconds StageRun::retryAfter() const {
+  return Scope_.Context_.StageAdmission_.retryAfter(Plan_);
+}
+
 void StageRun::orderReady() {
   std::vector<PieceRequest> Orders;
   for (PieceId Id : Plan_.takeReady())
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -9,6 +9,7 @@
 #include "Transport/Loop.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,7 @@
 
 enum class StageEnd {
   Done,
-  OutOfTime,
+  OutOfTime, ///< They cannot be finished before the caller gives up.
   Failed,
   CallerGone,
 };
@@ -36,6 +37,8 @@
   transport::Awaitable<StageEnd> run();
   /// Handles of the stages that no other stage follows.
   std::vector<std::string> inputs() const { return Plan_.lastHandles(); }
+  /// When a caller may come back whose stages were not finished.
+  Milliseconds retryAfter() const;
   /// How many of them are not in \p DataCentre.
   std::size_t inputsAway(const std::string &DataCentre) const;
   /// Bytes of the last stages' results in each data centre.
@@ -50,6 +53,8 @@
 private:
   using PieceId = coordination::StagePlan::PieceId;
 
+  /// Waits until the stages may begin; nothing if they may.
+  transport::Awaitable<std::optional<StageEnd>> waitForStart();
   void orderReady();
   PieceRequest request(PieceId Id);
   /// Where most of the bytes are that \p Stage reads or makes.
@@ -67,6 +72,7 @@
   SteadyTime UsableUntil_;
   std::string DataCentre_;
   transport::Wakeup Changed_;
+  bool Begun_ = false;
   bool OutOfTime_ = false;
   bool Failed_ = false;
 };
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -22,6 +22,21 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// Callers give a stream up after a gap, also before its first event, that is
+/// the longest of these: a fixed time, and multiples of the route's aims.
+constexpr Milliseconds MinPatience{2000};
+constexpr int PatienceInAims = 4;
+constexpr int PatienceInPauses = 8;
+
+/// The latest time at which the stages' results are still of use.
+SteadyTime usableUntil(const RequestScope &Scope) {
+  Milliseconds Patience =
+      std::max({MinPatience, PatienceInAims * Scope.Route_->LatencyAim_,
+                PatienceInPauses * Scope.Route_->PauseAim_});
+  SteadyTime GivenUp = Scope.Arrival_ + Patience - FirstEventReserve;
+  return std::min(GivenUp, Scope.Deadline_ - GenerationReserve);
+}
+
 /// The data centre of the engine that the request will probably go to.
 std::string likelyDataCentre(const RequestScope &Scope) {
   EntryContext &Context = Scope.Context_;
@@ -37,9 +52,8 @@
 } // namespace
 
 StreamRun::StreamRun(RequestScope &Scope, StageClient &Client)
-    : Scope_(Scope),
-      Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
-              Scope.Deadline_ - GenerationReserve, likelyDataCentre(Scope)) {}
+    : Scope_(Scope), Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
+                             usableUntil(Scope), likelyDataCentre(Scope)) {}
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
@@ -77,7 +91,8 @@
   std::string Reason = End == StageEnd::OutOfTime
                            ? "the stages cannot be finished in time"
                            : "a stage failed";
-  co_await answerOwn(Scope_, 503, Reason, RetryAfterNoTarget);
+  Milliseconds RetryAfter = Stages_.retryAfter();
+  co_await answerOwn(Scope_, 503, Reason, RetryAfter);
   co_return false;
 }
 
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -48,12 +48,14 @@
   State.Serving_ = true;
   State.Watching_ = true;
   State.Digests_ = {1, ~0ULL};
-  State.Queues_ = {{"s", 12, Milliseconds{30}}};
+  State.Queues_ = {{"s", {0, 12}, 7, 30.5}};
   HostState Read = roundTrip(Ping{State}).State_;
   CHECK(Read.Incarnation_ == 77);
   CHECK(Read.Digests_ == State.Digests_);
   CHECK(Read.Watching_);
-  CHECK(Read.Queues_.at(0).Waiting_ == 12);
+  CHECK(Read.Queues_.at(0).InTime_ == std::vector<std::uint32_t>{0, 12});
+  CHECK(Read.Queues_.at(0).Late_ == 7);
+  CHECK(Read.Queues_.at(0).PiecesPerSecond_ == 30.5);
 
   PieceReports Reports{{{"r", 1, 2, {PieceEnd::NoRoom, "h/1"}}}};
   CHECK(roundTrip(Reports).Reports_.at(0).Outcome_.End_ == PieceEnd::NoRoom);
