--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -47,9 +47,7 @@
   });
   if (Now + InTime <= ReadyBy)
     return StageStart::Begin;
-  Milliseconds Late = Plan.timeToFinish(
-      [&](const std::string &Service) { return delayOfAll(Service); });
-  if (Now + Late > UsableUntil)
+  if (Now + InTime > UsableUntil)
     return StageStart::Refuse;
   for (std::size_t Stage = 0; Stage < Plan.stages(); ++Stage)
     if (Plan.pieces(Stage) > 0 &&
