--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -384,6 +384,22 @@
   pumpSoon(Service);
 }
 
+double StageDispatcher::fullRate(const std::string &Service) const {
+  const state::Service *Known =
+      Context_.Table_ ? Context_.Table_->findService(Service) : nullptr;
+  if (!Known || !Known->Stage_)
+    return 0;
+  const StageCapacity &Capacity = *Known->Stage_;
+  SteadyTime Now = SteadyClock::now();
+  std::size_t Targets = 0;
+  for (const TargetRecord *Target : Context_.Targets_.serving(Service))
+    Targets += Context_.Health_.usable(Target->Id_, Now);
+  auto Call = expectedTime(Capacity, Capacity.Batch_);
+  return 1000.0 *
+         static_cast<double>(Targets * Capacity.Slots_ * Capacity.Batch_) /
+         std::max(1.0, static_cast<double>(Call.count()));
+}
+
 protocol::QueueState StageDispatcher::queueOf(const std::string &Service) {
   protocol::QueueState Out;
   Out.Service_ = Service;
@@ -400,8 +416,10 @@
   std::size_t Made = 0;
   for (const auto &[Time, Count] : Of.Made_)
     Made += Count;
-  Out.PiecesPerSecond_ = 1000.0 * static_cast<double>(Made) /
-                         static_cast<double>(Settings_.RateWindow_.count());
+  double Measured = 1000.0 * static_cast<double>(Made) /
+                    static_cast<double>(Settings_.RateWindow_.count());
+  Out.PiecesPerSecond_ =
+      std::max(Measured, Settings_.LeastRate_ * fullRate(Service));
   return Out;
 }
 
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -32,6 +32,9 @@
   Milliseconds CancelMemory_{10000};
   /// Over which the rate of a service is measured: some calls of each target.
   Milliseconds RateWindow_{2000};
+  /// Part of the rate of full calls that a service reaches at least when enough
+  /// waits; the measured rate is too low while little does.
+  double LeastRate_ = 0.6;
 };
 
 /// Takes what became of pieces, for the host that ordered them.
@@ -100,6 +103,8 @@
                      std::map<std::string, protocol::PieceReports> &Reports);
   transport::Awaitable<void> freeResults(std::string Service,
                                          state::TargetRecord Target);
+  /// Pieces a second if all targets made full calls.
+  double fullRate(const std::string &Service) const;
   void expirePieces(ServiceState &Of);
 
   EntryContext &Context_;
