Prove the platform's rules with real daemons against stand-ins

StoreDouble and TargetDouble let a test decide every byte; eleven tests for UNASKED, DENIED, TWICE, REFUSED, MIXED, ORDER, GONE, CONFIG, DRAIN, LOST and the loss of a dispatcher. Found by them: records removed within two seconds of a host's start were kept as if the store had just returned from an outage; a host that has read nothing yet has nothing to doubt.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -208,6 +208,9 @@
 }
 
 void EntryHost::noteStore() {
+  // Nothing can have expired before the first reading.
+  if (!TargetsKnown_)
+    return;
   // Hosts that do not watch know the store's state from those that do.
   bool Connected = Watching_ && storeConnected();
   for (const HostState &Peer : Peers_.serving())
--- /dev/null
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -0,0 +1,341 @@
+#include "Integration/Eventually.h"
+#include "Integration/Platform/PlatformFleet.h"
+#include "Support/Digest.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace amaranth;
+using namespace amaranth::integration;
+using nlohmann::json;
+
+namespace {
+
+/// A store with the configuration, ready for targets and hosts.
+struct Platform {
+  Platform() { Store_.put("op/config", platformConfiguration()); }
+  StoreDouble Store_;
+};
+
+bool answerFull(RawServerConnection &Connection, const RawRequest &Request) {
+  Connection.write(rawAnswer(
+      503,
+      "Not-Executed: 1\r\nRequest-Id: " + Request.field("Request-Id") + "\r\n",
+      ""));
+  return true;
+}
+
+bool resetAfterRun(RawServerConnection &Connection, const RawRequest &) {
+  Connection.reset();
+  return false;
+}
+
+std::string event(int Number) {
+  return "id: " + std::to_string(Number) + "\ndata: x\n\n";
+}
+
+std::string streamHead(const RawRequest &Request) {
+  return transport::statusLine(200) + soundFields(Request) +
+         "Content-Type: text/event-stream\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n";
+}
+
+/// Streams events 1 to 4, beginning after the last that the caller has.
+bool streamAll(RawServerConnection &Connection, const RawRequest &Request) {
+  std::string Last = Request.field("Last-Event-Id");
+  std::string Out = streamHead(Request);
+  for (int I = Last.empty() ? 1 : std::stoi(Last) + 1; I <= 4; ++I)
+    Out += transport::encodeChunk(event(I));
+  Connection.write(Out + std::string(transport::LastChunk));
+  return true;
+}
+
+/// Streams two events and breaks off in the third.
+bool breakMidEvent(RawServerConnection &Connection, const RawRequest &Request) {
+  Connection.write(streamHead(Request) +
+                   transport::encodeChunk(event(1) + event(2) + "id: 3\nda"));
+  std::this_thread::sleep_for(Milliseconds{50});
+  Connection.reset();
+  return false;
+}
+
+} // namespace
+
+// Rules UNASKED, DENIED. Guards against a path that does not serve at all, and
+// against keys that reach targets or requests without one that do.
+TEST_CASE("platform: every host serves what the configuration allows") {
+  Platform P;
+  std::string Tenant;
+  std::string Key = "none yet";
+  TargetDouble Desk(
+      P.Store_, "i-1", "desk",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        Tenant = Request.field("Tenant");
+        Key = Request.field("Key");
+        return answerDone(Connection, Request);
+      });
+  PlatformFleet Fleet(P.Store_, 3);
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    PlatformAnswer Answer = Fleet.call(Host, platformRequest("GET", "/look/1"));
+    CHECK(Answer.Status_ == 200);
+    CHECK(Answer.Body_ == "done");
+    CHECK(Answer.Head_.find("Response-Signature"));
+  }
+  CHECK(Tenant == "t");
+  CHECK(Key.empty());
+  CHECK(Fleet.call(0, platformRequest("GET", "/none/1")).Status_ == 404);
+  std::string Unknown = platformRequest("GET", "/look/1");
+  Unknown.replace(Unknown.find("secret"), 6, "forged");
+  CHECK(Fleet.call(0, Unknown).Status_ == 401);
+  CHECK(Fleet.call(0, "GET / HTTP/1.1\r\nbad\r\n\r\n").Status_ == 400);
+  CHECK(Desk.requests() == 3);
+}
+
+// Rules TWICE, REFUSED. Guards against an order that runs twice because its
+// answer was lost, and against a refusal that says "not run" of one that ran.
+TEST_CASE("platform: a lost answer is never repeated or called not run") {
+  Platform P;
+  TargetDouble One(P.Store_, "i-1", "desk", resetAfterRun);
+  TargetDouble Two(P.Store_, "i-2", "desk", resetAfterRun);
+  PlatformFleet Fleet(P.Store_, 1);
+  PlatformAnswer Answer =
+      Fleet.call(0, platformRequest("POST", "/order/1", "", "wood"));
+  CHECK(Answer.Status_ == 502);
+  CHECK(One.requests() + Two.requests() == 1);
+}
+
+// Rules TWICE, REFUSED. Guards against orders that fail although a target is
+// free, and against a refusal that is not true.
+TEST_CASE("platform: an order goes on only after a target did not run it") {
+  Platform P;
+  TargetDouble Full(P.Store_, "i-1", "desk", answerFull);
+  PlatformFleet Fleet(P.Store_, 1);
+  PlatformAnswer Refused = Fleet.call(0, platformRequest("POST", "/order/1"));
+  CHECK(Refused.Status_ == 503);
+  CHECK(Refused.Head_.find("Retry-After"));
+  CHECK_FALSE(Refused.Head_.find("Response-Signature"));
+  TargetDouble Free(P.Store_, "i-2", "desk", answerDone);
+  // Either target may be asked first.
+  CHECK(eventually(
+      [&] {
+        return Fleet.call(0, platformRequest("POST", "/order/2")).Status_ ==
+               200;
+      },
+      Seconds{3}));
+}
+
+// Rule MIXED. Guards against handing a caller the answer to another request,
+// a part of an answer, or bytes that the target has not signed.
+TEST_CASE("platform: only a target's own whole answer is passed on") {
+  Platform P;
+  std::string Mode;
+  TargetDouble Desk(
+      P.Store_, "i-1", "desk",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        std::string Whole = rawAnswer(200, soundFields(Request), "done");
+        if (Mode == "crossed")
+          Connection.write(
+              rawAnswer(200, "Request-Id: other\r\nResponse-Signature: s\r\n",
+                        "foreign"));
+        if (Mode == "cut") {
+          Connection.write(Whole.substr(0, Whole.size() - 2));
+          return false;
+        }
+        if (Mode == "unsigned")
+          Whole = rawAnswer(
+              200, "Request-Id: " + Request.field("Request-Id") + "\r\n", "x");
+        Connection.write(Whole);
+        if (Mode == "extra")
+          Connection.write(Whole);
+        return true;
+      });
+  PlatformFleet Fleet(P.Store_, 1);
+  for (const char *Sound : {"crossed", "extra", "extra"}) {
+    Mode = Sound;
+    INFO(Mode);
+    PlatformAnswer Answer = Fleet.call(0, platformRequest("POST", "/order/1"));
+    CHECK(Answer.Status_ == 200);
+    CHECK(Answer.Body_ == "done");
+  }
+  for (const char *Bad : {"cut", "unsigned"}) {
+    Mode = Bad;
+    INFO(Mode);
+    CHECK(Fleet.call(0, platformRequest("POST", "/order/1")).Status_ == 502);
+  }
+}
+
+// Rule ORDER. Guards against a broken stream that looks complete, and against
+// a part of an event.
+TEST_CASE(
+    "platform: a stream that may not be continued is visibly broken off") {
+  Platform P;
+  TargetDouble Breaking(P.Store_, "i-1", "engine", breakMidEvent);
+  PlatformFleet Fleet(P.Store_, 1);
+  PlatformAnswer Broken = Fleet.call(0, platformRequest("POST", "/once/1"));
+  CHECK(Broken.Status_ == 200);
+  CHECK_FALSE(Broken.Whole_);
+  CHECK(Broken.Body_ == event(1) + event(2));
+  CHECK(Breaking.requests() == 1);
+}
+
+// Rule ORDER. Guards against events that are lost, doubled or joined when a
+// stream breaks in the middle of one and another engine continues it.
+TEST_CASE("platform: a broken stream is continued at another engine") {
+  Platform P;
+  TargetDouble Breaking(P.Store_, "i-1", "engine", breakMidEvent);
+  TargetDouble Sound(P.Store_, "i-2", "engine", streamAll);
+  PlatformFleet Fleet(P.Store_, 1);
+  // The prompt decides which engine is asked first.
+  for (int Prompt = 0; Prompt < 40 && Breaking.requests() == 0; ++Prompt) {
+    std::string Fields =
+        "Token-Count: 200,10\r\nPrompt-Prefix: " + std::to_string(Prompt) +
+        ":100,ff:100\r\n";
+    PlatformAnswer Answer =
+        Fleet.call(0, platformRequest("POST", "/draft/1", Fields));
+    CHECK(Answer.Whole_);
+    CHECK(Answer.Body_ == event(1) + event(2) + event(3) + event(4));
+  }
+  CHECK(Breaking.requests() == 1);
+}
+
+// Rule GONE. Guards against targets that work for callers who have left.
+TEST_CASE("platform: the target's connection closes when the caller leaves") {
+  Platform P;
+  std::atomic<bool> Closed{false};
+  std::atomic<bool> Started{false};
+  TargetDouble Slow(P.Store_, "i-1", "desk",
+                    [&](RawServerConnection &Connection, const RawRequest &) {
+                      Started = true;
+                      Closed = Connection.waitForClose(2000);
+                      return false;
+                    });
+  PlatformFleet Fleet(P.Store_, 1);
+  Fleet.abandon(0, platformRequest("GET", "/look/1"), Milliseconds{300});
+  CHECK(Started);
+  CHECK(eventually([&] { return Closed.load(); }, Milliseconds{500}));
+}
+
+// Rules CONFIG, LOST. Guards against hosts that miss a change, that forget
+// what they know while the store is away, and that then need it to serve.
+TEST_CASE("platform: configurations reach all hosts and outlast the store") {
+  Platform P;
+  TargetDouble Desk(P.Store_, "i-1", "desk", answerDone);
+  PlatformFleet Fleet(P.Store_, 3);
+  json Changed = platformConfiguration();
+  Changed["version"] = 2;
+  Changed["routes"][0]["prefix"] = "/found/";
+  P.Store_.put("op/config", Changed);
+  CHECK(eventually(
+      [&] {
+        for (std::size_t Host = 0; Host < 3; ++Host)
+          if (Fleet.call(Host, platformRequest("GET", "/found/1")).Status_ !=
+                  200 ||
+              Fleet.call(Host, platformRequest("GET", "/look/1")).Status_ !=
+                  404)
+            return false;
+        return true;
+      },
+      Seconds{2}));
+  P.Store_.setDown(true);
+  std::this_thread::sleep_for(Seconds{2});
+  for (std::size_t Host = 0; Host < 3; ++Host)
+    CHECK(Fleet.call(Host, platformRequest("GET", "/found/1")).Status_ == 200);
+  P.Store_.setDown(false);
+  Changed["version"] = 3;
+  Changed["routes"][0]["prefix"] = "/third/";
+  P.Store_.put("op/config", Changed);
+  CHECK(eventually(
+      [&] {
+        for (std::size_t Host = 0; Host < 3; ++Host)
+          if (Fleet.call(Host, platformRequest("GET", "/third/1")).Status_ !=
+              200)
+            return false;
+        return true;
+      },
+      Seconds{4}));
+}
+
+// Rule DRAIN. Guards against new requests for a target that leaves or is gone.
+TEST_CASE("platform: a leaving target gets no new request") {
+  Platform P;
+  TargetDouble Leaving(P.Store_, "i-1", "desk", answerDone);
+  TargetDouble Gone(P.Store_, "i-2", "desk", answerDone);
+  TargetDouble Stays(P.Store_, "i-3", "desk", answerDone);
+  PlatformFleet Fleet(P.Store_, 2);
+  Leaving.setDraining();
+  P.Store_.remove("servers/i-2");
+  std::this_thread::sleep_for(Milliseconds{500});
+  int Before = Leaving.requests() + Gone.requests();
+  for (int I = 0; I < 40; ++I)
+    CHECK(Fleet.call(I % 2, platformRequest("GET", "/look/1")).Status_ == 200);
+  CHECK(Leaving.requests() + Gone.requests() == Before);
+  CHECK(Stays.requests() >= 40);
+}
+
+// Rules LOST, DRAIN. Guards against a graceful stop that cuts a request in
+// progress, or that leaves the host in the directory.
+TEST_CASE(
+    "platform: a stopping host finishes its requests and is not offered") {
+  Platform P;
+  std::atomic<bool> Started{false};
+  TargetDouble Slow(
+      P.Store_, "i-1", "desk",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        Started = true;
+        std::this_thread::sleep_for(Milliseconds{1500});
+        return answerDone(Connection, Request);
+      });
+  PlatformFleet Fleet(P.Store_, 2);
+  PlatformAnswer Answer;
+  std::thread Caller(
+      [&] { Answer = Fleet.call(0, platformRequest("POST", "/order/1")); });
+  CHECK(eventually([&] { return Started.load(); }, Seconds{3}));
+  Fleet.process(0).terminate();
+  CHECK(eventually(
+      [&] { return !Fleet.ready(0) && Fleet.directory(1).size() == 1; },
+      Seconds{1}));
+  Caller.join();
+  CHECK(Answer.Status_ == 200);
+  std::optional<ExitStatus> Exit = Fleet.process(0).waitExit(Seconds{9});
+  REQUIRE(Exit);
+  CHECK(Exit->Code_ == 0);
+  CHECK(Exit->Signal_ == 0);
+}
+
+// Rule MIXED, for pieces. Guards against an engine that gets results of
+// another stage or of none, and against stages that need the host which is
+// lost: whichever of the three dispatches, the others take over.
+TEST_CASE("platform: stages are made although a host is killed") {
+  Platform P;
+  std::string Inputs;
+  std::unique_ptr<TargetDouble> Maker;
+  Maker = std::make_unique<TargetDouble>(
+      P.Store_, "i-1", "stage",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        return makePieces(Connection, Request, Maker->address());
+      });
+  TargetDouble Engine(
+      P.Store_, "i-2", "engine",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        Inputs = Request.field("Inputs");
+        return streamAll(Connection, Request);
+      });
+  PlatformFleet Fleet(P.Store_, 3);
+  std::string Fields = "Pieces: 1,2\r\nPiece-Key: k\r\n";
+  auto Serves = [&](std::size_t Host) {
+    PlatformAnswer Answer =
+        Fleet.call(Host, platformRequest("POST", "/guide/1", Fields));
+    return Answer.Status_ == 200 && Answer.Whole_;
+  };
+  CHECK(Serves(0));
+  CHECK(std::count(Inputs.begin(), Inputs.end(), ',') == 1);
+  CHECK(Inputs.find(Maker->address() + "/") == 0);
+  Fleet.process(1).kill();
+  Fleet.process(1).waitExit(Seconds{2});
+  // At once, before the others have noticed: the request still succeeds.
+  CHECK(Serves(0));
+  CHECK(Serves(2));
+  CHECK(eventually([&] { return Fleet.directory(0).size() == 2; }, Seconds{3}));
+}
