Refuse connections instead of requests while a host stops or starts

A refused connection costs them nothing. A host now listens once it can serve, or after a second, and stops listening when it drains if another host serves; it exits when its last request is answered.

--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -39,7 +39,7 @@
 }
 
 std::shared_ptr<CallerServer::Acceptor>
-CallerServer::listen(const std::string &Address) {
+CallerServer::bind(const std::string &Address) {
   auto Endpoint = transport::parseEndpoint(Address);
   if (!Endpoint)
     return nullptr;
@@ -49,33 +49,49 @@
   Out->set_option(asio::socket_base::reuse_address(true), Failure);
   Out->bind(*Endpoint, Failure);
   if (!Failure)
-    Out->listen(asio::socket_base::max_listen_connections, Failure);
-  if (Failure) {
+    return Out;
+  LogEvent(LogLevel::Error, "cannot_bind")
+      .field("address", Address)
+      .field("error", Failure.message());
+  return nullptr;
+}
+
+bool CallerServer::listen(Acceptor &At) {
+  boost::system::error_code Failure;
+  At.listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
     LogEvent(LogLevel::Error, "cannot_listen")
-        .field("address", Address)
         .field("error", Failure.message());
-    return nullptr;
-  }
-  return Out;
+  return !Failure;
 }
 
 bool CallerServer::start() {
-  Callers_ = listen(Context_.Settings_.CallerAddress_);
+  Callers_ = bind(Context_.Settings_.CallerAddress_);
   std::shared_ptr<Acceptor> Directory =
-      listen(Context_.Settings_.DirectoryAddress_);
+      bind(Context_.Settings_.DirectoryAddress_);
   std::shared_ptr<Acceptor> Readiness =
-      listen(Context_.Settings_.ReadinessAddress_);
-  if (!Callers_ || !Directory || !Readiness)
+      bind(Context_.Settings_.ReadinessAddress_);
+  if (!Callers_ || !Directory || !Readiness || !listen(*Directory) ||
+      !listen(*Readiness))
     return false;
-  transport::startTask(Context_.Loop_, accept(Callers_, Port::Callers));
   transport::startTask(Context_.Loop_, accept(Directory, Port::Host));
   transport::startTask(Context_.Loop_, accept(Readiness, Port::Host));
   return true;
 }
 
+void CallerServer::acceptCallers() {
+  if (Accepting_ || !listen(*Callers_))
+    return;
+  Accepting_ = true;
+  transport::startTask(Context_.Loop_, accept(Callers_, Port::Callers));
+}
+
 void CallerServer::stopAccepting() {
   boost::system::error_code Ignored;
   Callers_->close(Ignored);
+}
+
+void CallerServer::closeIdle() {
   for (const Link &Idle : Waiting_)
     Idle->close();
 }
--- a/source/Serving/CallerServer.h
+++ b/source/Serving/CallerServer.h
@@ -35,17 +35,25 @@
   CallerServer(EntryContext &Context, StageClient &Stages, HostStatus &Status,
                CallerServerSettings Settings);
 
-  /// False if one of the addresses cannot be used.
+  /// Listens for the platform's checks and the directory; callers wait for
+  /// acceptCallers(). False if one of the addresses cannot be used.
   bool start();
-  /// Stops accepting callers, and closes connections without a request.
+  /// Begins to accept callers. Until then their connections are refused, so
+  /// that they go to other hosts at once.
+  void acceptCallers();
+  bool acceptsCallers() const { return Accepting_; }
+  /// Stops accepting callers; requests on open connections are still served.
   void stopAccepting();
+  /// Closes the connections without a request.
+  void closeIdle();
 
 private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
   using Link = std::shared_ptr<transport::TcpLink>;
   enum class Port { Callers, Host };
 
-  std::shared_ptr<Acceptor> listen(const std::string &Address);
+  std::shared_ptr<Acceptor> bind(const std::string &Address);
+  bool listen(Acceptor &At);
   transport::Awaitable<void> accept(std::shared_ptr<Acceptor> From, Port For);
   transport::Awaitable<void> serve(Link Caller, Port For);
   /// Reads one request; the reader's state tells how that ended.
@@ -64,6 +72,7 @@
   std::shared_ptr<Acceptor> Callers_;
   std::set<Link> Waiting_; ///< Connections between requests.
   std::size_t Connections_ = 0;
+  bool Accepting_ = false;
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -18,7 +18,7 @@
 /// Where hosts of the system publish themselves in the store.
 const std::string HostPrefix = "amaranth/hosts/";
 
-constexpr Milliseconds MaintenancePeriod{100};
+constexpr Milliseconds MaintenancePeriod{50};
 /// A host whose records differ for longer than a change takes to be passed on
 /// is sent all of them.
 constexpr Milliseconds HelpDelay{600};
@@ -26,9 +26,14 @@
 constexpr Milliseconds StoreRetrial{5000};
 /// Time before the end of the grace period at which a draining host stops.
 constexpr Milliseconds DrainReserve{700};
-/// A draining host stays this long at least: callers with an answer of the
-/// directory from before may still come.
-constexpr Milliseconds MinDrain{3500};
+/// After this time a draining host closes connections without a request.
+/// Callers open new ones at the hosts that the directory then names.
+constexpr Milliseconds IdleDrain{1000};
+/// A draining host that knows no serving peer accepts callers for this long.
+constexpr Milliseconds LastHostDrain{3000};
+/// A starting host accepts callers when it can serve them, and in any case
+/// after this time, to tell them when to come back.
+constexpr Milliseconds StartDelay{1000};
 constexpr Milliseconds DrainCheck{50};
 
 /// Descriptors that are not for callers: targets, peers, store and files.
@@ -94,12 +99,13 @@
   for (Followed &One : Followed_)
     One.Follower_->start();
   Registration_.start();
+  Started_ = SteadyClock::now();
   transport::startTask(Context_.Loop_, maintain());
   return true;
 }
 
 bool EntryHost::ready() const {
-  return Context_.Table_ && TargetsKnown_ && !Context_.Draining_;
+  return informed() && Callers_.acceptsCallers() && !Context_.Draining_;
 }
 
 std::vector<std::string> EntryHost::callerAddresses() const {
@@ -182,6 +188,13 @@
                : Of->Mirror_.apply(Records.Items_));
   if (Records.Complete_ && Records.Prefix_ == Codec_.targetPrefix())
     TargetsKnown_ = true;
+  acceptWhenInformed();
+}
+
+void EntryHost::acceptWhenInformed() {
+  bool Waited = SteadyClock::now() - Started_ >= StartDelay;
+  if (!Context_.Draining_ && (informed() || Waited))
+    Callers_.acceptCallers();
 }
 
 void EntryHost::electWatchers() {
@@ -378,6 +391,7 @@
   relay(Prefix, News);
   if (Prefix == Codec_.targetPrefix())
     TargetsKnown_ = true;
+  acceptWhenInformed();
 }
 
 void EntryHost::onStoreChanges(const std::string &Prefix,
@@ -403,6 +417,7 @@
     Context_.Health_.forget(Now);
     Context_.Budget_.setHosts(Peers_.serving().size() + 1);
     Stages_.retryUnsent();
+    acceptWhenInformed();
     electWatchers();
     noteStore();
   }
@@ -422,18 +437,26 @@
 }
 
 Awaitable<void> EntryHost::finishDrain() {
-  SteadyTime Least = Context_.DrainStarted_ + MinDrain;
   SteadyTime Latest =
       Context_.DrainStarted_ + Context_.Settings_.Grace_ - DrainReserve;
+  bool Accepting = true;
   while (SteadyClock::now() < Latest) {
+    auto Drained = SteadyClock::now() - Context_.DrainStarted_;
+    bool OthersServe = !Peers_.serving().empty();
+    // A caller whose connection is refused goes to another host at once.
+    if (Accepting && (OthersServe || Drained >= LastHostDrain)) {
+      Callers_.stopAccepting();
+      Accepting = false;
+    }
+    if (!Accepting && Drained >= IdleDrain) {
+      Callers_.closeIdle();
+      if (Context_.RequestsInProgress_ == 0)
+        break;
+    }
     co_await transport::pause(Context_.Loop_, DrainCheck);
-    bool Idle = Context_.RequestsInProgress_ == 0;
-    if (Idle && SteadyClock::now() >= Least)
-      break;
   }
   LogEvent(LogLevel::Info, "stopped")
       .field("requests", Context_.RequestsInProgress_);
-  Callers_.stopAccepting();
   Context_.Loop_.stop();
 }
 
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -86,6 +86,10 @@
   void relay(const std::string &Prefix,
              const std::vector<protocol::StoreItem> &News);
   void helpPeer(const protocol::HostState &State);
+  /// Whether requests can be checked and sent to targets.
+  bool informed() const { return Context_.Table_ && TargetsKnown_; }
+  /// Accepts callers once there is no reason to wait.
+  void acceptWhenInformed();
   void electWatchers();
   /// Whether the store answers this host, or would probably do so.
   bool storeConnected() const;
@@ -103,6 +107,7 @@
   CallerServer Callers_;
   HostRegistration Registration_;
   std::uint64_t Incarnation_;
+  SteadyTime Started_{};
   std::vector<Followed> Followed_;
   bool Watching_ = true;
   bool TargetsKnown_ = false;
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -19,8 +19,8 @@
 constexpr Milliseconds AnswerReserve{30};
 /// Time a caller may take to read the end of its answer.
 constexpr Milliseconds CallerReadSlack{2000};
-/// A draining host takes requests for this long: callers learn of the drain
-/// from the directory, whose answers they may keep for some seconds.
+/// A draining host serves what arrives on open connections for this long; a
+/// longer request could be cut at the end of the grace period.
 constexpr Milliseconds DrainAccept{3000};
 constexpr Milliseconds RetryAfterStart{300};
 constexpr Milliseconds RetryAfterDrain{50};
