--- a/tests/Serving/StageClientTest.cpp
+++ b/tests/Serving/StageClientTest.cpp
@@ -10,7 +10,9 @@
 
 /// Records what is sent; the dispatcher can be changed and cut off.
 struct Gate final : DispatcherGate {
-  std::string dispatcherOf(const std::string &) const override { return Dispatcher_; }
+  std::string dispatcherOf(const std::string &) const override {
+    return Dispatcher_;
+  }
   bool sendTo(const std::string &Host, const FleetMessage &Message) override {
     if (!Reachable_)
       return false;
