--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -26,11 +26,11 @@
 constexpr Milliseconds StoreRetrial{5000};
 /// Time before the end of the grace period at which a draining host stops.
 constexpr Milliseconds DrainReserve{700};
-/// After this time a draining host closes connections without a request.
-/// Callers open new ones at the hosts that the directory then names.
-constexpr Milliseconds IdleDrain{1000};
-/// A draining host that knows no serving peer accepts callers for this long.
-constexpr Milliseconds LastHostDrain{3000};
+/// A draining host accepts and serves callers for this long: they keep the
+/// directory's answers for seconds, and what began later could be cut at the
+/// end of the grace period. Then it refuses connections, so that callers go to
+/// another host at once.
+constexpr Milliseconds DrainAccept{3000};
 /// A starting host accepts callers when it can serve them, and in any case
 /// after this time, to tell them when to come back.
 constexpr Milliseconds StartDelay{1000};
@@ -441,19 +441,16 @@
       Context_.DrainStarted_ + Context_.Settings_.Grace_ - DrainReserve;
   bool Accepting = true;
   while (SteadyClock::now() < Latest) {
-    auto Drained = SteadyClock::now() - Context_.DrainStarted_;
-    bool OthersServe = !Peers_.serving().empty();
-    // A caller whose connection is refused goes to another host at once.
-    if (Accepting && (OthersServe || Drained >= LastHostDrain)) {
+    co_await transport::pause(Context_.Loop_, DrainCheck);
+    if (SteadyClock::now() - Context_.DrainStarted_ < DrainAccept)
+      continue;
+    if (Accepting) {
       Callers_.stopAccepting();
-      Accepting = false;
-    }
-    if (!Accepting && Drained >= IdleDrain) {
       Callers_.closeIdle();
-      if (Context_.RequestsInProgress_ == 0)
-        break;
+      Accepting = false;
     }
-    co_await transport::pause(Context_.Loop_, DrainCheck);
+    if (Context_.RequestsInProgress_ == 0)
+      break;
   }
   LogEvent(LogLevel::Info, "stopped")
       .field("requests", Context_.RequestsInProgress_);
