Keep a leaving target without load reports out until it has ended

Cause: TargetTable forgot a target's own refusal after 10 s and, when the target reports no load, learned only by a call that it still leaves (KNOWN-RED.txt). The refusal now holds for up to 10 min; such a target is asked for a report each poll while it leaves, and the hold ends early when a report says that it serves, or when it refuses connections (its process has ended; a recheck finds the next one). Ruled out: ending the hold by the host list alone, which in this case calls the target live all the time.

Test "fleet: a target without load reports gets no new work for as long as it leaves": failed before (calls after 10 s), passes; no test is known red.

--- a/source/Coordination/LoadPoller.cpp
+++ b/source/Coordination/LoadPoller.cpp
@@ -60,7 +60,8 @@
 
 void LoadPoller::pollAll() {
   for (const state::Target &Target : Targets_()) {
-    if (!Target.ReportsLoad_)
+    // Others are asked whether they still leave, or have ended.
+    if (!Target.ReportsLoad_ && !Table_.isLeaving(Target.Address_))
       continue;
     {
       std::lock_guard Lock(Mutex_);
@@ -83,6 +84,11 @@
   Call.Deadline_ = SteadyClock::now() + Settings_.Timeout_;
   Call.ProgressTimeout_ = Settings_.Timeout_;
   transport::HttpOutcome Outcome = Client_.call(Call);
+  bool Refused = !Outcome.Ok_ &&
+                 Outcome.Failure_ == transport::CallFailure::NotSent &&
+                 SteadyClock::now() < Call.Deadline_;
+  if (Refused && Table_.isLeaving(Address))
+    Table_.onEnded(Address);
   if (!Outcome.Ok_ || Outcome.Reply_.Status_ != 200)
     return;
   if (auto Report = readLoadReport(Outcome.Reply_.Body_))
--- a/source/Coordination/TargetTable.cpp
+++ b/source/Coordination/TargetTable.cpp
@@ -253,6 +253,18 @@
       Target.SentSinceReport_ += Attempt.Work_;
 }
 
+void TargetTable::onEnded(const std::string &Address) {
+  std::lock_guard Lock(Mutex_);
+  Entry &Target = Targets_[Address];
+  Target.RefusedAt_.reset();
+  Target.ReportedLeaving_ = false;
+  Target.Report_.reset();
+  // Nothing is sent there until a recheck finds a new process.
+  Target.FailureStreak_ =
+      std::max(Target.FailureStreak_, Settings_.FailureThreshold_ - 1);
+  recordFailure(Target, AttemptEnd::Refused, Settings_.Now_());
+}
+
 void TargetTable::onBadReport(const std::string &Address) {
   std::lock_guard Lock(Mutex_);
   ++Targets_[Address].BadReports_;
@@ -276,7 +288,7 @@
 
 bool TargetTable::leaving(const Entry &Target, SteadyTime Now) const {
   // The target's own refusal comes first, then its report, then the host list.
-  if (Target.RefusedAt_ && Now < *Target.RefusedAt_ + Settings_.RefusalHold_)
+  if (Target.RefusedAt_ && Now < *Target.RefusedAt_ + Settings_.MaxRefusalHold_)
     return true;
   bool ReportValid = Target.Report_ &&
                      Now < Target.ReportMeasured_ + Settings_.ReportLifetime_;
--- a/source/Coordination/TargetTable.h
+++ b/source/Coordination/TargetTable.h
@@ -36,8 +36,11 @@
   std::function<SteadyTime()> Now_ = [] { return SteadyClock::now(); };
   /// A load report older than this is not used.
   Milliseconds ReportLifetime_{5000};
-  /// How long a target's own refusal keeps it without new work.
+  /// How long a target's own refusal counts more than its load reports.
   Milliseconds RefusalHold_{10000};
+  /// How long it keeps the target without new work while nothing tells that
+  /// the target serves again or has ended: longer than a target takes to leave.
+  Milliseconds MaxRefusalHold_{600000};
   /// Failures in a row after which a target is avoided until its recheck.
   int FailureThreshold_ = 2;
   Milliseconds MinRecheck_{250}; ///< First wait before a recheck.
@@ -118,6 +121,9 @@
            double ActualWork);
 
   void onLoadReport(const std::string &Address, const LoadReport &Report);
+  /// A target that was asked for a report refused the connection: what it said
+  /// before, also that it leaves, ended with its process.
+  void onEnded(const std::string &Address);
   /// Counts a report that failed its check.
   void onBadReport(const std::string &Address);
   void onHostList(const std::vector<HostListEntry> &Hosts);
--- a/tests/Coordination/TargetTableTest.cpp
+++ b/tests/Coordination/TargetTableTest.cpp
@@ -38,6 +38,25 @@
   CHECK_FALSE(F.Table_.isLeaving("a"));
 }
 
+// Guards against new work for a target that has said that it leaves and reports
+// no load, and against one that is never used again after its restart.
+TEST_CASE("a target's own refusal lasts until it has ended or serves again") {
+  Fixture F;
+  for (const char *Name : {"silent", "ended", "returned"}) {
+    auto Id = F.Table_.begin(Name, WorkClass::Plain, 1);
+    F.Table_.end(Name, Id, AttemptEnd::Leaving, 0);
+  }
+  F.Now_ += Seconds{60};
+  F.Table_.onEnded("ended");
+  F.Table_.onLoadReport("returned", F.report(false));
+  CHECK(F.Table_.isLeaving("silent"));
+  CHECK_FALSE(F.Table_.isLeaving("ended"));
+  CHECK(F.Table_.estimate({"ended"}, WorkClass::Plain, 1)[0].Avoided_);
+  CHECK_FALSE(F.Table_.isLeaving("returned"));
+  F.Now_ += Seconds{541};
+  CHECK_FALSE(F.Table_.isLeaving("silent"));
+}
+
 // Guards against work for a target that only its report or only the host list
 // shows as leaving, and against a late list that keeps a returned target idle.
 TEST_CASE("a report or the host list alone marks a target as leaving") {
--- a/tests/Integration/FleetDrainTest.cpp
+++ b/tests/Integration/FleetDrainTest.cpp
@@ -143,8 +143,7 @@
 // Guards against new work for a leaving target once its refusal is forgotten,
 // while it still leaves and neither load reports nor the host list say so.
 TEST_CASE("fleet: a target without load reports gets no new work for as long "
-          "as it leaves",
-          "[known-red][.]") {
+          "as it leaves") {
   LeavingTarget Test(Milliseconds{0}, false);
   LoadReport Report = Test.run(
       [&] {
