Count a stage piece as late when its call would end after its aim

A piece is now late when a usual call begun now ends after its aim; what can still be in time goes first.

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -102,11 +102,11 @@
   return Out;
 }
 
-void StageQueue::noteLate(SteadyTime Now) {
+void StageQueue::noteLate(SteadyTime MadeBy) {
   // Within a priority the groups are ordered by their aim.
   for (auto At = InTime_.begin(); At != InTime_.end();) {
     auto [Priority, AimBy, Key] = *At;
-    if (AimBy >= Now) {
+    if (AimBy >= MadeBy) {
       At = InTime_.lower_bound(Rank{Priority + 1, SteadyTime::min(), nullptr});
       continue;
     }
@@ -149,10 +149,10 @@
 std::vector<QueuedPiece>
 StageQueue::compose(const FreeTarget &Target,
                     const state::StageCapacity &Capacity, SteadyTime Now) {
-  noteLate(Now);
+  Milliseconds CallTime = usualCallTime(Capacity);
+  noteLate(Now + CallTime);
   std::vector<QueuedPiece> Call;
   std::uint64_t Room = Target.RoomLeft_;
-  Milliseconds CallTime = usualCallTime(Capacity);
   std::size_t Passed = 0;
   for (std::set<Rank> *Filed : {&InTime_, &Late_}) {
     for (auto At = Filed->begin(); At != Filed->end();) {
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -97,8 +97,8 @@
   void file(const Groups::value_type &Item);
   void unfile(const Groups::value_type &Item);
   Groups::iterator remove(Groups::iterator At);
-  /// Files the groups that have missed their aim as late.
-  void noteLate(SteadyTime Now);
+  /// Files the groups that miss their aim if they are made at \p MadeBy.
+  void noteLate(SteadyTime MadeBy);
   /// Moves pieces of \p From into \p Call as far as they fit.
   void takeFrom(Group &From, const state::StageCapacity &Capacity,
                 std::uint64_t &Room, std::vector<QueuedPiece> &Call);
