--- a/source/Coordination/SuspectRegistry.cpp
+++ b/source/Coordination/SuspectRegistry.cpp
@@ -65,10 +65,9 @@
   if (!Known || isInnocent(*Known, Now))
     return Settings_.NewsDelay_;
   auto Shares = [&](const Entry &Other) {
-    return std::any_of(Known->Crashes_.begin(), Known->Crashes_.end(),
-                       [&](const auto &Item) {
-                         return Other.Crashes_.contains(Item.first);
-                       });
+    return std::any_of(
+        Known->Crashes_.begin(), Known->Crashes_.end(),
+        [&](const auto &Item) { return Other.Crashes_.contains(Item.first); });
   };
   std::size_t Before = 0;
   for (const auto &[Name, Other] : Inputs_)
@@ -95,7 +94,8 @@
   std::lock_guard Lock(Mutex_);
   for (auto &[Digest, Known] : Inputs_) {
     auto Found = Known.Crashes_.find(Target);
-    if (Found == Known.Crashes_.end() || Found->second.Expiry_ <= Settings_.Now_())
+    if (Found == Known.Crashes_.end() ||
+        Found->second.Expiry_ <= Settings_.Now_())
       continue;
     Found->second.Confirmed_ = true;
     Found->second.Expiry_ = Found->second.Time_ + Settings_.ConfirmedHold_;
@@ -184,8 +184,8 @@
     std::erase_if(Known.Crashes_, [Now](const auto &Item) {
       return Item.second.Expiry_ <= Now;
     });
-  std::erase_if(
-      Inputs_, [](const auto &Item) { return Item.second.Crashes_.empty(); });
+  std::erase_if(Inputs_,
+                [](const auto &Item) { return Item.second.Crashes_.empty(); });
 }
 
 void SuspectRegistry::add(const std::string &Digest, const std::string &Target,
--- a/source/Coordination/SuspectRegistry.h
+++ b/source/Coordination/SuspectRegistry.h
@@ -53,8 +53,8 @@
 };
 
 /// Counts the targets that each input digest has crashed, here and at peers.
-/// Inputs that ran beside the cause lose their targets too. An input is taken as
-/// innocent if another one was at all of its crashed targets, and
+/// Inputs that ran beside the cause lose their targets too. An input is taken
+/// as innocent if another one was at all of its crashed targets, and
 /// - that one is refused, because it was at more of them, or
 /// - that one had never run there for long, while this one had: the cause
 ///   crashes a target soon after it begins there.
