Free stage results once they have been read, not when the next piece is made

Now a dispatcher tells the owners of the pieces, after a third of the least time of a call, that the inputs have been read, and they are freed. Only on targets whose last call from this dispatcher went as expected, so that the call is surely being worked on. If the piece then fails, its inputs are made anew, all of them; the dispatcher does not repeat it by itself. stage_call logs how its pieces ended.

--- a/source/Coordination/Stages/StagePlan.cpp
+++ b/source/Coordination/Stages/StagePlan.cpp
@@ -76,10 +76,25 @@
 bool StagePlan::stageMade(std::size_t Stage) const {
   const std::vector<Piece> &Pieces = Stages_[Stage].Pieces_;
   return std::all_of(Pieces.begin(), Pieces.end(), [](const Piece &One) {
-    return One.State_ == State::Made;
+    return One.State_ == State::Made || One.State_ == State::Read;
   });
 }
 
+bool StagePlan::isRead(std::size_t Index) const {
+  if (Stages_[Index].Last_)
+    return false;
+  for (std::size_t I = 0; I < Steps_.size(); ++I) {
+    const std::vector<std::size_t> &After = Steps_[I].After_;
+    if (std::find(After.begin(), After.end(), Index) == After.end())
+      continue;
+    for (const Piece &Reader : Stages_[I].Pieces_)
+      if (Reader.State_ == State::Missing ||
+          (Reader.State_ == State::Ordered && !Reader.InputsRead_))
+        return false;
+  }
+  return true;
+}
+
 bool StagePlan::isNeeded(std::size_t Index) const {
   if (Stages_[Index].Last_)
     return true;
@@ -143,6 +158,7 @@
   if (Of.State_ != State::Ordered)
     return Out;
   Of.State_ = State::Made;
+  Of.InputsRead_ = false;
   Of.Handle_ = std::move(Handle);
   for (std::size_t Earlier : Steps_[Id.Stage_].After_)
     if (!isNeeded(Earlier))
@@ -150,16 +166,42 @@
   return Out;
 }
 
+std::vector<StagePlan::Freed> StagePlan::onInputsRead(PieceId Id) {
+  std::vector<Freed> Out;
+  Piece &Of = Stages_[Id.Stage_].Pieces_[Id.Piece_];
+  if (Of.State_ != State::Ordered)
+    return Out;
+  Of.InputsRead_ = true;
+  for (std::size_t Earlier : Steps_[Id.Stage_].After_) {
+    if (!isRead(Earlier))
+      continue;
+    for (Piece &Input : Stages_[Earlier].Pieces_) {
+      if (Input.State_ != State::Made)
+        continue;
+      Out.push_back({Earlier, std::move(Input.Handle_)});
+      Input.Handle_.clear();
+      Input.State_ = State::Read;
+    }
+  }
+  return Out;
+}
+
 std::vector<StagePlan::Freed> StagePlan::onFailed(PieceId Id, bool InputsGone) {
   std::vector<Freed> Out;
   Piece &Of = Stages_[Id.Stage_].Pieces_[Id.Piece_];
   if (Of.State_ != State::Ordered)
     return Out;
   Of.State_ = State::Missing;
+  Of.InputsRead_ = false;
   ++Of.Failures_;
-  if (InputsGone)
-    for (std::size_t Earlier : Steps_[Id.Stage_].After_)
+  for (std::size_t Earlier : Steps_[Id.Stage_].After_) {
+    const std::vector<Piece> &Inputs = Stages_[Earlier].Pieces_;
+    bool AnyFreed =
+        std::any_of(Inputs.begin(), Inputs.end(),
+                    [](const Piece &One) { return One.State_ == State::Read; });
+    if (InputsGone || AnyFreed)
       free(Earlier, Out);
+  }
   return Out;
 }
 
@@ -180,6 +222,8 @@
 
 void StagePlan::free(std::size_t Index, std::vector<Freed> &Out) {
   for (Piece &One : Stages_[Index].Pieces_) {
+    if (One.State_ == State::Read)
+      One.State_ = State::Missing;
     if (One.State_ != State::Made)
       continue;
     Out.push_back({Index, std::move(One.Handle_)});
--- a/source/Coordination/Stages/StagePlan.h
+++ b/source/Coordination/Stages/StagePlan.h
@@ -40,6 +40,9 @@
   /// Results that are not needed any more because this piece was made. A piece
   /// that was not ordered is ignored.
   std::vector<Freed> onMade(PieceId Id, std::string Handle);
+  /// The piece is being made and has read its inputs. Returns results that are
+  /// kept for no other piece; if this one fails, they are made anew.
+  std::vector<Freed> onInputsRead(PieceId Id);
   /// The piece is to be made anew. With \p InputsGone, so are its inputs; what
   /// is left of them is returned.
   std::vector<Freed> onFailed(PieceId Id, bool InputsGone);
@@ -79,9 +82,15 @@
   bool contains(PieceId Id) const;
 
 private:
-  enum class State { Missing, Ordered, Made };
+  enum class State {
+    Missing,
+    Ordered,
+    Made,
+    Read, ///< Made, read by all that need it so far, and freed.
+  };
   struct Piece {
     State State_ = State::Missing;
+    bool InputsRead_ = false;
     std::string Handle_;
     int Orders_ = 0;
     int Failures_ = 0;
@@ -97,6 +106,8 @@
   bool isNeeded(std::size_t Index) const;
   bool isReady(std::size_t Index) const;
   bool canWait(std::size_t Index) const;
+  /// Whether no piece has yet to read the results of the stage.
+  bool isRead(std::size_t Index) const;
   void free(std::size_t Index, std::vector<Freed> &Out);
 
   std::vector<state::StageStep> Steps_;
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -30,6 +30,8 @@
   std::string DataCentre_;
   bool Repeat_ = false; ///< Sent to the service before.
   SteadyTime Since_{};  ///< When it was ordered.
+  /// The host that ordered it was told that its inputs are not needed any more.
+  bool InputsRead_ = false;
 };
 
 /// A target that can take a call now.
@@ -51,7 +53,7 @@
 /// - The pieces of a request go into one call: a request waits for its last
 ///   piece, and the others take up room meanwhile.
 /// - A piece is made in the data centre where its result is best made, unless
-///   it has no time to wait for a target there.
+///   it has no time to wait for a target there or more than a call waits.
 class StageQueue final {
 public:
   void push(QueuedPiece Added);
@@ -99,6 +101,12 @@
   Groups::iterator remove(Groups::iterator At);
   /// Files the groups that miss their aim if they are made at \p MadeBy.
   void noteLate(SteadyTime MadeBy);
+  /// Adds to \p Call what may be made at \p Target, or with \p AnyDataCentre
+  /// also what had better wait for a target elsewhere, unless it is late:
+  /// results of late requests would keep room that others need.
+  void fill(const FreeTarget &Target, bool AnyDataCentre,
+            const state::StageCapacity &Capacity, SteadyTime Now,
+            std::uint64_t &Room, std::vector<QueuedPiece> &Call);
   /// Moves pieces of \p From into \p Call as far as they fit.
   void takeFrom(Group &From, const state::StageCapacity &Capacity,
                 std::uint64_t &Room, std::vector<QueuedPiece> &Call);
--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -77,11 +77,12 @@
 
 enum class PieceEnd {
   Made,
-  Late,    ///< Its time had passed before the call's turn.
-  Gone,    ///< An input no longer exists.
-  NoRoom,  ///< The target has no room for the result.
-  Failed,  ///< The target failed, or its answer was lost.
-  Refused, ///< The target took no part of the call.
+  Late,       ///< Its time had passed before the call's turn.
+  Gone,       ///< An input no longer exists.
+  NoRoom,     ///< The target has no room for the result.
+  Failed,     ///< The target failed, or its answer was lost.
+  Refused,    ///< The target took no part of the call.
+  InputsRead, ///< Not an end: it is being made and needs its inputs no more.
 };
 
 struct PieceOutcome {
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -117,7 +117,7 @@
   To.Stage_ = From.getStage();
   To.Piece_ = From.getPiece();
   auto End = static_cast<PieceEnd>(From.getEnd());
-  To.Outcome_.End_ = End <= PieceEnd::Refused ? End : PieceEnd::Failed;
+  To.Outcome_.End_ = End <= PieceEnd::InputsRead ? End : PieceEnd::Failed;
   To.Outcome_.Handle_ = text(From.getHandle());
   return To;
 }
--- a/source/Serving/StageClient.cpp
+++ b/source/Serving/StageClient.cpp
@@ -80,7 +80,8 @@
       continue;
     }
     PieceWaiter *Waiter = Found->second.Waiter_;
-    Open_.erase(Found);
+    if (Report.Outcome_.End_ != protocol::PieceEnd::InputsRead)
+      Open_.erase(Found);
     Waiter->onPiece(Report);
   }
 }
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -55,6 +55,12 @@
       }));
 }
 
+std::size_t countOf(const std::vector<PieceOutcome> &Outcomes, PieceEnd End) {
+  return static_cast<std::size_t>(
+      std::count_if(Outcomes.begin(), Outcomes.end(),
+                    [=](const PieceOutcome &One) { return One.End_ == End; }));
+}
+
 void addReport(std::map<std::string, PieceReports> &Reports,
                const QueuedPiece &Piece, const PieceOutcome &Outcome) {
   Reports[Piece.Owner_].Reports_.push_back({Piece.Piece_.RequestId_,
@@ -207,8 +213,15 @@
     ++State.Calls_;
     State.FreeAt_ = Now + expectedTime(Capacity, Call.size());
     Of.Ledger_.reserve(Target->Id_, totalBytes(Call));
+    auto Running = std::make_shared<RunningCall>();
+    Running->Pieces_ = std::move(Call);
     transport::startTask(Context_.Loop_,
-                         runCall(Service, *Target, Capacity, std::move(Call)));
+                         runCall(Service, *Target, Capacity, Running));
+    if (State.Sole_ && Capacity.Slots_ == 1)
+      transport::startTask(
+          Context_.Loop_,
+          reportInputsRead(Running,
+                           Capacity.CallTime_ / Settings_.InputReadDivisor_));
     return true;
   }
   return false;
@@ -216,8 +229,10 @@
 
 Awaitable<void> StageDispatcher::runCall(std::string Service,
                                          TargetRecord Target,
-                                         StageCapacity Capacity, Pieces Call) {
+                                         StageCapacity Capacity,
+                                         RunningCallPtr Running) {
   SteadyTime Begin = SteadyClock::now();
+  const Pieces &Call = Running->Pieces_;
   std::vector<protocol::StagePiece> Items;
   std::vector<std::optional<Milliseconds>> TimeLeft;
   for (const QueuedPiece &Piece : Call) {
@@ -241,9 +256,12 @@
   TargetResult Result = resultOf(Exchange);
   Context_.Health_.end(Target.Id_, Result, Relative, Now);
 
+  Running->Ended_ = true;
   ServiceState &Of = Services_[Service];
   TargetState &State = Of.Targets_[Target.Id_];
   --State.Calls_;
+  State.Sole_ =
+      Result == TargetResult::Good && Took < Expected + Capacity.CallTime_ / 2;
   Of.Ledger_.unreserve(Target.Id_, totalBytes(Call));
   std::vector<PieceOutcome> Outcomes;
   if (Result == TargetResult::Good) {
@@ -273,16 +291,37 @@
       .field("target", Target.Id_)
       .field("pieces", Call.size())
       .field("away", piecesAway(Call, Target))
+      .field("made", countOf(Outcomes, PieceEnd::Made))
+      .field("gone", countOf(Outcomes, PieceEnd::Gone))
+      .field("late", countOf(Outcomes, PieceEnd::Late))
+      .field("no_room", countOf(Outcomes, PieceEnd::NoRoom))
       .field("waited_ms", longestWait(Call, Begin).count())
       .field("took_ms", Took.count())
       .field("expected_ms", Expected.count())
       .field("queue", Of.Queue_.size())
       .field("room_left",
              Of.Ledger_.left(Target.Id_, Capacity.ResultRoom_, Now));
-  settle(Service, Target, Capacity, std::move(Call), Outcomes);
+  settle(Service, Target, Capacity, std::move(Running->Pieces_), Outcomes);
   pumpSoon(Service);
 }
 
+Awaitable<void> StageDispatcher::reportInputsRead(RunningCallPtr Running,
+                                                  Milliseconds ReadTime) {
+  co_await transport::pause(Context_.Loop_, ReadTime);
+  if (Running->Ended_)
+    co_return;
+  std::map<std::string, PieceReports> Reports;
+  PieceOutcome Read{PieceEnd::InputsRead, ""};
+  for (QueuedPiece &Piece : Running->Pieces_) {
+    if (Piece.Piece_.Inputs_.empty())
+      continue;
+    Piece.InputsRead_ = true;
+    addReport(Reports, Piece, Read);
+  }
+  for (auto &[Owner, Batch] : Reports)
+    Listener_.onPieceReports(Owner, std::move(Batch));
+}
+
 void StageDispatcher::settle(const std::string &Service,
                              const TargetRecord &Target,
                              const StageCapacity &Capacity, Pieces Call,
@@ -290,10 +329,7 @@
   ServiceState &Of = Services_[Service];
   SteadyTime Now = SteadyClock::now();
   std::map<std::string, PieceReports> Reports;
-  auto Made = std::count_if(
-      Outcomes.begin(), Outcomes.end(),
-      [](const PieceOutcome &One) { return One.End_ == PieceEnd::Made; });
-  Of.Made_.emplace_back(Now, static_cast<std::size_t>(Made));
+  Of.Made_.emplace_back(Now, countOf(Outcomes, PieceEnd::Made));
   for (std::size_t I = 0; I < Call.size(); ++I) {
     const PieceOutcome &Outcome = Outcomes[I];
     switch (Outcome.End_) {
@@ -323,6 +359,7 @@
       break;
     case PieceEnd::Failed:
     case PieceEnd::Refused:
+    case PieceEnd::InputsRead:
       retryOrReport(Of, std::move(Call[I]), Outcome.End_, Reports);
       break;
     }
@@ -335,7 +372,9 @@
     ServiceState &Of, QueuedPiece Piece, PieceEnd End,
     std::map<std::string, PieceReports> &Reports) {
   SteadyTime Now = SteadyClock::now();
-  if (Now < Piece.ExpiresAt_ && Context_.Budget_.tryTake(Piece.Service_, Now)) {
+  // Without its inputs it cannot be made again from here.
+  if (!Piece.InputsRead_ && Now < Piece.ExpiresAt_ &&
+      Context_.Budget_.tryTake(Piece.Service_, Now)) {
     Piece.Repeat_ = true;
     Of.Queue_.push(std::move(Piece));
     return;
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -30,6 +30,9 @@
   /// How long a cancelled request is remembered: longer than a call takes, so
   /// that results made for it are freed.
   Milliseconds CancelMemory_{10000};
+  /// A target fetches the inputs of a call before it works on it. After this
+  /// part of the least time of a call they are taken as read and can be freed.
+  int InputReadDivisor_ = 3;
   /// Over which the rate of a service is measured: some calls of each target.
   Milliseconds RateWindow_{2000};
   /// Part of the rate of full calls that a service reaches at least when enough
@@ -65,7 +68,10 @@
 private:
   struct TargetState {
     std::size_t Calls_ = 0; ///< In progress from here.
-    SteadyTime FreeAt_{};   ///< Expected end of the last call.
+    /// The last call from here was answered in the usual way, so that no other
+    /// dispatcher's call can be in progress before the next.
+    bool Sole_ = false;
+    SteadyTime FreeAt_{}; ///< Expected end of the last call.
     SteadyTime PausedUntil_{};
     std::vector<std::string> ToFree_;
     bool Freeing_ = false;
@@ -79,6 +85,11 @@
     std::deque<std::pair<SteadyTime, std::size_t>> Made_;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
+  struct RunningCall {
+    Pieces Pieces_;
+    bool Ended_ = false;
+  };
+  using RunningCallPtr = std::shared_ptr<RunningCall>;
   using OwnedRequest = std::pair<std::string, std::string>;
 
   transport::Awaitable<void> checkQueues();
@@ -94,7 +105,10 @@
   transport::Awaitable<void> runCall(std::string Service,
                                      state::TargetRecord Target,
                                      state::StageCapacity Capacity,
-                                     Pieces Call);
+                                     RunningCallPtr Running);
+  /// Tells the owners of a call's pieces when their inputs can be freed.
+  transport::Awaitable<void> reportInputsRead(RunningCallPtr Running,
+                                              Milliseconds ReadTime);
   void settle(const std::string &Service, const state::TargetRecord &Target,
               const state::StageCapacity &Capacity, Pieces Call,
               const std::vector<protocol::PieceOutcome> &Outcomes);
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -152,6 +152,10 @@
   PieceId Id{Report.Stage_, Report.Piece_};
   if (!Plan_.contains(Id))
     return;
+  if (Report.Outcome_.End_ == PieceEnd::InputsRead) {
+    free(Plan_.onInputsRead(Id));
+    return;
+  }
   Changed_.notify();
   switch (Report.Outcome_.End_) {
   case PieceEnd::Made:
--- a/tests/Coordination/Stages/StagePlanTest.cpp
+++ b/tests/Coordination/Stages/StagePlanTest.cpp
@@ -123,3 +123,60 @@
   CHECK(Plan.onFailed({0, 0}, false).empty());
   CHECK(Plan.stageMade(0));
 }
+
+// Pattern: a burst that fills the targets' room for results. Guards against
+// results that keep room while the piece that has read them is made.
+TEST_CASE("results are freed when all that need them have read them") {
+  StagePlan Plan = chain();
+  makeReady(Plan);
+  Plan.takeReady();
+  CHECK(Plan.onInputsRead({1, 0}).empty());
+  std::vector<StagePlan::Freed> Freed = Plan.onInputsRead({1, 1});
+  REQUIRE(Freed.size() == 1);
+  CHECK(Freed[0].Handle_ == "h00");
+  CHECK(Plan.onInputsRead({1, 1}).empty());
+  CHECK(Plan.takeReady().empty());
+  CHECK(Plan.onMade({1, 0}, "a").empty());
+  CHECK(Plan.onMade({1, 1}, "b").empty());
+  REQUIRE(Plan.takeReady().size() == 1);
+  CHECK(Plan.inputsOf(2) == std::vector<std::string>{"a", "b"});
+  CHECK(Plan.onMade({2, 0}, "c").size() == 2);
+  CHECK(Plan.allMade());
+}
+
+// Guards against a piece that is made again from only a part of its inputs, or
+// from none, because they were freed after it had read them.
+TEST_CASE("a piece that fails after reading its inputs waits for new ones") {
+  StagePlan Plan = chain();
+  makeReady(Plan);
+  Plan.takeReady();
+  Plan.onInputsRead({1, 0});
+  Plan.onInputsRead({1, 1});
+  Plan.onMade({1, 0}, "a");
+  CHECK(Plan.onFailed({1, 1}, false).empty());
+  CHECK_FALSE(Plan.allMade());
+  std::vector<PieceId> Again = Plan.takeReady();
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Stage_ == 0);
+  Plan.onMade(Again[0], "new");
+  Again = Plan.takeReady();
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Stage_ == 1);
+  CHECK(Again[0].Piece_ == 1);
+  CHECK(Plan.inputsOf(1) == std::vector<std::string>{"new"});
+}
+
+// Guards against a last stage that is made again from inputs that were freed.
+TEST_CASE("a last result that is gone is made again from the first stage on") {
+  StagePlan Plan = chain();
+  while (!Plan.allMade()) {
+    for (PieceId Id : Plan.takeReady()) {
+      Plan.onInputsRead(Id);
+      Plan.onMade(Id, "h");
+    }
+  }
+  Plan.forgetLast();
+  std::vector<PieceId> Again = Plan.takeReady();
+  REQUIRE(Again.size() == 1);
+  CHECK(Again[0].Stage_ == 0);
+}
