Fill calls from other data centres when more than a call waits

A call costs nearly the same however few it holds. Now places that stay empty are filled with pieces that wait for other data centres, if at least a whole call is left behind. Late pieces are not taken so, since their results would keep room that others need.

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -5,6 +5,8 @@
 
 namespace amaranth::coordination {
 
+using state::StageCapacity;
+
 namespace {
 
 /// Groups that are passed over in composing one call, because they do not fit
@@ -16,7 +18,7 @@
 constexpr int MaxCountedPriority = 9;
 
 /// Time of a call of usual size.
-Milliseconds usualCallTime(const state::StageCapacity &Capacity) {
+Milliseconds usualCallTime(const StageCapacity &Capacity) {
   auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.Batch_);
   return Capacity.CallTime_ + std::chrono::ceil<Milliseconds>(Work / 2);
 }
@@ -134,7 +136,7 @@
   return Out;
 }
 
-void StageQueue::takeFrom(Group &From, const state::StageCapacity &Capacity,
+void StageQueue::takeFrom(Group &From, const StageCapacity &Capacity,
                           std::uint64_t &Room, std::vector<QueuedPiece> &Call) {
   while (!From.Pieces_.empty() && Call.size() < Capacity.Batch_ &&
          From.Pieces_.back().ResultBytes_ <= Room) {
@@ -146,19 +148,16 @@
   }
 }
 
-std::vector<QueuedPiece>
-StageQueue::compose(const FreeTarget &Target,
-                    const state::StageCapacity &Capacity, SteadyTime Now) {
+void StageQueue::fill(const FreeTarget &Target, bool AnyDataCentre,
+                      const StageCapacity &Capacity, SteadyTime Now,
+                      std::uint64_t &Room, std::vector<QueuedPiece> &Call) {
   Milliseconds CallTime = usualCallTime(Capacity);
-  noteLate(Now + CallTime);
-  std::vector<QueuedPiece> Call;
-  std::uint64_t Room = Target.RoomLeft_;
   std::size_t Passed = 0;
   for (std::set<Rank> *Filed : {&InTime_, &Late_}) {
     for (auto At = Filed->begin(); At != Filed->end();) {
       std::size_t Places = Capacity.Batch_ - Call.size();
       if (Places == 0 || Passed > MaxPassedOver)
-        return Call;
+        return;
       auto Found = Groups_.find(*std::get<2>(*At));
       Group &Of = Found->second;
       ++At;
@@ -166,8 +165,9 @@
       // A request with more pieces than a call or a target holds is divided.
       bool Divided = Of.Pieces_.size() > Capacity.Batch_ ||
                      Of.Bytes_ > Capacity.ResultRoom_;
-      if ((!Whole && !Divided) ||
-          !mayBeMadeAt(Of.Pieces_.front(), Target, CallTime, Now)) {
+      bool Here = (AnyDataCentre && !Of.Late_) ||
+                  mayBeMadeAt(Of.Pieces_.front(), Target, CallTime, Now);
+      if ((!Whole && !Divided) || !Here) {
         ++Passed;
         continue;
       }
@@ -176,6 +176,18 @@
         remove(Found);
     }
   }
+}
+
+std::vector<QueuedPiece> StageQueue::compose(const FreeTarget &Target,
+                                             const StageCapacity &Capacity,
+                                             SteadyTime Now) {
+  noteLate(Now + usualCallTime(Capacity));
+  std::vector<QueuedPiece> Call;
+  std::uint64_t Room = Target.RoomLeft_;
+  fill(Target, false, Capacity, Now, Room, Call);
+  // With more than a call left behind, the places that stay empty are needed.
+  if (Size_ >= Capacity.Batch_)
+    fill(Target, true, Capacity, Now, Room, Call);
   return Call;
 }
 
--- a/tests/Coordination/Stages/StageQueueTest.cpp
+++ b/tests/Coordination/Stages/StageQueueTest.cpp
@@ -119,6 +119,25 @@
   }
 }
 
+// Pattern: a burst while results are read in other data centres. Guards against
+// calls that are sent nearly empty while a long queue waits for the targets of
+// one data centre.
+TEST_CASE("stage queue: a call is filled from elsewhere when many wait") {
+  StageQueue Queue;
+  Queue.push(piece("here", 0, 0, Now + Seconds{2}));
+  for (int I = 0; I < 10; ++I) {
+    QueuedPiece Away =
+        piece("away" + std::to_string(I), 0, 0, Now + Seconds{2});
+    Away.DataCentre_ = "b";
+    Queue.push(Away);
+  }
+  CHECK(Queue.compose(target("a"), capacity(4), Now).size() == 4);
+  CHECK(Queue.compose(target("a"), capacity(4), Now).size() == 4);
+  // What is left fits into the next call at home.
+  CHECK(Queue.compose(target("a"), capacity(4), Now).empty());
+  CHECK(Queue.compose(target("b"), capacity(4), Now).size() == 3);
+}
+
 // Guards against work for requests that were given up, and against pieces of
 // one host being removed with those of another.
 TEST_CASE("stage queue: cancelled and expired pieces leave the queue") {
