Avoid a stage target whose call fails, whatever its health check says

A stage call does not fail because of a caller's request: its target now gets no call for 0.3 s, doubled up to 3 s, until one succeeds.

--- a/source/Coordination/Targets/TargetHealth.h
+++ b/source/Coordination/Targets/TargetHealth.h
@@ -17,7 +17,8 @@
   /// Half-life of what is known of a target: it is tried again as it fades, so
   /// that one that was slow or failing for a moment comes back by itself.
   Milliseconds Fading_{3000};
-  /// First and longest time for which an unreachable target gets no work.
+  /// First and longest time for which an unreachable or failing target gets no
+  /// work.
   Milliseconds MinAvoidance_{300};
   Milliseconds MaxAvoidance_{3000};
   /// A target that shows no sign of life for this share of the expected time
@@ -29,6 +30,7 @@
 enum class TargetResult {
   Good,
   Error,       ///< It answered with a failure of its own.
+  Failing,     ///< The same, for work that no caller's request makes fail.
   Broken,      ///< Reset, corrupt or silent.
   Unreachable, ///< No connection.
   Full,        ///< It refused for lack of capacity.
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -77,7 +77,7 @@
     return TargetResult::Full;
   case ExchangeState::Complete:
     return Exchange.head().Status_ == 200 ? TargetResult::Good
-                                          : TargetResult::Error;
+                                          : TargetResult::Failing;
   default:
     return TargetResult::Broken;
   }
--- a/tests/Coordination/Targets/TargetHealthTest.cpp
+++ b/tests/Coordination/Targets/TargetHealthTest.cpp
@@ -58,6 +58,26 @@
   CHECK(Health.usable("dark", Retry));
 }
 
+// Pattern: a target fails all calls within a millisecond while its health check
+// is good. Guards against calls that are composed for it again and again,
+// because it is always free, until the pieces in them are given up.
+TEST_CASE("target health: a target that fails calls is avoided at once") {
+  TargetHealth Health;
+  SteadyTime Time = Now;
+  int Calls = 0;
+  for (; Time < Now + Seconds{7}; Time += Milliseconds{1}) {
+    if (!Health.usable("failing", Time))
+      continue;
+    run(Health, "failing", TargetResult::Failing, Milliseconds{1}, Time);
+    ++Calls;
+  }
+  CHECK(Calls <= 6);
+  Time += Seconds{3};
+  REQUIRE(Health.usable("failing", Time));
+  run(Health, "failing", TargetResult::Good, Usual, Time);
+  CHECK(Health.usable("failing", Time));
+}
+
 // Guards against one lost answer taking a target out of use.
 TEST_CASE("target health: one broken answer does not take a target out") {
   TargetHealth Health;
