Avoid stage targets that time out, refuse calls or answer nonsense

Cause, by reading after the last change: a stage target that refuses every call as full, though it is called only when it has nothing else to do, got the next one 60 ms later, each costing a repeat for every piece; one that hangs got a second call before it was avoided, each holding a batch for over 3 s; one that answers 200 with an unusable body counted as good. All three are now avoided like one that answers errors. The pause for full targets goes. runCall is divided into composing, finishing and logging a call, whose facts move into RunningCall; no change of behaviour.

--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -74,10 +74,14 @@
   case ExchangeState::NotSent:
     return TargetResult::Unreachable;
   case ExchangeState::NotExecuted:
-    return TargetResult::Full;
+    // It is called only when it has nothing else to do from here.
+    return TargetResult::Failing;
   case ExchangeState::Complete:
     return Exchange.head().Status_ == 200 ? TargetResult::Good
                                           : TargetResult::Failing;
+  case ExchangeState::TimedOut:
+    // The next call would wait as long for nothing.
+    return TargetResult::Failing;
   default:
     return TargetResult::Broken;
   }
@@ -178,9 +182,7 @@
     if (!Context_.Health_.usable(Target->Id_, Now))
       continue;
     const TargetState &State = Of.Targets_[Target->Id_];
-    SteadyTime Free =
-        std::max(State.PausedUntil_,
-                 State.Calls_ < Capacity.Slots_ ? Now : State.FreeAt_);
+    SteadyTime Free = State.Calls_ < Capacity.Slots_ ? Now : State.FreeAt_;
     auto [Known, Added] = Out.emplace(Target->DataCentre_, Free);
     if (!Added)
       Known->second = std::min(Known->second, Free);
@@ -194,7 +196,7 @@
   std::vector<std::pair<double, const TargetRecord *>> Free;
   for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
     const TargetState &State = Of.Targets_[Target->Id_];
-    if (State.Calls_ < Capacity.Slots_ && Now >= State.PausedUntil_ &&
+    if (State.Calls_ < Capacity.Slots_ &&
         Context_.Health_.usable(Target->Id_, Now))
       Free.emplace_back(Context_.Health_.cost(Target->Id_, Now), Target);
   }
@@ -214,9 +216,13 @@
     State.FreeAt_ = Now + expectedTime(Capacity, Call.size());
     Of.Ledger_.reserve(Target->Id_, totalBytes(Call));
     auto Running = std::make_shared<RunningCall>();
+    Running->Service_ = Service;
+    Running->Target_ = *Target;
+    Running->Capacity_ = Capacity;
+    Running->Begin_ = Now;
+    Running->Expected_ = expectedTime(Capacity, Call.size());
     Running->Pieces_ = std::move(Call);
-    transport::startTask(Context_.Loop_,
-                         runCall(Service, *Target, Capacity, Running));
+    transport::startTask(Context_.Loop_, runCall(Running));
     if (State.Sole_ && Capacity.Slots_ == 1)
       transport::startTask(
           Context_.Loop_,
@@ -227,82 +233,92 @@
   return false;
 }
 
-Awaitable<void> StageDispatcher::runCall(std::string Service,
-                                         TargetRecord Target,
-                                         StageCapacity Capacity,
-                                         RunningCallPtr Running) {
-  SteadyTime Begin = SteadyClock::now();
-  const Pieces &Call = Running->Pieces_;
+std::string StageDispatcher::requestFor(const RunningCall &Call) const {
   std::vector<protocol::StagePiece> Items;
   std::vector<std::optional<Milliseconds>> TimeLeft;
-  for (const QueuedPiece &Piece : Call) {
+  for (const QueuedPiece &Piece : Call.Pieces_) {
     Items.push_back(Piece.Piece_);
     TimeLeft.push_back(remaining(Piece.ExpiresAt_));
   }
-  std::string Request = Context_.Edge_.stageCall(Items, Target.Id_, TimeLeft);
-  Milliseconds Expected = expectedTime(Capacity, Call.size());
-  SteadyTime Deadline =
-      Begin + Expected * Settings_.TimeoutFactor_ + Settings_.TimeoutBase_;
-  Context_.Health_.begin(Target.Id_);
-  TargetExchange Exchange(Context_.Connections_, Context_.Edge_, Target);
+  return Context_.Edge_.stageCall(Items, Call.Target_.Id_, TimeLeft);
+}
+
+Awaitable<void> StageDispatcher::runCall(RunningCallPtr Running) {
+  SteadyTime Deadline = Running->Begin_ +
+                        Running->Expected_ * Settings_.TimeoutFactor_ +
+                        Settings_.TimeoutBase_;
+  std::string Request = requestFor(*Running);
+  Context_.Health_.begin(Running->Target_.Id_);
+  TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
+                          Running->Target_);
   std::string NoId;
   co_await Exchange.start(Request, NoId, Deadline);
   co_await Exchange.readAll();
+  Running->Ended_ = true;
+  finishCall(*Running, Exchange);
+}
+
+void StageDispatcher::finishCall(RunningCall &Call, TargetExchange &Exchange) {
   SteadyTime Now = SteadyClock::now();
-  auto Took = std::chrono::ceil<Milliseconds>(Now - Begin);
+  auto Took = std::chrono::ceil<Milliseconds>(Now - Call.Begin_);
   // Calls of different sizes are compared as if each had the usual time.
   Milliseconds Relative(Took.count() * 1000 /
-                        std::max<std::int64_t>(1, Expected.count()));
-  TargetResult Result = resultOf(Exchange);
-  Context_.Health_.end(Target.Id_, Result, Relative, Now);
-
-  Running->Ended_ = true;
-  ServiceState &Of = Services_[Service];
-  TargetState &State = Of.Targets_[Target.Id_];
-  --State.Calls_;
-  State.Sole_ =
-      Result == TargetResult::Good && Took < Expected + Capacity.CallTime_ / 2;
-  Of.Ledger_.unreserve(Target.Id_, totalBytes(Call));
+                        std::max<std::int64_t>(1, Call.Expected_.count()));
+  const std::string &Id = Call.Target_.Id_;
   std::vector<PieceOutcome> Outcomes;
+  TargetResult Result = resultOf(Exchange);
   if (Result == TargetResult::Good) {
     std::string Body = Exchange.takeBody();
     auto Read = capture([&] { return Context_.Edge_.readStageAnswer(Body); });
-    if (Read && Read->size() == Call.size())
+    if (Read && Read->size() == Call.Pieces_.size())
       Outcomes = std::move(*Read);
+    else
+      Result = TargetResult::Failing;
   }
-  if (Result == TargetResult::Full)
-    State.PausedUntil_ = Now + Settings_.FullPause_;
+  Context_.Health_.end(Id, Result, Relative, Now);
+  ServiceState &Of = Services_[Call.Service_];
+  TargetState &State = Of.Targets_[Id];
+  --State.Calls_;
+  State.Sole_ = Result == TargetResult::Good &&
+                Took < Call.Expected_ + Call.Capacity_.CallTime_ / 2;
+  Of.Ledger_.unreserve(Id, totalBytes(Call.Pieces_));
   if (Outcomes.empty()) {
-    PieceEnd End =
-        Result == TargetResult::Full || Result == TargetResult::Unreachable
-            ? PieceEnd::Refused
-            : PieceEnd::Failed;
-    PieceOutcome Lost{End, ""};
-    Outcomes.assign(Call.size(), Lost);
+    bool NotRun = Exchange.state() == ExchangeState::NotExecuted ||
+                  Exchange.state() == ExchangeState::NotSent;
+    PieceOutcome Lost{NotRun ? PieceEnd::Refused : PieceEnd::Failed, ""};
+    Outcomes.assign(Call.Pieces_.size(), Lost);
     LogEvent(LogLevel::Warn, "stage_call_failed")
-        .field("service", Service)
-        .field("target", Target.Id_)
-        .field("pieces", Call.size())
+        .field("service", Call.Service_)
+        .field("target", Id)
+        .field("pieces", Call.Pieces_.size())
         .field("state", static_cast<int>(Exchange.state()))
         .field("took_ms", Took.count());
   }
+  logCall(Call, Outcomes, Took);
+  settle(Call, Outcomes);
+  pumpSoon(Call.Service_);
+}
+
+void StageDispatcher::logCall(const RunningCall &Call,
+                              const std::vector<PieceOutcome> &Outcomes,
+                              Milliseconds Took) {
+  ServiceState &Of = Services_[Call.Service_];
+  std::uint64_t RoomLeft = Of.Ledger_.left(
+      Call.Target_.Id_, Call.Capacity_.ResultRoom_, SteadyClock::now());
   LogEvent(LogLevel::Info, "stage_call")
-      .field("service", Service)
-      .field("target", Target.Id_)
-      .field("pieces", Call.size())
-      .field("away", piecesAway(Call, Target))
+      .field("service", Call.Service_)
+      .field("target", Call.Target_.Id_)
+      .field("pieces", Call.Pieces_.size())
+      .field("away", piecesAway(Call.Pieces_, Call.Target_))
       .field("made", countOf(Outcomes, PieceEnd::Made))
       .field("gone", countOf(Outcomes, PieceEnd::Gone))
       .field("late", countOf(Outcomes, PieceEnd::Late))
       .field("no_room", countOf(Outcomes, PieceEnd::NoRoom))
-      .field("waited_ms", longestWait(Call, Begin).count())
+      .field("waited_ms", longestWait(Call.Pieces_, Call.Begin_).count())
       .field("took_ms", Took.count())
-      .field("expected_ms", Expected.count())
+      .field("expected_ms", Call.Expected_.count())
       .field("queue", Of.Queue_.size())
-      .field("room_left",
-             Of.Ledger_.left(Target.Id_, Capacity.ResultRoom_, Now));
-  settle(Service, Target, Capacity, std::move(Running->Pieces_), Outcomes);
-  pumpSoon(Service);
+      .field("room_left", RoomLeft);
 }
 
 Awaitable<void> StageDispatcher::reportInputsRead(RunningCallPtr Running,
@@ -322,10 +338,11 @@
     Listener_.onPieceReports(Owner, std::move(Batch));
 }
 
-void StageDispatcher::settle(const std::string &Service,
-                             const TargetRecord &Target,
-                             const StageCapacity &Capacity, Pieces Call,
+void StageDispatcher::settle(RunningCall &Ended,
                              const std::vector<PieceOutcome> &Outcomes) {
+  const std::string &Service = Ended.Service_;
+  const TargetRecord &Target = Ended.Target_;
+  Pieces &Call = Ended.Pieces_;
   ServiceState &Of = Services_[Service];
   SteadyTime Now = SteadyClock::now();
   std::map<std::string, PieceReports> Reports;
@@ -342,7 +359,7 @@
         break;
       }
       Of.Ledger_.add(Target.Id_, Outcome.Handle_, Call[I].ResultBytes_,
-                     Now + Capacity.ResultLifetime_);
+                     Now + Ended.Capacity_.ResultLifetime_);
       if (Cancelled_.count(
               OwnedRequest{Call[I].Owner_, Call[I].Piece_.RequestId_}))
         release({Outcome.Handle_, Service});
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -16,14 +16,14 @@
 
 namespace amaranth::serving {
 
+class TargetExchange;
+
 /// Settings of StageDispatcher.
 struct StageDispatcherSettings {
   /// A call is given up when it takes this many times the expected time, and
   /// a fixed time more.
   int TimeoutFactor_ = 6;
   Milliseconds TimeoutBase_{700};
-  /// A target that refused a call as full gets none for this long.
-  Milliseconds FullPause_{60};
   /// How often queues are checked for expired pieces and for targets that have
   /// become usable.
   Milliseconds CheckPeriod_{20};
@@ -72,7 +72,6 @@
     /// dispatcher's call can be in progress before the next.
     bool Sole_ = false;
     SteadyTime FreeAt_{}; ///< Expected end of the last call.
-    SteadyTime PausedUntil_{};
     std::vector<std::string> ToFree_;
     bool Freeing_ = false;
   };
@@ -85,8 +84,14 @@
     std::deque<std::pair<SteadyTime, std::size_t>> Made_;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
+  /// A call to a target and what it was composed from.
   struct RunningCall {
+    std::string Service_;
+    state::TargetRecord Target_;
+    state::StageCapacity Capacity_;
     Pieces Pieces_;
+    SteadyTime Begin_{};
+    Milliseconds Expected_{0}; ///< Time that it takes on a usual target.
     bool Ended_ = false;
   };
   using RunningCallPtr = std::shared_ptr<RunningCall>;
@@ -102,15 +107,18 @@
            const state::StageCapacity &Capacity, SteadyTime Now);
   bool startCall(const std::string &Service, ServiceState &Of,
                  const state::StageCapacity &Capacity);
-  transport::Awaitable<void> runCall(std::string Service,
-                                     state::TargetRecord Target,
-                                     state::StageCapacity Capacity,
-                                     RunningCallPtr Running);
+  transport::Awaitable<void> runCall(RunningCallPtr Running);
+  std::string requestFor(const RunningCall &Call) const;
+  /// Takes the answer of a call, or its failure, into account.
+  void finishCall(RunningCall &Call, TargetExchange &Exchange);
+  void logCall(const RunningCall &Call,
+               const std::vector<protocol::PieceOutcome> &Outcomes,
+               Milliseconds Took);
   /// Tells the owners of a call's pieces when their inputs can be freed.
   transport::Awaitable<void> reportInputsRead(RunningCallPtr Running,
                                               Milliseconds ReadTime);
-  void settle(const std::string &Service, const state::TargetRecord &Target,
-              const state::StageCapacity &Capacity, Pieces Call,
+  /// Reports what became of the pieces, or queues them again.
+  void settle(RunningCall &Ended,
               const std::vector<protocol::PieceOutcome> &Outcomes);
   void retryOrReport(ServiceState &Of, coordination::QueuedPiece Piece,
                      protocol::PieceEnd End,
