Keep an input that crashed a target at its candidates until the limit

An input with one crash became clear on a host when it had run there for longer than 30 ms plus three times the run of another input at the same target. Run times are measured by each host; on a busy host the prompt's run of 80 ms, beside a request that had started 10 ms before the crash, was enough. The other hosts had measured less.

Ruled out: the order of candidates, which follows from the digest and the names of the targets alone; expiry (30 s); a report that clears the input (sent only after it completed).

Run times now only save an input from waiting and, at the crash limit, from being refused. Until then it stays at its candidates, unless an input that is refused was at all of its crashed targets.

The tests that expected a clear input after one crash because of run times alone now expect that it need not wait, and that it is clear at the limit. New test "an input that ran for longer than another stays at its candidates": fails on the rule before.

--- a/source/Coordination/SuspectRegistry.cpp
+++ b/source/Coordination/SuspectRegistry.cpp
@@ -21,30 +21,41 @@
   std::lock_guard Lock(Mutex_);
   SteadyTime Now = Settings_.Now_();
   const Entry *Suspect = find(Digest, Now);
-  if (!Suspect || isInnocent(*Suspect, Now))
+  if (!Suspect || isExplainedByRefused(*Suspect, Now))
     return InputStatus::Clear;
-  if (Suspect->Crashes_.size() >= Settings_.CrashLimit_)
-    return InputStatus::Refused;
-  return InputStatus::Suspect;
+  if (Suspect->Crashes_.size() < Settings_.CrashLimit_)
+    return InputStatus::Suspect;
+  return isInnocent(*Suspect, Now) ? InputStatus::Clear : InputStatus::Refused;
+}
+
+bool SuspectRegistry::sharesAllCrashes(const Entry &Subject, const Entry &Other,
+                                       SteadyTime Now) {
+  return std::all_of(
+      Subject.Crashes_.begin(), Subject.Crashes_.end(), [&](const auto &Item) {
+        auto Shared = Other.Crashes_.find(Item.first);
+        return Shared != Other.Crashes_.end() && Shared->second.Expiry_ > Now;
+      });
+}
+
+bool SuspectRegistry::isExplainedByRefused(const Entry &Subject,
+                                           SteadyTime Now) const {
+  return std::any_of(Inputs_.begin(), Inputs_.end(), [&](const auto &Item) {
+    const Entry &Other = Item.second;
+    return Other.Crashes_.size() >= Settings_.CrashLimit_ &&
+           Other.Crashes_.size() > Subject.Crashes_.size() &&
+           sharesAllCrashes(Subject, Other, Now);
+  });
 }
 
 bool SuspectRegistry::isInnocent(const Entry &Subject, SteadyTime Now) const {
-  auto SharesAllCrashes = [&](const Entry &Other) {
-    return std::all_of(Subject.Crashes_.begin(), Subject.Crashes_.end(),
-                       [&](const auto &Item) {
-                         auto Shared = Other.Crashes_.find(Item.first);
-                         return Shared != Other.Crashes_.end() &&
-                                Shared->second.Expiry_ > Now;
-                       });
-  };
+  if (isExplainedByRefused(Subject, Now))
+    return true;
   return std::any_of(Inputs_.begin(), Inputs_.end(), [&](const auto &Item) {
     const Entry &Other = Item.second;
     Milliseconds InnocentRun = Settings_.InnocentRunMargin_ +
                                Settings_.InnocentRunFactor_ * Other.LongestRun_;
-    bool Refused = Other.Crashes_.size() >= Settings_.CrashLimit_ &&
-                   Other.Crashes_.size() > Subject.Crashes_.size();
-    return (Refused || Subject.LongestRun_ > InnocentRun) &&
-           SharesAllCrashes(Other);
+    return Subject.LongestRun_ > InnocentRun &&
+           sharesAllCrashes(Subject, Other, Now);
   });
 }
 
--- a/source/Coordination/SuspectRegistry.h
+++ b/source/Coordination/SuspectRegistry.h
@@ -68,6 +68,10 @@
 /// - the other input is refused, because more targets crashed under it, or
 /// - this input had run for long when a target crashed and the other never had:
 ///   the cause crashes a target soon after it starts there.
+/// Run times are measured by each host for itself and mislead on a busy host.
+/// They therefore only save an input from waiting and from being refused; until
+/// it has reached the crash limit it stays at its two candidates, on which all
+/// hosts agree.
 /// Thread-safe.
 class SuspectRegistry final {
 public:
@@ -118,6 +122,11 @@
   Entry *find(const std::string &Digest, SteadyTime Now);
   /// True if another input is the likelier cause of all crashes of \p Subject.
   bool isInnocent(const Entry &Subject, SteadyTime Now) const;
+  /// True if an input that is refused explains all crashes of \p Subject.
+  bool isExplainedByRefused(const Entry &Subject, SteadyTime Now) const;
+  /// True if \p Other was at all crashed targets of \p Subject.
+  static bool sharesAllCrashes(const Entry &Subject, const Entry &Other,
+                               SteadyTime Now);
   void removeExpired(SteadyTime Now);
   void addCrash(const std::string &Digest, const std::string &Target,
                 Milliseconds RunTime, bool Local);
--- a/tests/Coordination/SuspectRegistryTest.cpp
+++ b/tests/Coordination/SuspectRegistryTest.cpp
@@ -87,7 +87,11 @@
   F.Registry_.onConnectionReset("innocent", "a", Long);
   CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Suspect);
   F.Registry_.merge({"cause", {"a"}, false, Short});
-  CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Clear);
+  // It need not wait for a turn.
+  F.Registry_.onConnectionReset("another", "a", Short);
+  CHECK(F.Registry_.repeatDelay("innocent") ==
+        SuspectRegistrySettings().ReportDelay_);
+  CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Suspect);
   // It is repeated on another target, which the cause reaches too.
   F.Registry_.onConnectionReset("innocent", "b", Short);
   CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Refused);
@@ -153,10 +157,28 @@
 // expired.
 TEST_CASE("an input is innocent as long as the cause is remembered") {
   Fixture F;
-  F.Registry_.onConnectionReset("cause", "a", Short);
+  for (const char *Target : {"a", "b"})
+    F.Registry_.onConnectionReset("cause", Target, Short);
   F.Now_ += Seconds{20};
   F.Registry_.onConnectionReset("innocent", "a", Long);
   CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Clear);
+  F.Registry_.onConnectionReset("innocent", "b", Long);
+  CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Clear);
   F.Now_ += Seconds{11};
-  CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Suspect);
+  CHECK(F.Registry_.inputStatus("innocent") == InputStatus::Refused);
+}
+
+// Pattern: an input that crashes targets comes at all hosts at once, while a
+// host is busy and another request has just started on the same target. Guards
+// against a host that takes the input for innocent, because it saw it run for
+// longer than the other request, and sends it to a target of its own choice.
+TEST_CASE("an input that ran for longer than another stays at its candidates") {
+  Fixture F;
+  constexpr Milliseconds JustStarted{10};
+  constexpr Milliseconds SlowedByLoad{80};
+  F.Registry_.merge({"beside", {"a"}, false, JustStarted});
+  F.Registry_.onConnectionReset("cause", "a", SlowedByLoad);
+  CHECK(F.Registry_.inputStatus("cause") == InputStatus::Suspect);
+  F.Registry_.onConnectionReset("cause", "b", SlowedByLoad);
+  CHECK(F.Registry_.inputStatus("cause") == InputStatus::Refused);
 }
