Recognise a late copy of a stage answer by results that were freed

A server may send a second copy of an answer, late, on a connection that is in use again. Answers to stage calls name no request. A copy was recognised only while the ledger still held one of its results; once all had been read and freed, the handles of the copy were taken for the results of the next call of the same size, and a request got the pieces of another one.

The ledger now keeps handles until the results would have expired at their target. It counts bytes as they change, where it added up all results before each call.

Found by reading; test "result ledger: a result that was removed is still recognised", which fails when removed results are forgotten.

--- a/source/Coordination/Stages/ResultLedger.cpp
+++ b/source/Coordination/Stages/ResultLedger.cpp
@@ -15,21 +15,35 @@
 
 void ResultLedger::add(const std::string &Target, const std::string &Handle,
                        std::uint64_t Bytes, SteadyTime Expiry) {
-  UsageByTarget_[Target].Results_[Handle] = {Bytes, Expiry};
+  TargetUsage &Usage = UsageByTarget_[Target];
+  if (!Usage.Results_.emplace(Handle, Bytes).second)
+    return;
+  Usage.StoredBytes_ += Bytes;
+  Usage.Expiries_.emplace_back(Expiry, Handle);
 }
 
-bool ResultLedger::contains(const std::string &Target,
-                            const std::string &Handle) const {
+bool ResultLedger::wasReported(const std::string &Target,
+                               const std::string &Handle) const {
   auto Found = UsageByTarget_.find(Target);
   return Found != UsageByTarget_.end() &&
-         Found->second.Results_.count(Handle) > 0;
+         Found->second.Results_.contains(Handle);
 }
 
 void ResultLedger::remove(const std::string &Target,
                           const std::string &Handle) {
-  auto Found = UsageByTarget_.find(Target);
-  if (Found != UsageByTarget_.end())
-    Found->second.Results_.erase(Handle);
+  TargetUsage &Usage = UsageByTarget_[Target];
+  auto Found = Usage.Results_.find(Handle);
+  if (Found != Usage.Results_.end())
+    Usage.StoredBytes_ -= std::exchange(Found->second, 0);
+}
+
+void ResultLedger::removeExpired(TargetUsage &Usage, SteadyTime Now) {
+  while (!Usage.Expiries_.empty() && Usage.Expiries_.front().first <= Now) {
+    auto Found = Usage.Results_.find(Usage.Expiries_.front().second);
+    Usage.StoredBytes_ -= Found->second;
+    Usage.Results_.erase(Found);
+    Usage.Expiries_.pop_front();
+  }
 }
 
 void ResultLedger::onTargetFull(const std::string &Target,
@@ -44,13 +58,10 @@
 std::uint64_t ResultLedger::freeBytes(const std::string &Target,
                                       std::uint64_t Capacity, SteadyTime Now) {
   TargetUsage &Usage = UsageByTarget_[Target];
+  removeExpired(Usage, Now);
   if (Now < Usage.FullUntil_)
     return 0;
-  std::erase_if(Usage.Results_,
-                [&](const auto &Item) { return Now >= Item.second.Expiry_; });
-  std::uint64_t UsedBytes = Usage.ReservedBytes_;
-  for (const auto &[Handle, Stored] : Usage.Results_)
-    UsedBytes += Stored.Bytes_;
+  std::uint64_t UsedBytes = Usage.ReservedBytes_ + Usage.StoredBytes_;
   return Capacity > UsedBytes ? Capacity - UsedBytes : 0;
 }
 
--- a/source/Coordination/Stages/ResultLedger.h
+++ b/source/Coordination/Stages/ResultLedger.h
@@ -6,8 +6,10 @@
 #include "Support/Time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace amaranth::coordination {
 
@@ -25,7 +27,11 @@
   /// removed.
   void add(const std::string &Target, const std::string &Handle,
            std::uint64_t Bytes, SteadyTime Expiry);
-  bool contains(const std::string &Target, const std::string &Handle) const;
+  /// True if \p Target reported the result before, also if it has been removed
+  /// since. Two results never have the same handle, so that the answer is a
+  /// copy of an earlier one.
+  bool wasReported(const std::string &Target, const std::string &Handle) const;
+  /// Ends the use of the bytes of a result.
   void remove(const std::string &Target, const std::string &Handle);
   /// Treats \p Target as full until \p FullUntil.
   void onTargetFull(const std::string &Target, SteadyTime FullUntil);
@@ -36,16 +42,18 @@
                           SteadyTime Now);
 
 private:
-  struct StoredResult {
-    std::uint64_t Bytes_ = 0;
-    SteadyTime Expiry_;
-  };
   struct TargetUsage {
     std::uint64_t ReservedBytes_ = 0;
-    std::map<std::string, StoredResult> Results_;
+    std::uint64_t StoredBytes_ = 0;
+    /// Bytes of each result that has not expired, 0 once it has been removed.
+    std::map<std::string, std::uint64_t> Results_;
+    /// The handles of Results_ in the order of their expiry.
+    std::deque<std::pair<SteadyTime, std::string>> Expiries_;
     SteadyTime FullUntil_{};
   };
 
+  static void removeExpired(TargetUsage &Usage, SteadyTime Now);
+
   std::map<std::string, TargetUsage> UsageByTarget_;
 };
 
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -365,9 +365,9 @@
     const PieceOutcome &Outcome = Outcomes[I];
     switch (Outcome.Status_) {
     case PieceStatus::Completed:
-      // A handle that the ledger already has means that the target repeated an
-      // earlier answer.
-      if (Service.Ledger_.contains(Target.Id_, Outcome.Handle_)) {
+      // The answer to a call names no request, so that a late copy of an
+      // earlier answer shows only by its handles.
+      if (Service.Ledger_.wasReported(Target.Id_, Outcome.Handle_)) {
         LogEvent(LogLevel::Warn, "stage_answer_repeated")
             .field("target", Target.Id_);
         retryOrReport(Service, std::move(CallPieces[I]), PieceStatus::Failed,
--- a/tests/Coordination/Stages/ResultLedgerTest.cpp
+++ b/tests/Coordination/Stages/ResultLedgerTest.cpp
@@ -18,7 +18,7 @@
   CHECK(Ledger.freeBytes("t", 1000, Now) == 500);
   Ledger.unreserve("t", 300);
   CHECK(Ledger.freeBytes("t", 1000, Now) == 800);
-  CHECK(Ledger.contains("t", "h"));
+  CHECK(Ledger.wasReported("t", "h"));
   CHECK(Ledger.freeBytes("t", 1000, Now + Seconds{4}) == 1000);
   CHECK(Ledger.freeBytes("t", 100, Now) == 100);
 }
@@ -42,3 +42,18 @@
   Ledger.remove("t", "h");
   CHECK(Ledger.freeBytes("t", 1000, Now) == 1000);
 }
+
+// Pattern: a target sends a second copy of an answer, late, on a connection
+// that is in use again. Guards against results of freed pieces that are taken
+// for those of the next call.
+TEST_CASE("result ledger: a result that was removed is still recognised") {
+  ResultLedger Ledger;
+  Ledger.add("t", "h", 200, Now + Seconds{4});
+  Ledger.remove("t", "h");
+  CHECK(Ledger.freeBytes("t", 1000, Now) == 1000);
+  CHECK(Ledger.wasReported("t", "h"));
+  CHECK_FALSE(Ledger.wasReported("t", "other"));
+  CHECK_FALSE(Ledger.wasReported("other", "h"));
+  CHECK(Ledger.freeBytes("t", 1000, Now + Seconds{4}) == 1000);
+  CHECK_FALSE(Ledger.wasReported("t", "h"));
+}
