Bound what a process holds of messages that never end

A reader held the line of a chunk without limit (32 MB held after 32 MB sent), the body of an answer to another request up to 16 MiB, an event of a stream that never ends without limit, and each of thousands of connections might hold a whole answer.

- HttpReader gives up a chunk's line or trailer longer than a head may be.
Its limit for bodies counts the bytes that have not been taken, so that a long stream is no longer cut by a bound on its total.
- All messages of a process together may hold an eighth of its memory (ByteBudget): requests beyond are refused with 503 before they run, answers are given up.
- Answers to other requests are discarded while they are read.
- An exchange that ends because of its bytes is Unusable, not Broken: the target counts as failing, but the input is not suspected of a crash.
- After its last state a reader takes no more bytes.
The seeded fuzz test found that the parser ends the process (an assertion) when it is fed after a head with two framings was refused; no caller did so.

Tests: every part of a message in both directions; 24 exchanges at once with endless answers, with the memory of the process measured; a seeded fuzz test of mutated, truncated, pipelined and divided messages; a long response; slow but sound answers, a byte now and then, answers without an id, late copies.

--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -23,6 +23,8 @@
 
 /// Time limit for writing the refusal of a request that was not read whole.
 constexpr Milliseconds RefusalTimeout{1000};
+/// Retry-After of a request for whose bytes there is no memory.
+constexpr Milliseconds RetryAfterFull{500};
 
 constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -128,8 +130,9 @@
     state::CallerLimits Limits = callerLimits();
     HttpReader Reader(HttpReader::Kind::Request, Limits.MaxHeaderBytes_,
                       Limits.MaxBodyBytes_);
+    transport::ByteReservation Held(Context_.MessageBytes_);
     SteadyTime Arrival{};
-    bool HasRequest = co_await readRequest(Caller, Reader, Arrival);
+    bool HasRequest = co_await readRequest(Caller, Reader, Held, Arrival);
     if (!HasRequest)
       break;
     if (ListeningPort == Port::Host) {
@@ -147,6 +150,7 @@
 }
 
 Awaitable<bool> CallerServer::readRequest(Link Caller, HttpReader &Reader,
+                                          transport::ByteReservation &Held,
                                           SteadyTime &Arrival) {
   state::CallerLimits Limits = callerLimits();
   std::string &Input = Caller->input();
@@ -164,6 +168,11 @@
   bool ReadingBody = false;
   for (;;) {
     Reader.feed(Input);
+    if (!Held.resize(Input.size() + Reader.bodyBytes())) {
+      std::string Full = "this host holds too many messages";
+      co_await refuseUnread(Caller, 503, Full, RetryAfterFull);
+      co_return false;
+    }
     if (Reader.state() == HttpReader::State::Complete)
       break;
     if (Reader.state() == HttpReader::State::Body && !ReadingBody) {
@@ -204,15 +213,16 @@
   co_return true;
 }
 
-Awaitable<void> CallerServer::refuseUnread(Link Caller, int Status,
-                                           std::string Reason) {
+Awaitable<void>
+CallerServer::refuseUnread(Link Caller, int Status, std::string Reason,
+                           std::optional<Milliseconds> RetryAfter) {
   LogEvent(LogLevel::Warn, "request_unreadable")
       .field("status", Status)
       .field("reason", Reason)
       .field("caller", Caller->peerAddress());
   std::string NoRequestId;
-  std::string Answer = Context_.Edge_.hostAnswer(Status, NoRequestId, Reason,
-                                                 std::nullopt, true);
+  std::string Answer =
+      Context_.Edge_.hostAnswer(Status, NoRequestId, Reason, RetryAfter, true);
   Caller->setDeadline(SteadyClock::now() + RefusalTimeout);
   co_await Caller->write(Answer);
 }
--- a/source/Serving/CallerServer.h
+++ b/source/Serving/CallerServer.h
@@ -57,12 +57,15 @@
   transport::Awaitable<void> accept(std::shared_ptr<Acceptor> Listener,
                                     Port ListeningPort);
   transport::Awaitable<void> serve(Link Caller, Port ListeningPort);
-  /// Reads one request into \p Reader. False if the connection ended or the
-  /// request was refused.
-  transport::Awaitable<bool>
-  readRequest(Link Caller, transport::HttpReader &Reader, SteadyTime &Arrival);
-  transport::Awaitable<void> refuseUnread(Link Caller, int Status,
-                                          std::string Reason);
+  /// Reads one request into \p Reader, whose bytes count as \p Held. False if
+  /// the connection ended or the request was refused.
+  transport::Awaitable<bool> readRequest(Link Caller,
+                                         transport::HttpReader &Reader,
+                                         transport::ByteReservation &Held,
+                                         SteadyTime &Arrival);
+  transport::Awaitable<void>
+  refuseUnread(Link Caller, int Status, std::string Reason,
+               std::optional<Milliseconds> RetryAfter = std::nullopt);
   transport::Awaitable<bool>
   answerHostCall(Link Caller, const transport::HttpReader &Reader);
   state::CallerLimits callerLimits() const;
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -14,6 +14,7 @@
 #include "Serving/TargetConnections.h"
 #include "State/HostSettings.h"
 #include "State/RoutingTable.h"
+#include "Transport/ByteBudget.h"
 
 namespace amaranth::serving {
 
@@ -22,13 +23,18 @@
   /// An input that has crashed this many targets is refused. Two could refuse
   /// innocent inputs, because connections also break for other reasons.
   static constexpr std::size_t MaxCrashes = 3;
+  /// The bytes of all messages may fill this part of the process's memory. A
+  /// request and its answer are copied when they are passed on.
+  static constexpr std::size_t MessageMemoryDivisor = 8;
 
   EntryContext(transport::Loop &Executor, state::HostSettings HostSettings,
                const protocol::EdgeProtocol &EdgeProtocol,
                coordination::SuspectListener &SuspectChanges,
                const coordination::QueueView &Queues)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
-        Edge_(EdgeProtocol), Connections_(Executor),
+        Edge_(EdgeProtocol), MessageBytes_(Settings_.MemoryMegabytes_ * 1024 *
+                                           1024 / MessageMemoryDivisor),
+        Connections_(Executor),
         RetryBudget_({Settings_.RetryRatio_, Settings_.RetryExtra_,
                       Settings_.RetryWindow_}),
         Suspects_(suspectSettings(), &SuspectChanges), StageAdmission_(Queues) {
@@ -42,6 +48,7 @@
   coordination::TargetRegistry Targets_;
   coordination::TargetHealth Health_;
   coordination::EngineChooser Engines_;
+  transport::ByteBudget MessageBytes_;
   TargetConnections Connections_;
   coordination::WindowBudget RetryBudget_;
   coordination::SuspectRegistry Suspects_;
--- a/source/Serving/EventStream.h
+++ b/source/Serving/EventStream.h
@@ -14,11 +14,16 @@
 /// that were already returned are skipped.
 class EventStream final {
 public:
+  /// Limit for the bytes of one event.
+  static constexpr std::size_t MaxEventBytes = 256 * 1024;
+
   /// Appends bytes and returns the events that are now complete, without those
   /// that were returned before.
   std::string addBytes(const std::string &Bytes);
   /// Whether the bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !Pending_.empty(); }
+  /// Bytes of the incomplete event.
+  std::size_t pendingBytes() const { return Pending_.size(); }
   /// Discards the incomplete event; call before another target continues.
   void discardPartialEvent() { Pending_.clear(); }
   /// Id of the last event returned that had one.
--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -98,7 +98,8 @@
       targetFields(Scope_, Target, AttemptDeadline);
   std::string Request =
       Context.Edge_.targetRequest(Scope_.Head_, Scope_.Body_, Fields);
-  TargetExchange Exchange(Context.Connections_, Context.Edge_, Target);
+  TargetExchange Exchange(Context.Connections_, Context.Edge_,
+                          Context.MessageBytes_, Target);
   Scope_.Interrupt_ = [&Exchange] { Exchange.stop(); };
   SteadyTime StartedAt = SteadyClock::now();
   Context.Health_.begin(Target.Id_);
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -258,7 +258,7 @@
   std::string Request = encodeCall(*Running);
   Context_.Health_.begin(Running->Target_.Id_);
   TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
-                          Running->Target_);
+                          Context_.MessageBytes_, Running->Target_);
   std::string NoRequestId;
   co_await Exchange.start(Request, NoRequestId, Deadline);
   co_await Exchange.readAll();
@@ -445,7 +445,8 @@
     std::vector<std::string> Handles = std::move(State.HandlesToFree_);
     State.HandlesToFree_.clear();
     std::string Request = Context_.Edge_.freeResultsCall(Handles, Target.Id_);
-    TargetExchange Exchange(Context_.Connections_, Context_.Edge_, Target);
+    TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
+                            Context_.MessageBytes_, Target);
     SteadyTime Deadline = SteadyClock::now() + Settings_.TimeoutBase_;
     std::string NoRequestId;
     co_await Exchange.start(Request, NoRequestId, Deadline);
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -53,8 +53,9 @@
 } // namespace
 
 StreamRun::StreamRun(RequestScope &Scope, StageClient &Client)
-    : Scope_(Scope), Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
-                             usableUntil(Scope), likelyDataCentre(Scope)) {}
+    : Scope_(Scope), PendingEvent_(Scope.Context_.MessageBytes_),
+      Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
+              usableUntil(Scope), likelyDataCentre(Scope)) {}
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
@@ -127,7 +128,8 @@
     Fields.LastEventId_ = Events_.lastEventId();
   std::string Request =
       Context.Edge_.targetRequest(Scope_.Head_, Scope_.Body_, Fields);
-  TargetExchange Exchange(Context.Connections_, Context.Edge_, Target);
+  TargetExchange Exchange(Context.Connections_, Context.Edge_,
+                          Context.MessageBytes_, Target);
   Scope_.Interrupt_ = [&Exchange] { Exchange.stop(); };
   AttemptStart_ = SteadyClock::now();
   Context.Health_.begin(Target.Id_);
@@ -198,6 +200,14 @@
     }
     if (Exchange.state() != ExchangeState::Answering)
       break;
+    bool MayHold = PendingEvent_.resize(Events_.pendingBytes());
+    if (!MayHold || Events_.pendingBytes() > EventStream::MaxEventBytes) {
+      LogEvent(LogLevel::Warn, "event_too_large")
+          .field("request", Scope_.Request_.Id_)
+          .field("target", Exchange.target().Id_);
+      Exchange.stop();
+      break;
+    }
     co_await Exchange.readMore();
     if (Scope_.CallerDisconnected_)
       co_return Step::Finished;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -43,6 +43,7 @@
   transport::Awaitable<void> answerOrAbort();
 
   RequestScope &Scope_;
+  transport::ByteReservation PendingEvent_;
   StageRun Stages_;
   EventStream Events_;
   std::set<std::string> TriedTargets_;
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t MaxAnswerHead = 32 * 1024;
-/// Limit for the body of an answer.
+/// Limit for the part of an answer's body that is held at once.
 constexpr std::size_t MaxAnswerBody = 16 * 1024 * 1024;
 /// A connection is closed after this many foreign answers.
 constexpr int MaxForeignAnswers = 4;
@@ -25,8 +25,10 @@
 
 TargetExchange::TargetExchange(TargetConnections &Connections,
                                const protocol::EdgeProtocol &Edge,
+                               transport::ByteBudget &Budget,
                                state::TargetRecord Target)
-    : Connections_(Connections), Edge_(Edge), Target_(std::move(Target)) {}
+    : Connections_(Connections), Edge_(Edge), Target_(std::move(Target)),
+      Held_(Budget) {}
 
 TargetExchange::~TargetExchange() {
   if (Link_)
@@ -57,9 +59,8 @@
 
 Awaitable<ExchangeState> TargetExchange::readHead() {
   for (int ForeignAnswers = 0; ForeignAnswers < MaxForeignAnswers;) {
-    Reader_->feed(Link_->input());
-    if (Reader_->state() > HttpReader::State::Complete)
-      co_return fail(LinkStatus::Reset);
+    if (!parseInput())
+      co_return reject();
     if (!Reader_->hasHead()) {
       LinkStatus Status = co_await Link_->readSome();
       if (Status != LinkStatus::Ok)
@@ -81,23 +82,41 @@
         .field("target", Target_.Id_);
     SkippedForeign_ = true;
     ++ForeignAnswers;
-    while (Reader_->state() == HttpReader::State::Body) {
-      LinkStatus Status = co_await Link_->readSome();
-      if (Status != LinkStatus::Ok)
-        co_return fail(Status);
-      Reader_->feed(Link_->input());
-    }
+    LinkStatus Skipped = co_await skipBody();
+    if (Skipped != LinkStatus::Ok)
+      co_return fail(Skipped);
+    if (Reader_->state() != HttpReader::State::Complete)
+      co_return reject();
     Reader_ = newReader();
   }
-  co_return fail(LinkStatus::Reset);
+  co_return reject();
 }
 
-Awaitable<ExchangeState> TargetExchange::readMore() {
-  LinkStatus Status = co_await Link_->readSome();
+Awaitable<LinkStatus> TargetExchange::skipBody() {
+  LinkStatus Status = LinkStatus::Ok;
+  std::size_t SkippedBytes = 0;
+  while (Status == LinkStatus::Ok &&
+         Reader_->state() == HttpReader::State::Body &&
+         SkippedBytes <= MaxAnswerBody) {
+    SkippedBytes += Reader_->takeBody().size();
+    Status = co_await Link_->readSome();
+    Reader_->feed(Link_->input());
+  }
+  co_return Status;
+}
+
+bool TargetExchange::parseInput() {
   Reader_->feed(Link_->input());
-  Body_ += Reader_->takeBody();
   if (Reader_->state() > HttpReader::State::Complete)
-    co_return fail(LinkStatus::Reset);
+    return false;
+  return Held_.resize(Link_->input().size() + Body_.size() +
+                      Reader_->bodyBytes());
+}
+
+Awaitable<ExchangeState> TargetExchange::readMore() {
+  LinkStatus Status = co_await Link_->readSome();
+  if (!parseInput())
+    co_return reject();
   if (Reader_->state() == HttpReader::State::Complete) {
     finish();
     co_return State_;
@@ -123,6 +142,8 @@
     Body_ += Reader_->takeBody();
   std::string Body = std::move(Body_);
   Body_.clear();
+  if (State_ == ExchangeState::Answering)
+    Held_.resize(Link_->input().size());
   return Body;
 }
 
@@ -140,8 +161,19 @@
 }
 
 ExchangeState TargetExchange::fail(LinkStatus Status) {
-  State_ = Status == LinkStatus::TimedOut ? ExchangeState::TimedOut
-                                          : ExchangeState::Broken;
+  return end(Status == LinkStatus::TimedOut ? ExchangeState::TimedOut
+                                            : ExchangeState::Broken);
+}
+
+ExchangeState TargetExchange::reject() {
+  LogEvent(LogLevel::Warn, "answer_unusable")
+      .field("request", RequestId_)
+      .field("target", Target_.Id_);
+  return end(ExchangeState::Unusable);
+}
+
+ExchangeState TargetExchange::end(ExchangeState Final) {
+  State_ = Final;
   if (Link_)
     Link_->close();
   return State_;
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -5,6 +5,7 @@
 
 #include "Protocol/EdgeProtocol.h"
 #include "Serving/TargetConnections.h"
+#include "Transport/ByteBudget.h"
 #include "Transport/HttpReader.h"
 
 #include <memory>
@@ -18,17 +19,21 @@
   Answering,   ///< The answer's head has arrived.
   Complete,    ///< The whole answer has arrived.
   NotExecuted, ///< The target reports that it did not run the request.
-  Broken,      ///< Sent, but no usable answer; the request may have run.
-  TimedOut,    ///< Like Broken, because the deadline passed.
+  Broken,      ///< The connection broke; the request may have run.
+  /// The answer is malformed, too large or of other requests; the request may
+  /// have run.
+  Unusable,
+  TimedOut, ///< Like Broken, because the deadline passed.
 };
 
 /// Sends one request and reads its answer. Skips foreign answers: late answers
 /// to other requests that arrive on the same connection.
 class TargetExchange final {
 public:
+  /// Bytes of the answer count against \p Budget while they are held.
   TargetExchange(TargetConnections &Connections,
                  const protocol::EdgeProtocol &Edge,
-                 state::TargetRecord Target);
+                 transport::ByteBudget &Budget, state::TargetRecord Target);
   ~TargetExchange();
 
   /// Sends \p Request and reads the head of the answer, which must name
@@ -52,12 +57,21 @@
 
 private:
   transport::Awaitable<ExchangeState> readHead();
+  /// Reads the rest of an answer to another request, and discards it.
+  transport::Awaitable<transport::LinkStatus> skipBody();
+  /// Parses the bytes that have arrived. False if they are unusable or too
+  /// many.
+  bool parseInput();
   void finish();
   ExchangeState fail(transport::LinkStatus Status);
+  /// Ends the exchange because the answer cannot be used.
+  ExchangeState reject();
+  ExchangeState end(ExchangeState Final);
 
   TargetConnections &Connections_;
   const protocol::EdgeProtocol &Edge_;
   state::TargetRecord Target_;
+  transport::ByteReservation Held_;
   std::string RequestId_;
   std::shared_ptr<transport::TcpLink> Link_;
   std::unique_ptr<transport::HttpReader> Reader_;
--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -32,13 +32,17 @@
 };
 
 HttpReader::HttpReader(Kind Message, std::size_t MaxHead, std::size_t MaxBody)
-    : Parser_(std::make_unique<Parser>()) {
+    : Parser_(std::make_unique<Parser>()), MaxHead_(MaxHead),
+      MaxBody_(MaxBody) {
   if (Message == Kind::Response)
     Parser_->Variant_.emplace<1>();
   Parser_->visit([&](auto &MessageParser) {
     MessageParser.eager(true);
     MessageParser.header_limit(static_cast<std::uint32_t>(MaxHead));
-    MessageParser.body_limit(MaxBody);
+    if (Message == Kind::Request)
+      MessageParser.body_limit(MaxBody);
+    else
+      MessageParser.body_limit(boost::none);
   });
 }
 
@@ -46,7 +50,8 @@
 HttpReader::HttpReader(HttpReader &&) noexcept = default;
 
 HttpReader::State HttpReader::feed(std::string &Input) {
-  if (Input.empty() || State_ == State::Complete)
+  // The parser asserts that it gets no bytes after the end of a message.
+  if (Input.empty() || State_ >= State::Complete)
     return State_;
   Started_ = true;
   boost::system::error_code Failure;
@@ -68,10 +73,17 @@
         return MessageParser.is_done();
       }))
     State_ = State::Complete;
+  if (State_ == State::Body && bodyBytes() > MaxBody_)
+    return State_ = State::BodyTooLarge;
+  // The parser leaves the line of a chunk and the trailer until they are whole.
+  if (State_ == State::Body && Input.size() > MaxHead_)
+    return State_ = State::Malformed;
   return State_;
 }
 
 HttpReader::State HttpReader::onEndOfStream() {
+  if (State_ >= State::Complete)
+    return State_;
   boost::system::error_code Failure;
   Parser_->visit([&](auto &MessageParser) { MessageParser.put_eof(Failure); });
   if (Failure)
@@ -108,6 +120,11 @@
   });
 }
 
+std::size_t HttpReader::bodyBytes() const {
+  return Parser_->visit(
+      [](auto &MessageParser) { return MessageParser.get().body().size(); });
+}
+
 bool HttpReader::keepAlive() const {
   return Parser_->visit(
       [](auto &MessageParser) { return MessageParser.keep_alive(); });
--- a/source/Transport/HttpReader.h
+++ b/source/Transport/HttpReader.h
@@ -11,7 +11,11 @@
 
 namespace amaranth::transport {
 
-/// Parses one message as its bytes arrive, with the parser of Boost.Beast.
+/// Parses one message as its bytes arrive, with the parser of Boost.Beast. What
+/// it holds is bounded, whatever the peer sends: a head, a chunk's line or a
+/// trailer by the limit for heads, body bytes that have not been taken by the
+/// limit for bodies. The whole body of a response may be longer, so that a long
+/// stream is read to its end.
 class HttpReader final {
 public:
   enum class Kind { Request, Response };
@@ -42,6 +46,8 @@
   const HttpHead &head() const { return Head_; }
   /// Takes the body bytes parsed so far.
   std::string takeBody();
+  /// Body bytes that have been parsed and not taken.
+  std::size_t bodyBytes() const;
   /// Whether the connection may carry another message after this one.
   bool keepAlive() const;
   /// Whether the body's end is marked by a length or a last chunk.
@@ -55,6 +61,8 @@
   void readHead();
 
   std::unique_ptr<Parser> Parser_;
+  std::size_t MaxHead_;
+  std::size_t MaxBody_;
   HttpHead Head_;
   State State_ = State::Head;
   bool Started_ = false;
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -19,8 +19,9 @@
 
 /// Bytes read from the socket in one call.
 constexpr std::size_t ReadSize = 16 * 1024;
-/// Limit for bytes that a peer sends while its request is processed.
-constexpr std::size_t MaxWatchedInput = 64 * 1024;
+/// Limit for bytes that a peer sends while its request is processed. Each of
+/// some thousand connections may hold as many.
+constexpr std::size_t MaxWatchedInput = 8 * 1024;
 /// A connection on which the peer acknowledges nothing for this long is broken;
 /// connections can stall without a reset.
 constexpr unsigned UserTimeoutMs = 3000;
--- a/tests/Serving/EventStreamTest.cpp
+++ b/tests/Serving/EventStreamTest.cpp
@@ -36,3 +36,15 @@
   CHECK(Stream.lastEventId() == 7);
   CHECK(Stream.addBytes("data: y\n\n") == "data: y\n\n");
 }
+
+// Guards against a stream whose event never ends that is buffered without a
+// limit that the reader of the stream can check.
+TEST_CASE("event stream: the bytes of an endless event are counted") {
+  EventStream Stream;
+  for (std::size_t I = 1; I <= 100; ++I) {
+    CHECK(Stream.addBytes(std::string(4096, 'x')).empty());
+    CHECK(Stream.pendingBytes() == 4096 * I);
+  }
+  Stream.discardPartialEvent();
+  CHECK(Stream.pendingBytes() == 0);
+}
--- /dev/null
+++ b/tests/Serving/LoopbackPeer.h
@@ -0,0 +1,108 @@
+/// \file
+/// A target on a loopback port whose bytes a test determines.
+#ifndef AMARANTH_TESTS_SERVING_LOOPBACKPEER_H
+#define AMARANTH_TESTS_SERVING_LOOPBACKPEER_H
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <string>
+#include <thread>
+
+namespace amaranth::serving {
+
+/// A connection of a LoopbackPeer; used by one thread.
+class PeerConnection final {
+public:
+  explicit PeerConnection(boost::asio::ip::tcp::socket Socket)
+      : Socket_(std::move(Socket)) {}
+
+  /// Reads the head of a request; empty if the connection has ended.
+  std::string readHead() {
+    boost::system::error_code Failure;
+    std::size_t Length = boost::asio::read_until(
+        Socket_, boost::asio::dynamic_buffer(Input_), "\r\n\r\n", Failure);
+    if (Failure)
+      return "";
+    std::string Head = Input_.substr(0, Length);
+    Input_.erase(0, Length);
+    return Head;
+  }
+
+  /// False if the peer has closed the connection.
+  bool write(const std::string &Bytes) {
+    boost::system::error_code Failure;
+    boost::asio::write(Socket_, boost::asio::buffer(Bytes), Failure);
+    return !Failure;
+  }
+
+  /// Reads until the connection ends and returns how it ended.
+  boost::system::error_code readToEnd() {
+    boost::system::error_code Failure;
+    char Buffer[4096];
+    while (!Failure)
+      Socket_.read_some(boost::asio::buffer(Buffer), Failure);
+    return Failure;
+  }
+
+private:
+  boost::asio::ip::tcp::socket Socket_;
+  std::string Input_;
+};
+
+/// Runs a handler on a thread for each connection.
+class LoopbackPeer final {
+public:
+  using Handler = std::function<void(PeerConnection &)>;
+
+  explicit LoopbackPeer(Handler Handle)
+      : Handle_(std::move(Handle)),
+        Acceptor_(Executor_, {boost::asio::ip::address_v4::loopback(), 0}),
+        Thread_([this] { accept(); }) {}
+  ~LoopbackPeer() {
+    boost::system::error_code Ignored;
+    Stopping_ = true;
+    // Ends the blocking accept().
+    boost::asio::ip::tcp::socket Last(Executor_);
+    Last.connect(Acceptor_.local_endpoint(), Ignored);
+    Thread_.join();
+    for (std::thread &Connection : Connections_)
+      Connection.join();
+  }
+  LoopbackPeer(const LoopbackPeer &) = delete;
+  LoopbackPeer &operator=(const LoopbackPeer &) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor_.local_endpoint().port());
+  }
+
+private:
+  void accept() {
+    for (;;) {
+      boost::system::error_code Failure;
+      boost::asio::ip::tcp::socket Accepted(Executor_);
+      Acceptor_.accept(Accepted, Failure);
+      if (Failure || Stopping_)
+        return;
+      Connections_.emplace_back(
+          [this, Connection = PeerConnection(std::move(Accepted))]() mutable {
+            Handle_(Connection);
+          });
+    }
+  }
+
+  Handler Handle_;
+  boost::asio::io_context Executor_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  std::atomic<bool> Stopping_ = false;
+  std::list<std::thread> Connections_;
+  std::thread Thread_;
+};
+
+} // namespace amaranth::serving
+
+#endif
--- /dev/null
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -0,0 +1,236 @@
+#include "Serving/TargetExchange.h"
+#include "Serving/LoopbackPeer.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <fstream>
+#include <optional>
+#include <unistd.h>
+
+using namespace amaranth;
+using namespace amaranth::serving;
+using transport::Awaitable;
+
+namespace {
+
+/// The parts of the protocol that an exchange uses.
+class PlainProtocol final : public protocol::EdgeProtocol {
+public:
+  protocol::TargetReply
+  readReply(const transport::HttpHead &Head) const override {
+    protocol::TargetReply Reply;
+    if (const std::string *Id = Head.find("Request-Id"))
+      Reply.RequestId_ = *Id;
+    return Reply;
+  }
+  protocol::HostCall hostCall(const transport::HttpHead &) const override {
+    return protocol::HostCall::None;
+  }
+  Result<protocol::CallerRequest>
+  readRequest(const transport::HttpHead &) const override {
+    return protocol::CallerRequest{};
+  }
+  std::string targetRequest(const transport::HttpHead &, const std::string &,
+                            const protocol::TargetCallFields &) const override {
+    return "";
+  }
+  std::string answerHead(const transport::HttpHead &) const override {
+    return "";
+  }
+  std::string hostAnswer(int, const std::string &, const std::string &,
+                         std::optional<Milliseconds>, bool) const override {
+    return "";
+  }
+  std::string directoryAnswer(const std::vector<std::string> &,
+                              Milliseconds) const override {
+    return "";
+  }
+  std::string
+  stageCall(const std::vector<protocol::StagePiece> &, const std::string &,
+            const std::vector<std::optional<Milliseconds>> &) const override {
+    return "";
+  }
+  Result<std::vector<protocol::PieceOutcome>>
+  readStageAnswer(const std::string &) const override {
+    return std::vector<protocol::PieceOutcome>{};
+  }
+  std::string freeResultsCall(const std::vector<std::string> &,
+                              const std::string &) const override {
+    return "";
+  }
+  std::string holderAddress(const std::string &) const override { return ""; }
+};
+
+constexpr std::size_t BudgetBytes = 8 * 1024 * 1024;
+
+/// An entry host's side of exchanges with one target.
+struct Fixture {
+  explicit Fixture(LoopbackPeer::Handler Handle) : Peer_(std::move(Handle)) {
+    Target_.Id_ = "t";
+    Target_.Address_ = Peer_.address();
+  }
+
+  Awaitable<void> run(std::string Request, std::string Id,
+                      Milliseconds TimeLimit) {
+    TargetExchange Exchange(Connections_, Protocol_, Budget_, Target_);
+    Current_ = &Exchange;
+    SteadyTime Deadline = SteadyClock::now() + TimeLimit;
+    co_await Exchange.start(Request, Id, Deadline);
+    co_await Exchange.readAll();
+    State_ = Exchange.state();
+    Body_ = Exchange.takeBody();
+    Current_ = nullptr;
+  }
+
+  /// Runs one exchange to its end.
+  void exchange(const std::string &Id, Milliseconds TimeLimit = Seconds{20}) {
+    std::string Request = "GET / HTTP/1.1\r\nRequest-Id: " + Id + "\r\n\r\n";
+    transport::startTask(Loop_, run(Request, Id, TimeLimit));
+    Loop_.restart();
+    Loop_.run();
+  }
+
+  transport::Loop Loop_;
+  PlainProtocol Protocol_;
+  transport::ByteBudget Budget_{BudgetBytes};
+  TargetConnections Connections_{Loop_};
+  state::TargetRecord Target_;
+  TargetExchange *Current_ = nullptr;
+  std::optional<ExchangeState> State_;
+  std::string Body_;
+  LoopbackPeer Peer_; ///< Last, so that its threads end first.
+};
+
+std::string answer(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+/// Memory of this process in use.
+std::size_t residentBytes() {
+  std::ifstream File("/proc/self/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  File >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+// Pattern: a target sends a second copy of an answer, late, on a connection
+// that is in use again. Guards against a caller that gets an answer to another
+// request.
+TEST_CASE("target exchange: a late copy is not the next request's answer") {
+  int Requests = 0;
+  Fixture F([&](PeerConnection &Connection) {
+    std::string Copy;
+    for (std::string Head = Connection.readHead(); !Head.empty();
+         Head = Connection.readHead()) {
+      std::string Id = Head.substr(Head.find("Request-Id: ") + 12, 2);
+      std::string Own = answer(Id, "body of " + Id);
+      Connection.write(Copy + Own);
+      Copy = Own;
+      ++Requests;
+    }
+  });
+  for (const char *Id : {"r1", "r2", "r3"}) {
+    F.exchange(Id);
+    CHECK(F.State_ == ExchangeState::Complete);
+    CHECK(F.Body_ == std::string("body of ") + Id);
+  }
+  CHECK(Requests == 3);
+  F.Connections_.closeIdle("t");
+}
+
+// Guards against an answer without an id, or with an empty one, that is taken
+// for the answer to the request on its connection.
+TEST_CASE("target exchange: an answer without an id is nobody's") {
+  std::string Answer = GENERATE(
+      as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 200 OK\r\nRequest-Id:\r\nContent-Length: 1\r\n\r\nx",
+      "HTTP/1.1 100 Continue\r\n\r\n");
+  CAPTURE(Answer);
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    while (Connection.write(Answer))
+      std::this_thread::sleep_for(Milliseconds{1});
+  });
+  F.exchange("r1");
+  CHECK(F.State_ == ExchangeState::Unusable);
+}
+
+// Pattern: servers in trouble send bytes without end, until the caller closes.
+// Guards against exchanges that read on for ever and against memory that grows
+// with what they read, also for many at once.
+TEST_CASE("target exchange: bytes without end are given up") {
+  struct Endless {
+    std::string Begin_;
+    std::string Filler_;
+  };
+  const std::string Own = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+  const std::string Chunked = Own + "Transfer-Encoding: chunked\r\n\r\n";
+  const Endless Part = GENERATE_COPY(
+      Endless{"", "x"}, Endless{"HTTP/1.1 200 O", "K"},
+      Endless{Own + "X: ", "x"}, Endless{Own, "X: x\r\n"},
+      Endless{Chunked + "3;x=", "x"}, Endless{Chunked + "0\r\nX: ", "x"},
+      Endless{Own + "\r\n", "x"},
+      Endless{Chunked, "400\r\n" + std::string(1024, 'x') + "\r\n"},
+      Endless{"HTTP/1.1 200 OK\r\nRequest-Id: r9\r\n\r\n", "x"});
+  CAPTURE(Part.Begin_);
+  constexpr int ExchangeCount = 24;
+  std::string Filler;
+  while (Filler.size() < 64 * 1024)
+    Filler += Part.Filler_;
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write(Part.Begin_);
+    while (Connection.write(Filler))
+      ;
+  });
+  std::size_t BytesBefore = residentBytes();
+  std::string Request = "GET / HTTP/1.1\r\nRequest-Id: r1\r\n\r\n";
+  for (int I = 0; I < ExchangeCount; ++I)
+    transport::startTask(F.Loop_, F.run(Request, "r1", Seconds{60}));
+  SteadyTime StartTime = SteadyClock::now();
+  std::size_t MostBytes = 0;
+  while (F.Loop_.run_one_for(Seconds{1}) > 0)
+    MostBytes = std::max(MostBytes, residentBytes());
+  CHECK(SteadyClock::now() - StartTime < Seconds{30});
+  CHECK(F.State_ == ExchangeState::Unusable);
+  CHECK(F.Budget_.used() == 0);
+  // Strings grow by doubling, and the buffers of each connection come on top.
+  CHECK(MostBytes < BytesBefore + 4 * BudgetBytes);
+}
+
+// Pattern: a target answers slowly but soundly, some bytes at a time. Guards
+// against a stall limit that cuts it before its deadline.
+TEST_CASE("target exchange: a slow answer is read to its end") {
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    for (char Byte : answer("r1", std::string(40, 'x'))) {
+      Connection.write(std::string(1, Byte));
+      std::this_thread::sleep_for(Milliseconds{15});
+    }
+  });
+  F.exchange("r1");
+  CHECK(F.State_ == ExchangeState::Complete);
+  CHECK(F.Body_ == std::string(40, 'x'));
+}
+
+// Pattern: a stalled target sends a byte now and then. Guards against an
+// exchange that goes on after its deadline as long as bytes come.
+TEST_CASE("target exchange: a byte now and then does not extend the deadline") {
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n");
+    while (Connection.write("x"))
+      std::this_thread::sleep_for(Milliseconds{20});
+  });
+  SteadyTime StartTime = SteadyClock::now();
+  F.exchange("r1", Milliseconds{400});
+  CHECK(F.State_ == ExchangeState::TimedOut);
+  CHECK(SteadyClock::now() - StartTime < Seconds{3});
+}
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <random>
+#include <string>
+#include <vector>
 
 using namespace amaranth::transport;
 using State = HttpReader::State;
@@ -116,6 +118,175 @@
   SUCCEED();
 }
 
+namespace {
+
+/// A message whose part after Begin_ is repeated without end.
+struct EndlessPart {
+  const char *Name_;
+  std::string Begin_;
+  std::string Filler_;
+};
+
+std::vector<EndlessPart> endlessResponses() {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"status line", "HTTP/1.1 200 ", "O"},
+      {"bytes that are no answer", "", "x"},
+      {"empty lines", "", "\r\n"},
+      {"field", Head + "X: ", "x"},
+      {"fields", Head, "X: x\r\n"},
+      {"chunk size", Chunked + "3", "0"},
+      {"chunk extension", Chunked + "3;x=", "x"},
+      {"chunk extensions", Chunked + "3", ";x=x"},
+      {"trailer field", Chunked + "0\r\nX: ", "x"},
+      {"trailer", Chunked + "0\r\n", "X: x\r\n"},
+      {"body until close", Head + "\r\n", "x"},
+      {"body with a length", Head + "Content-Length: 999999999\r\n\r\n", "x"},
+      {"chunk", Chunked + "fffffff\r\n", "x"},
+      {"chunks", Chunked, "1\r\nx\r\n"}};
+}
+
+std::vector<EndlessPart> endlessRequests() {
+  const std::string Head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {{"target", "POST /", "x"},
+          {"method", "", "P"},
+          {"field", Head + "X: ", "x"},
+          {"fields", Head, "X: x\r\n"},
+          {"chunk extension", Chunked + "3;x=", "x"},
+          {"trailer field", Chunked + "0\r\nX: ", "x"},
+          {"trailer", Chunked + "0\r\n", "X: x\r\n"},
+          {"chunks", Chunked, "1\r\nx\r\n"}};
+}
+
+/// Feeds the part in reads of usual size until the reader gives the message up,
+/// and checks what it holds.
+void checkGivenUp(HttpReader Reader, const EndlessPart &Part,
+                  std::size_t Limit) {
+  constexpr std::size_t ReadBytes = 4096;
+  constexpr std::size_t MaxReads = 500;
+  INFO(Part.Name_);
+  std::string Input = Part.Begin_;
+  std::size_t Reads = 0;
+  for (; Reads < MaxReads && Reader.feed(Input) <= State::Complete; ++Reads) {
+    CHECK(Input.size() + Reader.bodyBytes() <= Limit + ReadBytes);
+    std::size_t End = Input.size() + ReadBytes;
+    while (Input.size() < End)
+      Input += Part.Filler_;
+  }
+  CHECK(Reader.state() > State::Complete);
+  CHECK(Reads < MaxReads);
+}
+
+} // namespace
+
+// Pattern: a server in trouble sends bytes without end. Guards against memory
+// that grows with them, in any part of a message.
+TEST_CASE("http reader: every part that never ends is given up") {
+  for (const EndlessPart &Part : endlessResponses())
+    checkGivenUp(responseReader(), Part, 4096 + 1024);
+  for (const EndlessPart &Part : endlessRequests())
+    checkGivenUp(requestReader(), Part, 1024 + 64);
+}
+
+// Guards against a bound on the total length of a stream, which cuts sound long
+// streams.
+TEST_CASE("http reader: a long response is read if its body is taken") {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunk = encodeChunk(std::string(1000, 'x'));
+  for (bool IsChunked : {true, false}) {
+    HttpReader Reader = responseReader();
+    std::string Input =
+        Head + (IsChunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    std::size_t Body = 0;
+    for (int I = 0; I < 1000; ++I) {
+      Input += IsChunked ? Chunk : std::string(1000, 'x');
+      REQUIRE(Reader.feed(Input) == State::Body);
+      Body += Reader.takeBody().size();
+    }
+    CHECK(Body == 1000 * 1000);
+  }
+}
+
+namespace {
+
+/// Outcome of reading bytes that were divided at random places.
+struct ReadOutcome {
+  State State_ = State::Head;
+  std::string Body_;
+  std::string Rest_;
+};
+
+ReadOutcome readDivided(const std::string &Bytes, bool IsRequest,
+                        std::size_t MaxPart, std::mt19937 &Random) {
+  HttpReader Reader = IsRequest ? requestReader() : responseReader();
+  ReadOutcome Outcome;
+  std::string Input;
+  for (std::size_t Position = 0; Position < Bytes.size();) {
+    std::size_t Part = 1 + Random() % MaxPart;
+    Input += Bytes.substr(Position, Part);
+    Position += Part;
+    Reader.feed(Input);
+    if (Reader.hasHead())
+      Outcome.Body_ += Reader.takeBody();
+  }
+  Outcome.State_ = Reader.state();
+  Outcome.Rest_ = Input;
+  return Outcome;
+}
+
+} // namespace
+
+// A seeded fuzz test: mutated, truncated and pipelined messages, divided at
+// random places. Guards against crashes, against memory beyond the limits, and
+// against a sound message that is read differently when it is divided
+// differently.
+TEST_CASE("http reader: any bytes in any division") {
+  const std::vector<std::string> Seeds = {
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nT: t\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRequest-Id: r\r\n\r\nabcde",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n3\r\nabc\r\n2;e\r\nde\r\n0\r\n\r\n",
+      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n\r\nx",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"};
+  std::mt19937 Random(20261204);
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Seeds[Random() % Seeds.size()];
+    bool IsRequest = Bytes[0] != 'H';
+    if (Round % 3 == 0)
+      Bytes += Seeds[Random() % Seeds.size()];
+    for (unsigned I = Random() % 5; I > 0 && !Bytes.empty(); --I) {
+      std::size_t Position = Random() % Bytes.size();
+      switch (Random() % 4) {
+      case 0:
+        Bytes[Position] = static_cast<char>(Random());
+        break;
+      case 1:
+        Bytes.erase(Position, 1 + Random() % 4);
+        break;
+      case 2:
+        Bytes.insert(Position, Bytes.substr(Random() % Bytes.size(), 9));
+        break;
+      default:
+        Bytes.resize(Position);
+      }
+    }
+    CAPTURE(Round, Bytes);
+    ReadOutcome Whole = readDivided(Bytes, IsRequest, 100000, Random);
+    ReadOutcome Divided = readDivided(Bytes, IsRequest, 1 + Round % 9, Random);
+    REQUIRE((Whole.State_ == State::Complete) ==
+            (Divided.State_ == State::Complete));
+    if (Whole.State_ != State::Complete)
+      continue;
+    REQUIRE(Whole.Body_ == Divided.Body_);
+    REQUIRE(Whole.Rest_ == Divided.Rest_);
+  }
+}
+
 // Guards against hop-by-hop fields being passed on.
 TEST_CASE("http head: fields of one connection") {
   HttpHead Head;
