Withdraw a request that is on its way when its caller leaves

Cause, from the logs of all hosts: the caller's leaving was seen at once (30.259 s, 13 ms after its deadline) and the run ended. The request had been written to the engine's connection 0.27 s before; the connection was then closed in order, so that the bytes that were still on their way were delivered at 31.069 s.

Ruled out: a read on the caller's connection that is not armed; an end that is not carried to the run (the log line reason=caller_gone of the same moment shows both).

An exchange that is given up, because the caller left, its time is over or the answer is unusable, now resets its connection. The same holds for each caller of TargetExchange: plain calls, streams, stage calls, frees and all retries. Before each attempt the host also asks the caller's connection itself, for the time in which the loop is too busy to report its end.

Test "target exchange: a request on its way is withdrawn at its end", for a caller that leaves and for a deadline: fails with an orderly close.

--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -68,8 +68,8 @@
 Awaitable<void> PlainRun::run() {
   EntryContext &Context = Scope_.Context_;
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
-  while (!Succeeded_ && !FailureIsFinal_ && !Scope_.CallerDisconnected_ &&
-         mayTryAgain()) {
+  while (!Succeeded_ && !FailureIsFinal_ && mayTryAgain() &&
+         !Scope_.hasCallerLeft()) {
     const TargetRecord *Chosen = chooseTarget();
     if (!Chosen)
       break;
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -47,6 +47,14 @@
   std::size_t RemoteInputs_ = 0; ///< Inputs read from another data centre.
   std::optional<Milliseconds> TimeToFirstEvent_; ///< Counted from the arrival.
 
+  /// True if the caller has closed its connection. Asks the connection itself,
+  /// so that nothing is sent to a target for a caller that has left while the
+  /// loop was busy.
+  bool hasCallerLeft() {
+    CallerDisconnected_ = CallerDisconnected_ || Caller_->hasEnded();
+    return CallerDisconnected_;
+  }
+
   bool isIdempotent() const {
     return Route_->Kind_ == state::RequestKind::Idempotent;
   }
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -64,6 +64,8 @@
     bool HasInputs = co_await runStages();
     if (!HasInputs)
       co_return;
+    if (Scope_.hasCallerLeft())
+      co_return;
     if (!mayTryAgain())
       break;
     const TargetRecord *Chosen = chooseTarget();
@@ -74,7 +76,7 @@
       break;
     TargetRecord Target = *Chosen;
     Step NextStep = co_await attempt(Target);
-    if (NextStep == Step::Finished || Scope_.CallerDisconnected_)
+    if (NextStep == Step::Finished)
       co_return;
   }
   co_await answerOrAbort();
--- a/source/Serving/TargetConnections.cpp
+++ b/source/Serving/TargetConnections.cpp
@@ -30,7 +30,7 @@
 TargetConnections::acquire(state::TargetRecord Target, SteadyTime Deadline) {
   std::shared_ptr<TcpLink> IdleLink = acquireIdle(Target.Id_);
   if (IdleLink) {
-    IdleLink->setDeadline(Deadline);
+    IdleLink->setDeadline(Deadline, TcpLink::AtDeadline::Abort);
     co_return IdleLink;
   }
   auto Endpoint = transport::parseEndpoint(Target.Address_);
@@ -45,7 +45,7 @@
     Link->close();
     co_return nullptr;
   }
-  Link->setDeadline(Deadline);
+  Link->setDeadline(Deadline, TcpLink::AtDeadline::Abort);
   co_return Link;
 }
 
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -32,7 +32,7 @@
 
 TargetExchange::~TargetExchange() {
   if (Link_)
-    Link_->close();
+    Link_->abort();
 }
 
 Awaitable<ExchangeState> TargetExchange::start(std::string Request,
@@ -175,14 +175,14 @@
 ExchangeState TargetExchange::end(ExchangeState Final) {
   State_ = Final;
   if (Link_)
-    Link_->close();
+    Link_->abort();
   return State_;
 }
 
 void TargetExchange::stop() {
   Stopped_ = true;
   if (Link_)
-    Link_->close();
+    Link_->abort();
 }
 
 } // namespace amaranth::serving
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -45,7 +45,8 @@
   /// Reads the whole body, up to a bound.
   transport::Awaitable<ExchangeState> readAll();
 
-  /// Closes the connection; operations in progress end as Broken.
+  /// Resets the connection, so that the target does not get the part of the
+  /// request that is still on its way; operations in progress end as Broken.
   void stop();
 
   ExchangeState state() const { return State_; }
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -76,10 +76,18 @@
       return;
     Self->TimedOut_ = true;
     error_code Ignored;
-    if (Self->DeadlineAction_ == AtDeadline::Close)
+    switch (Self->DeadlineAction_) {
+    case AtDeadline::Close:
       Self->close();
-    else if (Self->Socket_.is_open())
-      Self->Socket_.cancel(Ignored);
+      break;
+    case AtDeadline::Abort:
+      Self->abort();
+      break;
+    case AtDeadline::Interrupt:
+      if (Self->Socket_.is_open())
+        Self->Socket_.cancel(Ignored);
+      break;
+    }
   });
 }
 
@@ -201,10 +209,19 @@
 bool TcpLink::closedOrReadable() {
   if (!Socket_.is_open() || !Input_.empty())
     return true;
+  return peek() != Peeked::Nothing;
+}
+
+bool TcpLink::hasEnded() { return !Socket_.is_open() || peek() == Peeked::End; }
+
+TcpLink::Peeked TcpLink::peek() {
   char Byte = 0;
   ssize_t Count =
       recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  if (Count > 0)
+    return Peeked::Bytes;
+  bool IsWaiting = Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return IsWaiting ? Peeked::Nothing : Peeked::End;
 }
 
 void TcpLink::close() {
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -38,6 +38,7 @@
   /// What happens to the connection at its deadline.
   enum class AtDeadline {
     Close,
+    Abort,     ///< Like Close, with a reset; see abort().
     Interrupt, ///< Operations end as TimedOut; the connection stays open.
   };
 
@@ -63,9 +64,13 @@
   /// arrived on it.
   bool closedOrReadable();
 
+  /// True if the peer has closed or reset the connection, also if the watch has
+  /// not reported it yet because the loop is busy.
+  bool hasEnded();
+
   void close();
   /// Closes with a reset, so that the peer cannot mistake a truncated message
-  /// for a complete one.
+  /// for a complete one, and does not get bytes that are still on their way.
   void abort();
   bool isOpen() const { return Socket_.is_open(); }
 
@@ -75,6 +80,10 @@
   Loop &loop() { return Loop_; }
 
 private:
+  /// What the socket holds for the next read.
+  enum class Peeked { Nothing, Bytes, End };
+
+  Peeked peek();
   void configure();
   void armWatch();
   void onReadable();
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -120,6 +120,37 @@
 
 } // namespace
 
+// Rule GONE. Guards against a request that is still on its way when its caller
+// leaves, or when its time is over, and reaches the target later.
+TEST_CASE("target exchange: a request on its way is withdrawn at its end") {
+  bool CallerLeaves = GENERATE(true, false);
+  CAPTURE(CallerLeaves);
+  std::atomic<bool> HasEnded = false;
+  boost::system::error_code End;
+  // Larger than the buffers of both sides.
+  std::string Request(64 * 1024 * 1024, 'x');
+  {
+    Fixture F([&](PeerConnection &Connection) {
+      while (!HasEnded)
+        std::this_thread::sleep_for(Milliseconds{1});
+      End = Connection.readToEnd();
+    });
+    Milliseconds TimeLimit{CallerLeaves ? 20000 : 200};
+    transport::startTask(F.Loop_, F.run(Request, "r", TimeLimit));
+    boost::asio::steady_timer Leaving(F.Loop_, Milliseconds{100});
+    if (CallerLeaves)
+      Leaving.async_wait([&F](const boost::system::error_code &) {
+        REQUIRE(F.Current_);
+        F.Current_->stop();
+      });
+    F.Loop_.run();
+    CHECK(F.State_ ==
+          (CallerLeaves ? ExchangeState::Broken : ExchangeState::TimedOut));
+    HasEnded = true;
+  }
+  CHECK(End == boost::asio::error::connection_reset);
+}
+
 // Pattern: a target sends a second copy of an answer, late, on a connection
 // that is in use again. Guards against a caller that gets an answer to another
 // request.
