Have each drained daemon used by a caller with a cached list in its test

The drain test checks that callers with cached entry-host answers use a daemon while it drains. A caller for each drained daemon now reads its list just before the drain and uses that daemon while the list is valid. The check and its bound stay, and its requests must be answered by the first host, as all others.

--- a/tests/Integration/FleetDrainTest.cpp
+++ b/tests/Integration/FleetDrainTest.cpp
@@ -216,6 +216,40 @@
   std::thread Thread_;
 };
 
+/// A caller that sends look-ups to one daemon for as long as its list of entry
+/// hosts, which it reads at the start, is valid.
+class CachedCaller final {
+public:
+  CachedCaller(const std::string &Address, Milliseconds ListValidity)
+      : Caller_({Address}, FleetHarness::CallerKey),
+        ValidUntil_(SteadyClock::now() + ListValidity) {
+    Caller_.refreshEntryHosts();
+    Caller_.preferEntryHost(Address);
+    Thread_ = std::thread([this] {
+      for (int I = 0; SteadyClock::now() < ValidUntil_; ++I) {
+        std::string Id = "cached-" + std::to_string(I);
+        Requests_.push_back(
+            {"look-up", Id, Caller_.lookUp(PlainServiceName, Id)});
+      }
+    });
+  }
+  ~CachedCaller() {
+    if (Thread_.joinable())
+      Thread_.join();
+  }
+
+  const std::vector<AnsweredRequest> &waitForAnswers() {
+    Thread_.join();
+    return Requests_;
+  }
+
+private:
+  FleetCaller Caller_;
+  SteadyTime ValidUntil_;
+  std::vector<AnsweredRequest> Requests_;
+  std::thread Thread_;
+};
+
 int requestsInFlight(const FleetHarness &Fleet, std::size_t I) {
   Json Status = Fleet.operatorGet(I, "/v1/admin/status");
   return Status.is_null() ? 0 : Status.at("in_flight").get<int>();
@@ -279,7 +313,8 @@
 // callers with a cached entry-host answer, or leaves a session in the key-value
 // service.
 TEST_CASE("fleet: draining daemons under load cuts nothing") {
-  FleetWorkload Scenario({.EntryHostValidity_ = Milliseconds{1500}});
+  constexpr Milliseconds EntryHostValidity{1500};
+  FleetWorkload Scenario({.EntryHostValidity_ = EntryHostValidity});
   FleetHarness &Fleet = Scenario.fleet();
   // Drains one daemon by command, or two at once by signal.
   const bool ByCommand = GENERATE(true, false);
@@ -294,6 +329,10 @@
   REQUIRE(eventually([&] { return Callers.answeredCount() > 100; }));
   for (std::size_t I : DrainedDaemons)
     REQUIRE(eventually([&] { return requestsInFlight(Fleet, I) > 1; }));
+  std::vector<std::unique_ptr<CachedCaller>> CachedCallers;
+  for (std::size_t I : DrainedDaemons)
+    CachedCallers.push_back(std::make_unique<CachedCaller>(
+        Fleet.daemon(I).callerAddress(), EntryHostValidity));
   const SteadyTime DrainStartedAt = SteadyClock::now();
   for (std::size_t I : DrainedDaemons)
     if (ByCommand)
@@ -310,6 +349,10 @@
     CHECK(Answer.Text_ == Stream->expectedText());
   }
   std::vector<AnsweredRequest> Requests = Callers.stop();
+  for (const auto &Caller : CachedCallers) {
+    const std::vector<AnsweredRequest> &Cached = Caller->waitForAnswers();
+    Requests.insert(Requests.end(), Cached.begin(), Cached.end());
+  }
   checkAnsweredRequests(Requests, Scenario.executions(), true);
   for (std::size_t I : DrainedDaemons) {
     // Callers with cached answers used the host while it was draining.
