Refuse requests whose fields cannot be passed on, before they end a host

It could happen here: a request id or piece key with a byte that is not UTF-8 reached the encoder of a stage call, which throws; the exception left the task and ended the dispatcher. The order then went to the next dispatcher, and so on. A count of pieces of some hundred million asked for as much memory.

- Ids and keys must be printable ASCII; a request has exactly one id, since without one an answer to another request could not be told apart.
- A handle that would become another header or another input counts as a failed piece.
- JSON is encoded with invalid text replaced.

Tests: each field, and a seeded fuzz test of headers.

--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -201,6 +201,38 @@
   CHECK(Breaking.requests() == 1);
 }
 
+// Guards against one malformed message that ends a process: a piece whose id or
+// key is no text was passed on from host to host and ended each dispatcher.
+TEST_CASE("platform: bytes that are no text stop no host") {
+  Platform Setup;
+  std::unique_ptr<TargetDouble> StageTarget;
+  StageTarget = std::make_unique<TargetDouble>(
+      Setup.Store_, "i-1", "stage",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        return answerStageCall(Connection, Request, StageTarget->address());
+      });
+  TargetDouble Engine(Setup.Store_, "i-2", "engine", streamAll);
+  PlatformFleet Fleet(Setup.Store_, 3);
+  auto SoundRequest = [] {
+    return platformRequest("POST", "/guide/1",
+                           "Pieces: 1,2\r\nPiece-Key: k\r\n");
+  };
+  std::string BadId = SoundRequest();
+  std::size_t Id = BadId.find("Request-Id: ") + 12;
+  BadId.replace(Id, 1, "\xff");
+  const std::string BadKey = platformRequest(
+      "POST", "/guide/1", "Pieces: 1,2\r\nPiece-Key: \xc3(\r\n");
+  const std::string ManyPieces = platformRequest(
+      "POST", "/guide/1", "Pieces: 1,400000000\r\nPiece-Key: k\r\n");
+  for (const std::string &Malformed : {BadId, BadKey, ManyPieces})
+    for (std::size_t Host = 0; Host < 3; ++Host)
+      CHECK(Fleet.call(Host, Malformed).Status_ == 400);
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    CHECK(Fleet.call(Host, SoundRequest()).Status_ == 200);
+    CHECK_FALSE(Fleet.process(Host).waitExit(Milliseconds{0}));
+  }
+}
+
 // Rule GONE. Guards against targets that work for disconnected callers.
 TEST_CASE("platform: the target's connection closes when the caller leaves") {
   Platform Setup;
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -198,7 +198,14 @@
         {"Deadline-Ms", "1.5"},
         {"Token-Count", "5"},
         {"Prompt-Prefix", "abc"},
-        {"Pieces", "1,x"}}) {
+        {"Pieces", "1,x"},
+        {"Request-Id", ""},
+        {"Request-Id", "id 1"},
+        {"Request-Id", "\xff"},
+        {"Piece-Key", "\xc3\x28"},
+        {"Pieces", "4000000000"},
+        {"Pieces", "6000,6000"},
+        {"Pieces", "18446744073709551615,2"}}) {
     INFO(Name << ": " << Value);
     HttpHead Head = callerRequest();
     for (auto &[Field, FieldValue] : Head.Fields_)
@@ -206,6 +213,14 @@
         FieldValue = Value;
     CHECK_FALSE(capture([&] { return Edge.readRequest(Head); }));
   }
+  HttpHead LongDeadline = callerRequest();
+  for (auto &[Field, FieldValue] : LongDeadline.Fields_)
+    if (Field == "Deadline-Ms")
+      FieldValue = "18446744073709551615";
+  Decoded = capture([&] { return Edge.readRequest(LongDeadline); });
+  REQUIRE(Decoded);
+  CHECK(*Decoded->Deadline_ > Milliseconds{0});
+  CHECK(SteadyClock::now() + *Decoded->Deadline_ > SteadyClock::now());
   HttpHead TwoHosts = callerRequest();
   TwoHosts.Fields_.emplace_back("host", "other.example");
   CHECK_FALSE(capture([&] { return Edge.readRequest(TwoHosts); }));
@@ -271,4 +286,66 @@
                     PieceStatus::Failed, PieceStatus::Failed});
   CHECK(Edge.holderAddress((*Decoded)[0].Handle_) == "10.0.0.1:80");
   CHECK_FALSE(capture([&] { return Edge.readStageAnswer("{}"); }));
+  // Handles that would become other header fields or other inputs.
+  Decoded = capture([&] {
+    return Edge.readStageAnswer(
+        R"({"items":[{"handle":"a/1\r\nTenant: x"},{"handle":"a/1,b/2"},
+        {"handle":""}]})");
+  });
+  REQUIRE(Decoded);
+  for (const protocol::PieceOutcome &Outcome : *Decoded)
+    CHECK(Outcome.Status_ == PieceStatus::Failed);
+}
+
+namespace {
+
+std::string randomText(std::mt19937 &Random) {
+  static const char *const Parts[] = {"1",    "18446744073709551615",
+                                      "-1",   ",",
+                                      ":",    "timeout=",
+                                      "\xff", "\xc3\x28",
+                                      "a/1",  "1e9",
+                                      "id",   "4000000000",
+                                      " ",    "/a/b?c",
+                                      "%",    "0"};
+  std::string Text;
+  for (unsigned I = Random() % 6; I > 0; --I)
+    Text += Parts[Random() % std::size(Parts)];
+  return Text;
+}
+
+} // namespace
+
+// A seeded fuzz test. Guards against an exception that escapes from the codec
+// and ends the process because of one message, and against a request that is
+// accepted but cannot be passed on.
+TEST_CASE("edge codec: no header ends the process") {
+  platform::EdgeCodec Edge;
+  std::mt19937 Random(4);
+  int Accepted = 0;
+  for (int Round = 0; Round < 20000; ++Round) {
+    HttpHead Head = callerRequest();
+    for (auto &[Name, Value] : Head.Fields_)
+      if (Random() % 8 == 0)
+        Value = randomText(Random);
+    for (const char *Name :
+         {"Server-Load", "Keep-Alive", "Last-Event-Id", "Connection"})
+      if (Random() % 4 == 0)
+        Head.Fields_.emplace_back(Name, randomText(Random));
+    CHECK_NOTHROW(Edge.readReply(Head));
+    CHECK_NOTHROW(Edge.answerHead(Head));
+    CHECK_NOTHROW(Edge.hostCall(Head));
+    auto Request = capture([&] { return Edge.readRequest(Head); });
+    if (!Request)
+      continue;
+    ++Accepted;
+    protocol::StagePiece Piece;
+    Piece.RequestId_ = Request->Id_;
+    Piece.Key_ = Request->PieceKey_;
+    std::string Call;
+    CHECK_NOTHROW(Call = Edge.stageCall({Piece}, "i-1", {std::nullopt}));
+    CHECK(Call.find(Request->Id_) != std::string::npos);
+    CHECK_NOTHROW(Edge.targetRequest(Head, "", {}));
+  }
+  CHECK(Accepted > 1000);
 }
