Keep slow callers, and end only the task of a connection that fails

Slow but sound streams were cut: a caller that paused for more than 3 s between two reads lost its answer, because TCP_USER_TIMEOUT also ends a connection whose peer takes no bytes. Only connections that this process opens keep the timeout; of accepted ones the request's deadline bounds the time, and keep-alive probes find peers that are gone.

An unexpected error took a whole process down: startConnectionTask() logs an exception that escapes the task of one connection and ends that task only.

--- a/source/Transport/Loop.cpp
+++ b/source/Transport/Loop.cpp
@@ -1,5 +1,7 @@
 #include "Transport/Loop.h"
 
+#include "Support/Log.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -17,6 +19,19 @@
   });
 }
 
+void startConnectionTask(Loop &Executor, Awaitable<void> Task) {
+  asio::co_spawn(Executor, std::move(Task), [](std::exception_ptr Escaped) {
+    if (!Escaped)
+      return;
+    try {
+      std::rethrow_exception(Escaped);
+    } catch (const std::exception &Failure) {
+      LogEvent(LogLevel::Error, "connection_task_failed")
+          .field("error", Failure.what());
+    }
+  });
+}
+
 Awaitable<void> pause(Loop &Executor, Milliseconds Duration) {
   asio::steady_timer Timer(Executor, Duration);
   boost::system::error_code Failure;
--- a/source/Transport/Loop.h
+++ b/source/Transport/Loop.h
@@ -22,6 +22,11 @@
 /// invariant and stops the process.
 void startTask(Loop &Executor, Awaitable<void> Task);
 
+/// Starts the task of one connection. An exception that escapes it, for lack of
+/// memory or because of input that nothing foresaw, is logged and ends this
+/// task only.
+void startConnectionTask(Loop &Executor, Awaitable<void> Task);
+
 /// Suspends the calling task for \p Time.
 Awaitable<void> pause(Loop &Executor, Milliseconds Duration);
 
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -22,9 +22,16 @@
 /// Limit for bytes that a peer sends while its request is processed. Each of
 /// some thousand connections may hold as many.
 constexpr std::size_t MaxWatchedInput = 8 * 1024;
-/// A connection on which the peer acknowledges nothing for this long is broken;
-/// connections can stall without a reset.
-constexpr unsigned UserTimeoutMs = 3000;
+/// A connection that this process opened is broken if the peer acknowledges
+/// nothing, or takes no bytes, for this long; connections can stall without a
+/// reset.
+constexpr int UserTimeoutMs = 3000;
+/// Probes of an accepted connection on which nothing arrives: after this many
+/// seconds, then at this interval, and it is broken when this many are not
+/// answered.
+constexpr int KeepAliveIdleSeconds = 10;
+constexpr int KeepAliveIntervalSeconds = 2;
+constexpr int KeepAliveProbes = 3;
 
 } // namespace
 
@@ -49,6 +56,10 @@
     : Loop_(static_cast<Loop &>(Accepted.get_executor().context())),
       Socket_(std::move(Accepted)), Timer_(Loop_) {
   configure();
+  setOption(SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
 }
 
 TcpLink::~TcpLink() = default;
@@ -57,9 +68,10 @@
   error_code Ignored;
   Socket_.set_option(tcp::no_delay(true), Ignored);
   Socket_.non_blocking(true, Ignored);
-  unsigned Timeout = UserTimeoutMs;
-  setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
-             sizeof Timeout);
+}
+
+void TcpLink::setOption(int Level, int Name, int Value) {
+  setsockopt(Socket_.native_handle(), Level, Name, &Value, sizeof Value);
 }
 
 void TcpLink::setDeadline(SteadyTime Deadline, AtDeadline Action) {
@@ -118,6 +130,7 @@
   if (Failure)
     co_return false;
   configure();
+  setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
   auto Token = asio::redirect_error(asio::use_awaitable, Failure);
   co_await Socket_.async_connect(Peer, Token);
   co_return !Failure && !TimedOut_;
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -31,7 +31,10 @@
 /// task; close() and watchForEnd() may be called by others on the loop.
 class TcpLink final : public std::enable_shared_from_this<TcpLink> {
 public:
+  /// For a connection that this process opens; see connect().
   explicit TcpLink(Loop &Executor);
+  /// For an accepted connection. It may make no progress until its deadline,
+  /// because a sound peer may pause for seconds between reads.
   explicit TcpLink(boost::asio::ip::tcp::socket Accepted);
   ~TcpLink();
 
@@ -85,6 +88,7 @@
 
   Peeked peek();
   void configure();
+  void setOption(int Level, int Name, int Value);
   void armWatch();
   void onReadable();
   LinkStatus statusOf(const boost::system::error_code &Failure) const;
