Hand back the pieces of a host that was only silent; wait for requests being read

A machine that was only silent had its work given up: hosts open one connection each way. When the one from the dispatcher to an entry host broke, the dispatcher dropped the host's waiting pieces and the reports on the others. The host itself, whose own connection was sound, waited until its requests had expired. A failure that is reported by a former dispatcher does not count, so that pieces that have been ordered elsewhere meanwhile are not ordered again; a result does count.

A planned stop cut requests that had just been accepted: a stopping host waited for requests in progress, not for those of which a part had arrived, and closed idle connections on which a request was waiting to be read. It now waits for the former and leaves the latter.

Each request sent to a target is logged, with the time that connecting and writing took.

The two paths of the stop have no test of their own yet.

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -88,10 +88,17 @@
     Position = remove(Position);
 }
 
-void StageQueue::cancelEntryHost(const std::string &EntryHost) {
+std::vector<QueuedPiece>
+StageQueue::takeEntryHost(const std::string &EntryHost) {
+  std::vector<QueuedPiece> Taken;
   auto Position = Groups_.lower_bound(GroupKey{EntryHost, "", 0});
-  while (Position != Groups_.end() && std::get<0>(Position->first) == EntryHost)
+  while (Position != Groups_.end() &&
+         std::get<0>(Position->first) == EntryHost) {
+    Taken.insert(Taken.end(), Position->second.Pieces_.begin(),
+                 Position->second.Pieces_.end());
     Position = remove(Position);
+  }
+  return Taken;
 }
 
 std::vector<QueuedPiece> StageQueue::takeExpired(SteadyTime Now) {
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -62,8 +62,8 @@
   /// Removes the pieces of a request that its entry host has cancelled.
   void cancelRequest(const std::string &EntryHost,
                      const std::string &RequestId);
-  /// Removes all pieces of an entry host that has failed or left the fleet.
-  void cancelEntryHost(const std::string &EntryHost);
+  /// Removes and returns all pieces of an entry host that cannot be reached.
+  std::vector<QueuedPiece> takeEntryHost(const std::string &EntryHost);
   /// Removes and returns the pieces whose deadline has passed.
   std::vector<QueuedPiece> takeExpired(SteadyTime Now);
   /// Removes and returns the pieces of the next call to \p Target.
--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -1,6 +1,7 @@
 #include "Serving/CallerServer.h"
 
 #include "Support/Log.h"
+#include "Support/ScopedCount.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -95,7 +96,8 @@
 
 void CallerServer::closeIdleConnections() {
   for (const Link &Connection : IdleConnections_)
-    Connection->close();
+    if (!Connection->closedOrReadable())
+      Connection->close();
 }
 
 Awaitable<void> CallerServer::accept(std::shared_ptr<Acceptor> Listener,
@@ -115,7 +117,8 @@
       continue;
     }
     auto Caller = std::make_shared<TcpLink>(std::move(Accepted));
-    transport::startTask(Context_.Loop_, serve(Caller, ListeningPort));
+    transport::startConnectionTask(Context_.Loop_,
+                                   serve(Caller, ListeningPort));
   }
 }
 
@@ -124,7 +127,7 @@
 }
 
 Awaitable<void> CallerServer::serve(Link Caller, Port ListeningPort) {
-  ++OpenConnections_;
+  ScopedCount Open(OpenConnections_);
   bool KeepOpen = true;
   while (KeepOpen && Caller->isOpen()) {
     state::CallerLimits Limits = callerLimits();
@@ -146,7 +149,6 @@
                                      std::move(Body), Arrival, KeepAlive);
   }
   Caller->close();
-  --OpenConnections_;
 }
 
 Awaitable<bool> CallerServer::readRequest(Link Caller, HttpReader &Reader,
@@ -162,6 +164,7 @@
     if (Status != LinkStatus::Ok)
       co_return false;
   }
+  ScopedCount Reading(RequestsBeingRead_);
   Arrival = SteadyClock::now();
   Caller->setDeadline(Arrival + Limits.HeaderTimeout_,
                       TcpLink::AtDeadline::Interrupt);
--- a/source/Serving/CallerServer.h
+++ b/source/Serving/CallerServer.h
@@ -44,8 +44,11 @@
   bool acceptsCallers() const { return AcceptsCallers_; }
   /// Stops accepting callers; requests on open connections are still served.
   void stopAccepting();
-  /// Closes the connections that have no request in progress.
+  /// Closes the connections that have no request in progress and on which none
+  /// has arrived.
   void closeIdleConnections();
+  /// Whether part of a request has arrived on a connection.
+  bool isReadingRequests() const { return RequestsBeingRead_ > 0; }
 
 private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
@@ -77,6 +80,7 @@
   std::shared_ptr<Acceptor> CallerAcceptor_;
   std::set<Link> IdleConnections_; ///< Connections between requests.
   std::size_t OpenConnections_ = 0;
+  std::size_t RequestsBeingRead_ = 0;
   bool AcceptsCallers_ = false;
 };
 
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -140,6 +140,12 @@
 
 void EntryHost::onPeerState(const HostState &State) {
   sendDifferingRecords(State);
+  if (UndeliveredReports_.empty())
+    return;
+  protocol::PieceReports Reports =
+      UndeliveredReports_.take(State.Host_, SteadyClock::now());
+  if (!Reports.Reports_.empty())
+    onPieceReports(State.Host_, std::move(Reports));
 }
 
 void EntryHost::sendDifferingRecords(const HostState &State) {
@@ -255,7 +261,7 @@
       Dispatcher_.enqueue(Host, Order);
   } else if (const auto *Reports =
                  std::get_if<protocol::PieceReports>(&Message)) {
-    Stages_.onReports(*Reports);
+    Stages_.onReports(Host, *Reports);
   } else if (const auto *Cancel =
                  std::get_if<protocol::CancelPieces>(&Message)) {
     Dispatcher_.cancel(Host, Cancel->RequestId_);
@@ -274,7 +280,7 @@
 }
 
 void EntryHost::onPeerLost(const std::string &Host) {
-  Dispatcher_.cancelEntryHost(Host);
+  Dispatcher_.dropEntryHost(Host);
   Stages_.onDispatcherLost(Host);
 }
 
@@ -325,7 +331,11 @@
 
 void EntryHost::onPieceReports(const std::string &OrderingHost,
                                protocol::PieceReports Reports) {
-  sendTo(OrderingHost, FleetMessage(std::move(Reports)));
+  FleetMessage Message = std::move(Reports);
+  if (!sendTo(OrderingHost, Message))
+    UndeliveredReports_.add(OrderingHost,
+                            std::get<protocol::PieceReports>(Message),
+                            SteadyClock::now());
 }
 
 void EntryHost::applyConfiguration(const StoreItem &Item) {
@@ -382,6 +392,12 @@
 void EntryHost::applyChanges(const std::string &Prefix,
                              const std::vector<StoreItem> &Changes) {
   for (const StoreItem &Item : Changes) {
+    if (!Item.Key_.starts_with(Prefix)) {
+      LogEvent(LogLevel::Warn, "record_outside_prefix")
+          .field("key", Item.Key_)
+          .field("prefix", Prefix);
+      continue;
+    }
     if (Prefix == Codec_.targetPrefix())
       applyTarget(Item);
     else if (Prefix == HostPrefix)
@@ -427,6 +443,7 @@
     Context_.Health_.forgetUnused(Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
+    UndeliveredReports_.expire(Now);
     acceptCallersWhenReady();
     electWatchers();
     updateStoreState();
@@ -454,12 +471,11 @@
     co_await transport::pause(Context_.Loop_, DrainCheckPeriod);
     if (SteadyClock::now() - Context_.DrainStarted_ < DrainAcceptTime)
       continue;
-    if (Accepting) {
+    if (Accepting)
       Callers_.stopAccepting();
-      Callers_.closeIdleConnections();
-      Accepting = false;
-    }
-    if (Context_.RequestsInProgress_ == 0)
+    Accepting = false;
+    Callers_.closeIdleConnections();
+    if (Context_.RequestsInProgress_ == 0 && !Callers_.isReadingRequests())
       break;
   }
   LogEvent(LogLevel::Info, "stopped")
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_SERVING_ENTRYHOST_H
 #define AMARANTH_SERVING_ENTRYHOST_H
 
+#include "Coordination/Stages/UndeliveredReports.h"
 #include "Coordination/Store/StoreMirror.h"
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
@@ -109,6 +110,7 @@
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
+  coordination::UndeliveredReports UndeliveredReports_;
   mutable StageDispatcher Dispatcher_; ///< Reading its queue states drops old
                                        ///< entries.
   PeerMesh Peers_;
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -4,6 +4,7 @@
 #include "Serving/StreamRun.h"
 #include "Support/Digest.h"
 #include "Support/Log.h"
+#include "Support/ScopedCount.h"
 
 #include <random>
 
@@ -131,7 +132,7 @@
   Scope.Body_ = std::move(Body);
   Scope.Arrival_ = Arrival;
   Scope.CloseAfterAnswer_ = !KeepAlive;
-  ++Context.RequestsInProgress_;
+  ScopedCount InProgress(Context.RequestsInProgress_);
   std::optional<Refusal> Refused = admit(Scope);
   if (Refused) {
     co_await sendOwnAnswer(Scope, Refused->Status_, Refused->Reason_,
@@ -154,7 +155,6 @@
     Caller->stopWatching();
     Caller->clearDeadline();
   }
-  --Context.RequestsInProgress_;
   logRequest(Scope);
   co_return !Scope.CallerDisconnected_ && !Scope.CloseAfterAnswer_ &&
       Caller->isOpen();
--- a/source/Serving/StageClient.cpp
+++ b/source/Serving/StageClient.cpp
@@ -73,7 +73,8 @@
     Router_.sendTo(Host, FleetMessage(std::move(Batch)));
 }
 
-void StageClient::onReports(const protocol::PieceReports &Reports) {
+void StageClient::onReports(const std::string &Dispatcher,
+                            const protocol::PieceReports &Reports) {
   for (const PieceReport &Report : Reports.Reports_) {
     auto Found =
         OpenOrders_.find(Key{Report.RequestId_, Report.Stage_, Report.Piece_});
@@ -82,6 +83,9 @@
       // result cannot be freed here and expires on its target.
       continue;
     }
+    bool IsResult = Report.Outcome_.Status_ == protocol::PieceStatus::Completed;
+    if (!IsResult && Found->second.Dispatcher_ != Dispatcher)
+      continue;
     PieceWaiter *Waiter = Found->second.Waiter_;
     if (Report.Outcome_.Status_ != protocol::PieceStatus::InputsRead)
       OpenOrders_.erase(Found);
--- a/source/Serving/StageClient.h
+++ b/source/Serving/StageClient.h
@@ -55,7 +55,10 @@
   /// Has results freed that are no longer needed.
   void releaseResults(const std::vector<protocol::UnneededResult> &Results);
 
-  void onReports(const protocol::PieceReports &Reports);
+  /// Takes the reports of \p Dispatcher. A result is used whichever dispatcher
+  /// reports it; a failure counts only if the piece is still ordered there.
+  void onReports(const std::string &Dispatcher,
+                 const protocol::PieceReports &Reports);
   void onDispatcherLost(const std::string &Host);
   /// Sends the orders that could not be sent before. Call often.
   void sendUnsentOrders();
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -141,9 +141,14 @@
   Cancelled_[{OrderingHost, RequestId}] = Now + Settings_.CancelRetention_;
 }
 
-void StageDispatcher::cancelEntryHost(const std::string &OrderingHost) {
+void StageDispatcher::dropEntryHost(const std::string &OrderingHost) {
+  std::map<std::string, PieceReports> Reports;
+  PieceOutcome NotRun{PieceStatus::Refused, ""};
   for (auto &[ServiceName, Service] : Services_)
-    Service.Queue_.cancelEntryHost(OrderingHost);
+    for (const QueuedPiece &Piece : Service.Queue_.takeEntryHost(OrderingHost))
+      addReport(Reports, Piece, NotRun);
+  for (auto &[Host, Batch] : Reports)
+    Listener_.onPieceReports(Host, std::move(Batch));
 }
 
 void StageDispatcher::reportExpiredPieces(ServiceState &Service) {
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -64,8 +64,9 @@
   void enqueue(const std::string &OrderingHost,
                const protocol::PieceOrder &Order);
   void cancel(const std::string &OrderingHost, const std::string &RequestId);
-  /// Cancels the pieces of a host that has failed or left the fleet.
-  void cancelEntryHost(const std::string &OrderingHost);
+  /// Removes the waiting pieces of a host that cannot be reached, and reports
+  /// them as refused, in case the host still waits for them.
+  void dropEntryHost(const std::string &OrderingHost);
   void releaseResult(const protocol::UnneededResult &Result);
   /// State of each queue that is not empty.
   std::vector<protocol::QueueState> queueStates();
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -39,6 +39,7 @@
                                                std::string RequestId,
                                                SteadyTime Deadline) {
   RequestId_ = std::move(RequestId);
+  SteadyTime StartedAt = SteadyClock::now();
   Link_ = co_await Connections_.acquire(Target_, Deadline);
   if (!Link_)
     co_return State_;
@@ -53,10 +54,24 @@
   // and close before it has read the whole request.
   if (Status == LinkStatus::TimedOut || Status == LinkStatus::Closed)
     co_return fail(Status);
+  logSent(
+      std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - StartedAt),
+      Deadline);
   ExchangeState Result = co_await readHead();
   co_return Result;
 }
 
+void TargetExchange::logSent(Milliseconds ConnectTime,
+                             SteadyTime Deadline) const {
+  if (RequestId_.empty())
+    return;
+  LogEvent(LogLevel::Info, "request_sent")
+      .field("request", RequestId_)
+      .field("target", Target_.Id_)
+      .field("connect_and_write_ms", ConnectTime.count())
+      .field("left_ms", remaining(Deadline).count());
+}
+
 Awaitable<ExchangeState> TargetExchange::readHead() {
   for (int ForeignAnswers = 0; ForeignAnswers < MaxForeignAnswers;) {
     if (!parseInput())
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -58,6 +58,7 @@
 
 private:
   transport::Awaitable<ExchangeState> readHead();
+  void logSent(Milliseconds ConnectTime, SteadyTime Deadline) const;
   /// Reads the rest of an answer to another request, and discards it.
   transport::Awaitable<transport::LinkStatus> skipBody();
   /// Parses the bytes that have arrived. False if they are unusable or too
--- a/tests/Coordination/Stages/StageQueueTest.cpp
+++ b/tests/Coordination/Stages/StageQueueTest.cpp
@@ -154,3 +154,18 @@
   CHECK(Queue.takeExpired(Now + Seconds{10}).size() == 1);
   CHECK(Queue.empty());
 }
+
+// Pattern: a host is silent for a while. Guards against pieces that vanish
+// without a report to the host that still waits for them.
+TEST_CASE("stage queue: the pieces of an unreachable host are handed back") {
+  StageQueue Queue;
+  Queue.push(piece("r1", 0, 0, Now + Seconds{1}));
+  Queue.push(piece("r1", 1, 0, Now + Seconds{1}));
+  QueuedPiece Other = piece("r2", 0, 0, Now + Seconds{1});
+  Other.EntryHost_ = "other";
+  Queue.push(Other);
+  CHECK(requests(Queue.takeEntryHost("host")) ==
+        std::vector<std::string>{"r1", "r1"});
+  CHECK(Queue.size() == 1);
+  CHECK(Queue.takeEntryHost("host").empty());
+}
--- a/tests/Serving/StageClientTest.cpp
+++ b/tests/Serving/StageClientTest.cpp
@@ -63,7 +63,7 @@
   StageClient Client(Router);
   Client.orderPieces({makeOrder("r", 0), makeOrder("r", 1)}, Waiter);
   CHECK(Router.countOrders("one") == 2);
-  Client.onReports(madeReport("r", 0));
+  Client.onReports("one", madeReport("r", 0));
   Router.Dispatcher_ = "two";
   Client.onDispatcherLost("other");
   CHECK(Router.countOrders("two") == 0);
@@ -93,7 +93,7 @@
   StageClient Client(Router);
   Client.orderPieces({makeOrder("r", 0)}, Waiter);
   Client.cancelRequest("r");
-  Client.onReports(madeReport("r", 0));
+  Client.onReports("one", madeReport("r", 0));
   CHECK(Waiter.Reports_.empty());
   REQUIRE(Router.Sent_.size() == 2);
   CHECK(std::holds_alternative<CancelPieces>(Router.Sent_[1].second));
@@ -107,10 +107,29 @@
   StageClient Client(Router);
   Client.orderPieces({makeOrder("r1", 0)}, First);
   Client.orderPieces({makeOrder("r2", 0)}, Other);
-  Client.onReports(madeReport("r2", 0));
+  Client.onReports("one", madeReport("r2", 0));
   CHECK(First.Reports_.empty());
   CHECK(Other.Reports_.size() == 1);
   // A repeated report for the same piece is dropped.
-  Client.onReports(madeReport("r2", 0));
+  Client.onReports("one", madeReport("r2", 0));
   CHECK(Other.Reports_.size() == 1);
 }
+
+// Pattern: a host is silent for a while. Guards against work that runs being
+// started again because of a late report of the dispatcher that had lost this
+// host, and against discarding its results.
+TEST_CASE("stage client: a former dispatcher's failures do not count") {
+  FakeRouter Router;
+  RecordingWaiter Waiter;
+  StageClient Client(Router);
+  Client.orderPieces({makeOrder("r", 0), makeOrder("r", 1)}, Waiter);
+  Router.Dispatcher_ = "two";
+  Client.onDispatcherLost("one");
+  Client.onReports("one", {{{"r", 0, 0, {PieceStatus::Refused, ""}}}});
+  CHECK(Waiter.Reports_.empty());
+  Client.onReports("one", madeReport("r", 1));
+  REQUIRE(Waiter.Reports_.size() == 1);
+  CHECK(Waiter.Reports_[0].Piece_ == 1);
+  Client.onReports("two", {{{"r", 0, 0, {PieceStatus::Refused, ""}}}});
+  CHECK(Waiter.Reports_.size() == 2);
+}
