--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -21,50 +21,49 @@
                                StageAdmissionSettings Settings)
     : Queues_(Queues), Settings_(Settings) {}
 
-Milliseconds StageAdmission::queueDelay(const std::string &Service,
-                                        int Priority) const {
-  QueueState Queue = Queues_.queueState(Service);
-  std::uint64_t PiecesAhead = 0;
-  for (std::size_t QueuedPriority = 0; QueuedPriority < Queue.InTime_.size();
-       ++QueuedPriority)
-    if (static_cast<int>(QueuedPriority) <= Priority)
-      PiecesAhead += Queue.InTime_[QueuedPriority];
-  return processingTime(PiecesAhead, Queue.PiecesPerSecond_);
+Milliseconds StageAdmission::workTime(const std::string &Service, Ahead Work,
+                                      int Priority) const {
+  QueueState State = Queues_.queueState(Service);
+  std::uint64_t Pieces = 0;
+  for (std::size_t I = 0; I < State.InTime_.size(); ++I)
+    if (Work != Ahead::InTime || static_cast<int>(I) <= Priority)
+      Pieces += State.InTime_[I];
+  if (Work != Ahead::InTime)
+    Pieces += State.Late_;
+  if (Work == Ahead::All)
+    Pieces += State.Waiting_;
+  return processingTime(Pieces, State.PiecesPerSecond_);
 }
 
-Milliseconds StageAdmission::drainTime(const std::string &Service) const {
-  QueueState Queue = Queues_.queueState(Service);
-  std::uint64_t WaitingPieces = Queue.Late_;
-  for (std::uint32_t InTimePieces : Queue.InTime_)
-    WaitingPieces += InTimePieces;
-  return processingTime(WaitingPieces, Queue.PiecesPerSecond_);
+Milliseconds StageAdmission::timeToFinish(const StagePlan &Plan, Ahead Work,
+                                          int Priority) const {
+  return Plan.timeToFinish([&](const std::string &Service, Milliseconds Time) {
+    return std::max(Milliseconds(0), workTime(Service, Work, Priority) - Time);
+  });
 }
 
 StageStart StageAdmission::decide(const StagePlan &Plan, int Priority,
                                   SteadyTime ReadyBy, SteadyTime UsableUntil,
                                   SteadyTime Now) const {
-  Milliseconds TimeToFinish =
-      Plan.timeToFinish([&](const std::string &Service) {
-        return queueDelay(Service, Priority);
-      });
-  if (Now + TimeToFinish <= ReadyBy)
+  Milliseconds Undelayed = Plan.timeToFinish();
+  Milliseconds InTimeDelay =
+      timeToFinish(Plan, Ahead::InTime, Priority) - Undelayed;
+  if (Now + Undelayed + Settings_.DelayMargin_ * InTimeDelay <= ReadyBy)
     return StageStart::Begin;
-  if (Now + TimeToFinish > UsableUntil)
+  if (Now + timeToFinish(Plan, Ahead::All, Priority) > UsableUntil)
     return StageStart::Refuse;
-  for (std::size_t Stage = 0; Stage < Plan.stageCount(); ++Stage)
-    if (Plan.pieceCount(Stage) > 0 &&
-        drainTime(Plan.step(Stage).Service_) > Settings_.MaxBacklogForLate_)
-      return StageStart::Wait;
-  return StageStart::Begin;
+  Milliseconds Delay = timeToFinish(Plan, Ahead::Started, Priority) - Undelayed;
+  return Delay > Settings_.MaxBacklogForLate_ ? StageStart::Wait
+                                              : StageStart::Begin;
 }
 
 Milliseconds StageAdmission::retryAfter(const StagePlan &Plan) const {
-  Milliseconds LongestDrainTime{0};
+  Milliseconds LongestWork{0};
   for (std::size_t Stage = 0; Stage < Plan.stageCount(); ++Stage)
     if (Plan.pieceCount(Stage) > 0)
-      LongestDrainTime =
-          std::max(LongestDrainTime, drainTime(Plan.step(Stage).Service_));
-  return std::clamp(LongestDrainTime, Settings_.MinRetryAfter_,
+      LongestWork = std::max(
+          LongestWork, workTime(Plan.step(Stage).Service_, Ahead::All, 0));
+  return std::clamp(LongestWork, Settings_.MinRetryAfter_,
                     Settings_.MaxRetryAfter_);
 }
 
--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -13,11 +13,14 @@
 
 /// Settings of StageAdmission.
 struct StageAdmissionSettings {
+  /// The predicted delay by other work is multiplied with this: more urgent
+  /// requests arrive meanwhile, and a longer queue serves nobody better.
+  int DelayMargin_ = 4;
   /// A request that will miss its aim (the time within which its answer has
   /// full worth) starts only if the backlog of each of its stages can be
   /// completed within this time. Otherwise results of its first stages would
   /// expire before they are read.
-  Milliseconds MaxBacklogForLate_{500};
+  Milliseconds MaxBacklogForLate_{100};
   /// Bounds of the retry delay given to refused callers.
   Milliseconds MinRetryAfter_{300};
   Milliseconds MaxRetryAfter_{3000};
@@ -30,19 +33,21 @@
   Refuse, ///< It cannot be completed before its deadline.
 };
 
-/// Read access to the latest queue states reported by the dispatchers (the
-/// entry hosts that compose the calls to the targets of a stage service).
+/// Read access to the work that all hosts' requests still need.
 class QueueView {
 public:
   virtual ~QueueView() = default;
-  /// Returns the queue state of a stage service; empty if no piece waits.
+  /// Returns the pieces of a stage service that are still needed, also those
+  /// that have not been ordered yet, and the rate of its targets.
   virtual protocol::QueueState queueState(const std::string &Service) const = 0;
 };
 
-/// Compares the predicted time of a request's stages, including the queues in
-/// front of them, with the time that the request has. Requests that can meet
-/// their aim start at once. The others wait, without using any target, until
-/// the backlog is short, so that no result is computed that expires unread.
+/// Compares the predicted time of a request's whole pipeline with the time that
+/// the request has. A stage ends when its targets have completed the work of
+/// the requests before this one, wherever that work is now. Requests that can
+/// meet their aim start at once. The others wait, without using any target,
+/// until the backlog is short, so that no result is computed that expires
+/// unread, or are refused at once if that would be too late.
 class StageAdmission final {
 public:
   explicit StageAdmission(const QueueView &Queues,
@@ -56,12 +61,20 @@
   /// backlog is completed.
   Milliseconds retryAfter(const StagePlan &Plan) const;
 
-  /// Time until a new piece of this priority starts, if it can meet its aim.
-  Milliseconds queueDelay(const std::string &Service, int Priority) const;
-  /// Time until all waiting pieces are completed.
-  Milliseconds drainTime(const std::string &Service) const;
-
 private:
+  /// Which work of other requests is completed before a request's own.
+  enum class Ahead {
+    InTime,  ///< Work that is as urgent and can meet its aim.
+    Started, ///< All work of requests that have started.
+    All,     ///< Also that of requests that wait.
+  };
+
+  Milliseconds workTime(const std::string &Service, Ahead Work,
+                        int Priority) const;
+  /// Time until the plan is completed behind the work \p Work.
+  Milliseconds timeToFinish(const StagePlan &Plan, Ahead Work,
+                            int Priority) const;
+
   const QueueView &Queues_;
   StageAdmissionSettings Settings_;
 };
--- a/source/Coordination/Stages/StagePlan.cpp
+++ b/source/Coordination/Stages/StagePlan.cpp
@@ -31,6 +31,9 @@
       return Predecessor >= Steps_.size();
     });
     Stages_[I].Pieces_.resize(I < Counts.size() ? Counts[I] : 0);
+    const state::Service *Service = Table.findService(Steps_[I].Service_);
+    if (Service && Service->Stage_)
+      Stages_[I].ResultLifetime_ = Service->Stage_->ResultLifetime_;
     if (!Stages_[I].Pieces_.empty())
       Stages_[I].Duration_ = expectedStageTime(Table, Steps_[I].Service_);
   }
@@ -51,8 +54,21 @@
                      Stages_[I].TimeAfter_ + Stages_[I].Duration_);
 }
 
-Milliseconds StagePlan::timeToFinish(
-    const std::function<Milliseconds(const std::string &)> &Delay) const {
+Milliseconds StagePlan::timeToFinish() const {
+  return timeToFinish(
+      [](const std::string &, Milliseconds) { return Milliseconds(0); });
+}
+
+std::size_t StagePlan::unfinishedPieces(std::size_t Stage) const {
+  const std::vector<Piece> &Pieces = Stages_[Stage].Pieces_;
+  auto Unfinished = static_cast<std::size_t>(
+      std::count_if(Pieces.begin(), Pieces.end(), [](const Piece &Item) {
+        return Item.State_ == State::Missing || Item.State_ == State::Submitted;
+      }));
+  return Unfinished > 0 && isNeeded(Stage) ? Unfinished : 0;
+}
+
+Milliseconds StagePlan::timeToFinish(const DelayFunction &Delay) const {
   std::vector<Milliseconds> EndTimes(Stages_.size(), Milliseconds(0));
   Milliseconds LatestEnd{0};
   // As in computeTimesAfter(), but forwards from the first stages.
@@ -62,9 +78,9 @@
       for (std::size_t Predecessor : Steps_[I].Dependencies_)
         StartTime = std::max(StartTime, EndTimes[Predecessor]);
       bool IsPending = !isStageComplete(I) && isNeeded(I);
-      EndTimes[I] = IsPending ? StartTime + Stages_[I].Duration_ +
-                                    Delay(Steps_[I].Service_)
-                              : StartTime;
+      Milliseconds EndTime = StartTime + Stages_[I].Duration_;
+      EndTimes[I] =
+          IsPending ? EndTime + Delay(Steps_[I].Service_, EndTime) : StartTime;
       LatestEnd = std::max(LatestEnd, EndTimes[I]);
     }
   return LatestEnd;
@@ -159,7 +175,7 @@
 }
 
 std::vector<StagePlan::ReleasedResult>
-StagePlan::onCompleted(PieceId Id, std::string Handle) {
+StagePlan::onCompleted(PieceId Id, std::string Handle, SteadyTime Now) {
   std::vector<ReleasedResult> Freeable;
   Piece &Current = Stages_[Id.Stage_].Pieces_[Id.Piece_];
   if (Current.State_ != State::Submitted)
@@ -167,6 +183,7 @@
   Current.State_ = State::Completed;
   Current.InputsRead_ = false;
   Current.Handle_ = std::move(Handle);
+  Current.CompletedAt_ = Now;
   for (std::size_t Predecessor : Steps_[Id.Stage_].Dependencies_)
     if (!isNeeded(Predecessor))
       releaseResults(Predecessor, Freeable);
@@ -250,6 +267,21 @@
   return Handles;
 }
 
+std::optional<SteadyTime> StagePlan::inputsExpireAt(std::size_t Stage) const {
+  std::optional<SteadyTime> Earliest;
+  for (std::size_t Predecessor : Steps_[Stage].Dependencies_) {
+    const StageState &Inputs = Stages_[Predecessor];
+    if (Inputs.ResultLifetime_ <= Milliseconds(0))
+      continue;
+    for (const Piece &Input : Inputs.Pieces_)
+      if (Input.State_ == State::Completed) {
+        SteadyTime Expiry = Input.CompletedAt_ + Inputs.ResultLifetime_;
+        Earliest = Earliest ? std::min(*Earliest, Expiry) : Expiry;
+      }
+  }
+  return Earliest;
+}
+
 std::vector<std::string> StagePlan::inputHandles(std::size_t Stage) const {
   std::vector<std::string> Handles;
   for (std::size_t Predecessor : Steps_[Stage].Dependencies_)
--- a/source/Coordination/Stages/StagePlan.h
+++ b/source/Coordination/Stages/StagePlan.h
@@ -7,6 +7,7 @@
 #include "Support/Time.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,7 +43,8 @@
   std::vector<PieceId> takeReadyPieces();
   /// Records the result of a piece and returns the results that are no longer
   /// needed. Ignored if the piece is not submitted.
-  std::vector<ReleasedResult> onCompleted(PieceId Id, std::string Handle);
+  std::vector<ReleasedResult> onCompleted(PieceId Id, std::string Handle,
+                                          SteadyTime Now);
   /// Records that the target has read the inputs of a piece. Returns the inputs
   /// that no other piece needs; they are computed again if this piece fails.
   std::vector<ReleasedResult> onInputsRead(PieceId Id);
@@ -59,6 +61,9 @@
   bool isComplete() const;
   /// True if all pieces of the stage are completed.
   bool isStageComplete(std::size_t Stage) const;
+  /// Time at which the first of the results that \p Stage reads expires at its
+  /// target; none if it reads no results.
+  std::optional<SteadyTime> inputsExpireAt(std::size_t Stage) const;
   /// Handles of the results that a piece of \p Stage reads.
   std::vector<std::string> inputHandles(std::size_t Stage) const;
   /// Handles of the results of the stages that no other stage follows.
@@ -71,16 +76,22 @@
   Milliseconds timeAfterStage(std::size_t Stage) const {
     return Stages_[Stage].TimeAfter_;
   }
+  /// Returns how much later than after \p Time a stage of a service ends
+  /// because of other work.
+  using DelayFunction = std::function<Milliseconds(const std::string &Service,
+                                                   Milliseconds Time)>;
   /// Expected time until all stages that are still needed are completed.
-  /// \p Delay returns the queue delay of a piece of a service.
-  Milliseconds timeToFinish(
-      const std::function<Milliseconds(const std::string &)> &Delay) const;
+  Milliseconds timeToFinish(const DelayFunction &Delay) const;
+  /// The same without other work.
+  Milliseconds timeToFinish() const;
   const state::StageStep &step(std::size_t Stage) const {
     return Steps_[Stage];
   }
   std::size_t pieceCount(std::size_t Stage) const {
     return Stages_[Stage].Pieces_.size();
   }
+  /// Number of pieces of the stage that are still needed and not completed.
+  std::size_t unfinishedPieces(std::size_t Stage) const;
   std::size_t stageCount() const { return Stages_.size(); }
   /// Handles of the existing results of \p Stage.
   std::vector<std::string> handles(std::size_t Stage) const;
@@ -97,6 +108,7 @@
     State State_ = State::Missing;
     bool InputsRead_ = false;
     std::string Handle_;
+    SteadyTime CompletedAt_{};
     int Submissions_ = 0;
     int Failures_ = 0;
   };
@@ -105,6 +117,7 @@
     bool IsFinal_ = true; ///< No other stage reads the results.
     Milliseconds Duration_{0};
     Milliseconds TimeAfter_{0};
+    Milliseconds ResultLifetime_{0}; ///< 0 if unknown.
   };
 
   void computeTimesAfter();
--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -39,6 +39,16 @@
   return std::max(Now, PreferredFree->second) + CallTime > DueTime;
 }
 
+/// True if a target can hold the results of two full calls with pieces like
+/// those of \p Call: one that is computed and one that is read. Where storage
+/// is shorter, results of parts of requests would take up room for long.
+bool hasStorageForParts(const std::vector<QueuedPiece> &Call,
+                        const StageCapacity &Capacity) {
+  return Call.empty() ||
+         2 * Capacity.MaxBatchPieces_ * Call.front().ResultBytes_ <=
+             Capacity.ResultMemoryBytes_;
+}
+
 } // namespace
 
 StageQueue::GroupKey StageQueue::makeGroupKey(const QueuedPiece &Piece) {
@@ -161,7 +171,7 @@
   }
 }
 
-void StageQueue::fillCall(const FreeTarget &Target, bool AnyDataCentre,
+void StageQueue::fillCall(const FreeTarget &Target, Filling Allowed,
                           const StageCapacity &Capacity, SteadyTime Now,
                           std::uint64_t &FreeBytes,
                           std::vector<QueuedPiece> &Call) {
@@ -177,13 +187,15 @@
       ++Position;
       bool FitsWhole =
           Current.Pieces_.size() <= FreeSlots && Current.Bytes_ <= FreeBytes;
-      // A group that exceeds a whole call or the storage of a target is split.
-      bool MustSplit = Current.Pieces_.size() > Capacity.MaxBatchPieces_ ||
-                       Current.Bytes_ > Capacity.ResultMemoryBytes_;
+      // A group that exceeds a whole call or the storage of a target is always
+      // divided.
+      bool MayDivide = Current.Pieces_.size() > Capacity.MaxBatchPieces_ ||
+                       Current.Bytes_ > Capacity.ResultMemoryBytes_ ||
+                       (Allowed == Filling::Divided && !Current.IsLate_);
       bool IsAllowedHere =
-          (AnyDataCentre && !Current.IsLate_) ||
+          (Allowed != Filling::Preferred && !Current.IsLate_) ||
           mayRunAt(Current.Pieces_.front(), Target, CallTime, Now);
-      if ((!FitsWhole && !MustSplit) || !IsAllowedHere) {
+      if ((!FitsWhole && !MayDivide) || !IsAllowedHere) {
         ++SkippedGroups;
         continue;
       }
@@ -200,11 +212,12 @@
   markLateGroups(Now + expectedCallTime(Capacity));
   std::vector<QueuedPiece> Call;
   std::uint64_t FreeBytes = Target.FreeResultBytes_;
-  fillCall(Target, false, Capacity, Now, FreeBytes, Call);
-  // If at least a full call is left, also use free slots for pieces that prefer
-  // another data centre.
+  fillCall(Target, Filling::Preferred, Capacity, Now, FreeBytes, Call);
+  // If at least a full call is left, all free slots are used.
   if (Size_ >= Capacity.MaxBatchPieces_)
-    fillCall(Target, true, Capacity, Now, FreeBytes, Call);
+    fillCall(Target, Filling::AnyDataCentre, Capacity, Now, FreeBytes, Call);
+  if (Size_ >= Capacity.MaxBatchPieces_ && hasStorageForParts(Call, Capacity))
+    fillCall(Target, Filling::Divided, Capacity, Now, FreeBytes, Call);
   return Call;
 }
 
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -52,7 +52,9 @@
 ///   cannot; the latter use the remaining capacity before they expire.
 /// - Among these, more urgent priorities go first, then earlier due times.
 /// - The pieces of a request go into one call, because the request waits for
-///   its last piece while the results of the others occupy storage.
+///   its last piece while the results of the others occupy storage. If at least
+///   a full call remains waiting, the next request is divided to fill the call:
+///   its other pieces follow soon.
 /// - A piece runs in its preferred data centre, unless it has no time to wait
 ///   for a target there or at least a full call remains waiting.
 /// Not thread-safe.
@@ -106,11 +108,16 @@
   /// Marks the groups that miss their aim if they are completed at
   /// \p CompletionTime.
   void markLateGroups(SteadyTime CompletionTime);
-  /// Adds to \p Call the pieces that may run at \p Target. With
-  /// \p AnyDataCentre, also adds pieces that prefer another data centre unless
-  /// they are late: results of late requests would occupy storage that others
+  /// Which pieces fillCall() adds.
+  enum class Filling {
+    Preferred,     ///< Whole requests that may run at the target.
+    AnyDataCentre, ///< Also those that prefer another data centre.
+    Divided,       ///< Also parts of requests.
+  };
+  /// Adds pieces to \p Call. Late ones run only in their preferred data centre
+  /// and as whole requests: their results would occupy storage that others
   /// need.
-  void fillCall(const FreeTarget &Target, bool AnyDataCentre,
+  void fillCall(const FreeTarget &Target, Filling Allowed,
                 const state::StageCapacity &Capacity, SteadyTime Now,
                 std::uint64_t &FreeBytes, std::vector<QueuedPiece> &Call);
   /// Moves pieces of \p Source into \p Call while they fit.
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -28,7 +28,9 @@
   storeConnected @6 :Bool;
   watching @7 :Bool;         # is a watcher: passes changes of the store on
   digests @8 :List(UInt64);  # of the store's records, one for each prefix
-  queues @9 :List(QueueState);
+  queues @9 :List(QueueState);       # of services that the host dispatches
+  outstanding @10 :List(QueueState); # what the host's own requests still need
+  linkMegabits @11 :Float64;
 }
 
 struct QueueState {
@@ -36,6 +38,7 @@
   inTime @1 :List(UInt32);  # waiting pieces that can meet their aim, by priority
   late @2 :UInt32;          # waiting pieces that cannot meet their aim
   piecesPerSecond @3 :Float64;
+  waiting @4 :UInt32;       # pieces of requests that have not started
 }
 
 struct Piece {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 2, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 3, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -395,6 +395,11 @@
   inline bool hasQueues() const;
   inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader getQueues() const;
 
+  inline bool hasOutstanding() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader getOutstanding() const;
+
+  inline double getLinkMegabits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -478,6 +483,16 @@
   inline void adoptQueues(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>> disownQueues();
 
+  inline bool hasOutstanding();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder getOutstanding();
+  inline void setOutstanding( ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder initOutstanding(unsigned int size);
+  inline void adoptOutstanding(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>> disownOutstanding();
+
+  inline double getLinkMegabits();
+  inline void setLinkMegabits(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -531,6 +546,8 @@
 
   inline double getPiecesPerSecond() const;
 
+  inline  ::uint32_t getWaiting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -580,6 +597,9 @@
   inline double getPiecesPerSecond();
   inline void setPiecesPerSecond(double value);
 
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1971,6 +1991,54 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool HostState::Reader::hasOutstanding() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostState::Builder::hasOutstanding() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader HostState::Reader::getOutstanding() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::getOutstanding() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void HostState::Builder::setOutstanding( ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::initOutstanding(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void HostState::Builder::adoptOutstanding(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>> HostState::Builder::disownOutstanding() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::QueueState,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline double HostState::Reader::getLinkMegabits() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double HostState::Builder::getLinkMegabits() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void HostState::Builder::setLinkMegabits(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QueueState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2071,6 +2139,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t QueueState::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QueueState::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QueueState::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Piece::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -20,6 +20,27 @@
   return {reinterpret_cast<const kj::byte *>(Source.data()), Source.size()};
 }
 
+void write(const QueueState &Source, fleet::QueueState::Builder Builder) {
+  Builder.setService(Source.Service_);
+  auto InTime = Builder.initInTime(Source.InTime_.size());
+  for (unsigned I = 0; I < Source.InTime_.size(); ++I)
+    InTime.set(I, Source.InTime_[I]);
+  Builder.setLate(Source.Late_);
+  Builder.setWaiting(Source.Waiting_);
+  Builder.setPiecesPerSecond(Source.PiecesPerSecond_);
+}
+
+QueueState read(fleet::QueueState::Reader Source) {
+  QueueState Decoded;
+  Decoded.Service_ = text(Source.getService());
+  for (std::uint32_t Pieces : Source.getInTime())
+    Decoded.InTime_.push_back(Pieces);
+  Decoded.Late_ = Source.getLate();
+  Decoded.Waiting_ = Source.getWaiting();
+  Decoded.PiecesPerSecond_ = Source.getPiecesPerSecond();
+  return Decoded;
+}
+
 void write(const HostState &Source, fleet::HostState::Builder Builder) {
   Builder.setHost(Source.Host_);
   Builder.setDataCentre(Source.DataCentre_);
@@ -33,15 +54,12 @@
   for (unsigned I = 0; I < Source.Digests_.size(); ++I)
     Digests.set(I, Source.Digests_[I]);
   auto Queues = Builder.initQueues(Source.Queues_.size());
-  for (unsigned I = 0; I < Source.Queues_.size(); ++I) {
-    Queues[I].setService(Source.Queues_[I].Service_);
-    const QueueState &Queue = Source.Queues_[I];
-    auto InTime = Queues[I].initInTime(Queue.InTime_.size());
-    for (unsigned J = 0; J < Queue.InTime_.size(); ++J)
-      InTime.set(J, Queue.InTime_[J]);
-    Queues[I].setLate(Queue.Late_);
-    Queues[I].setPiecesPerSecond(Queue.PiecesPerSecond_);
-  }
+  for (unsigned I = 0; I < Source.Queues_.size(); ++I)
+    write(Source.Queues_[I], Queues[I]);
+  Builder.setLinkMegabits(Source.LinkMegabits_);
+  auto Outstanding = Builder.initOutstanding(Source.Outstanding_.size());
+  for (unsigned I = 0; I < Source.Outstanding_.size(); ++I)
+    write(Source.Outstanding_[I], Outstanding[I]);
 }
 
 HostState read(fleet::HostState::Reader Source) {
@@ -54,17 +72,13 @@
   Decoded.Serving_ = Source.getServing();
   Decoded.StoreConnected_ = Source.getStoreConnected();
   Decoded.Watching_ = Source.getWatching();
+  Decoded.LinkMegabits_ = Source.getLinkMegabits();
   for (std::uint64_t Digest : Source.getDigests())
     Decoded.Digests_.push_back(Digest);
-  for (auto Queue : Source.getQueues()) {
-    QueueState Entry;
-    Entry.Service_ = text(Queue.getService());
-    for (std::uint32_t Waiting : Queue.getInTime())
-      Entry.InTime_.push_back(Waiting);
-    Entry.Late_ = Queue.getLate();
-    Entry.PiecesPerSecond_ = Queue.getPiecesPerSecond();
-    Decoded.Queues_.push_back(std::move(Entry));
-  }
+  for (auto Queue : Source.getQueues())
+    Decoded.Queues_.push_back(read(Queue));
+  for (auto Queue : Source.getOutstanding())
+    Decoded.Outstanding_.push_back(read(Queue));
   return Decoded;
 }
 
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -16,16 +16,19 @@
 
 namespace amaranth::protocol {
 
-/// Queue of a stage service at its dispatcher, the entry host that composes the
-/// calls to the service's targets.
+/// Pieces of a stage service: those that wait at its dispatcher, the entry host
+/// that composes the calls to the service's targets, or those that the requests
+/// of an entry host still need.
 struct QueueState {
   std::string Service_;
-  /// Waiting pieces that can meet their request's aim, by priority. The aim is
+  /// Pieces that can meet their request's aim, by priority. The aim is
   /// the time within which an answer has its full worth to the caller; the
   /// deadline is later.
   std::vector<std::uint32_t> InTime_;
-  std::uint32_t Late_ = 0;     ///< Waiting pieces that cannot meet their aim.
-  double PiecesPerSecond_ = 0; ///< Recent rate of completion; 0 if unknown.
+  std::uint32_t Late_ = 0; ///< Pieces that cannot meet their aim.
+  /// Rate at which the targets complete pieces in full calls; 0 if unknown.
+  double PiecesPerSecond_ = 0;
+  std::uint32_t Waiting_ = 0; ///< Pieces of requests that have not started.
 };
 
 /// State that a host reports about itself.
@@ -43,7 +46,10 @@
   /// Digests of the store's records as the host knows them, one for each
   /// prefix.
   std::vector<std::uint64_t> Digests_;
-  std::vector<QueueState> Queues_;
+  std::vector<QueueState> Queues_; ///< Of services that the host dispatches.
+  /// What the host's own requests still need.
+  std::vector<QueueState> Outstanding_;
+  double LinkMegabits_ = 0; ///< Bandwidth of its network link; 0 if unknown.
 };
 
 struct Ping {
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -4,6 +4,7 @@
 #define AMARANTH_SERVING_ENTRYCONTEXT_H
 
 #include "Coordination/Engines/EngineChooser.h"
+#include "Coordination/Stages/OutstandingWork.h"
 #include "Coordination/Stages/StageAdmission.h"
 #include "Coordination/SuspectRegistry.h"
 #include "Coordination/Targets/TargetHealth.h"
@@ -53,6 +54,7 @@
   coordination::WindowBudget RetryBudget_;
   coordination::SuspectRegistry Suspects_;
   coordination::StageAdmission StageAdmission_;
+  coordination::OutstandingWork OutstandingWork_;
   bool Draining_ = false;
   SteadyTime DrainStarted_{};
   std::size_t RequestsInProgress_ = 0;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -135,6 +135,7 @@
   for (const FollowedPrefix &Followed : FollowedPrefixes_)
     State.Digests_.push_back(Followed.Mirror_.digest());
   State.Queues_ = Dispatcher_.queueStates();
+  State.Outstanding_ = Context_.OutstandingWork_.states(SteadyClock::now());
   return State;
 }
 
@@ -295,14 +296,29 @@
 }
 
 protocol::QueueState EntryHost::queueState(const std::string &Service) const {
+  protocol::QueueState Sum;
+  Sum.Service_ = Service;
+  Sum.PiecesPerSecond_ = piecesPerSecond(Service);
+  auto AddFrom = [&](const std::vector<protocol::QueueState> &States) {
+    for (const protocol::QueueState &State : States)
+      if (State.Service_ == Service)
+        coordination::addPieces(State, Sum);
+  };
+  AddFrom(Context_.OutstandingWork_.states(SteadyClock::now()));
+  Peers_.forEachServing(
+      [&](const HostState &Peer) { AddFrom(Peer.Outstanding_); });
+  return Sum;
+}
+
+double EntryHost::piecesPerSecond(const std::string &Service) const {
   std::string Host = findDispatcher(Service);
   if (Host == Context_.Settings_.Host_)
-    return Dispatcher_.queueState(Service);
+    return Dispatcher_.queueState(Service).PiecesPerSecond_;
   if (const HostState *Peer = Peers_.findState(Host))
     for (const protocol::QueueState &Queue : Peer->Queues_)
       if (Queue.Service_ == Service)
-        return Queue;
-  return {};
+        return Queue.PiecesPerSecond_;
+  return 0;
 }
 
 std::string EntryHost::findDispatcher(const std::string &Service) const {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -104,6 +104,8 @@
   void updateStoreState();
   void handleMessage(const std::string &Host,
                      const protocol::FleetMessage &Message);
+  /// Rate at which the targets of a stage service complete pieces.
+  double piecesPerSecond(const std::string &Service) const;
   transport::Awaitable<void> maintain();
   transport::Awaitable<void> finishDrain();
 
--- a/source/Serving/PeerMesh.cpp
+++ b/source/Serving/PeerMesh.cpp
@@ -290,6 +290,13 @@
   return States;
 }
 
+void PeerMesh::forEachServing(
+    const std::function<void(const HostState &)> &Visit) const {
+  for (const auto &[Host, Remote] : Peers_)
+    if (Remote->Live_ && Remote->State_.Serving_)
+      Visit(Remote->State_);
+}
+
 bool PeerMesh::isServing(const std::string &Host) const {
   const HostState *State = findState(Host);
   return State && State->Serving_;
--- a/source/Serving/PeerMesh.h
+++ b/source/Serving/PeerMesh.h
@@ -61,6 +61,9 @@
 
   /// States of the live peers that serve requests.
   std::vector<protocol::HostState> servingPeers() const;
+  /// The same without copies.
+  void forEachServing(
+      const std::function<void(const protocol::HostState &)> &Visit) const;
   bool isServing(const std::string &Host) const;
   /// Last state received from a live peer, or null.
   const protocol::HostState *findState(const std::string &Host) const;
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -235,6 +235,7 @@
     Running->StartedAt_ = Now;
     Running->ExpectedTime_ = expectedCallTime(Capacity, CallPieces.size());
     Running->Pieces_ = std::move(CallPieces);
+    Running->Saturated_ = Service.Queue_.size() >= Capacity.MaxBatchPieces_;
     transport::startTask(Context_.Loop_, runCall(Running));
     if (State.IsOnlyDispatcher_ && Capacity.Slots_ == 1)
       transport::startTask(
@@ -299,6 +300,8 @@
       Result == TargetResult::Success &&
       Elapsed < Call.ExpectedTime_ + Call.Capacity_.CallOverhead_ / 2;
   Service.Ledger_.unreserve(Id, totalBytes(Call.Pieces_));
+  if (Result == TargetResult::Success)
+    recordYield(Call, countOutcomes(Outcomes, PieceStatus::Completed), Elapsed);
   if (Outcomes.empty()) {
     bool NotRun = Exchange.state() == ExchangeState::NotExecuted ||
                   Exchange.state() == ExchangeState::NotSent;
@@ -317,6 +320,19 @@
   postStartCalls(Call.Service_);
 }
 
+void StageDispatcher::recordYield(const RunningCall &Call,
+                                  std::size_t Completed, Milliseconds Elapsed) {
+  if (!Call.Saturated_ || Elapsed <= Milliseconds(0))
+    return;
+  std::size_t Batch = Call.Capacity_.MaxBatchPieces_;
+  Milliseconds FullCall = expectedCallTime(Call.Capacity_, Batch);
+  double Yield = static_cast<double>(Completed) / static_cast<double>(Batch) *
+                 static_cast<double>(FullCall.count()) /
+                 static_cast<double>(Elapsed.count());
+  double &Average = Services_[Call.Service_].Yield_;
+  Average += Settings_.YieldWeight_ * (Yield - Average);
+}
+
 void StageDispatcher::logCall(const RunningCall &Call,
                               const std::vector<PieceOutcome> &Outcomes,
                               Milliseconds Elapsed) {
@@ -364,8 +380,6 @@
   ServiceState &Service = Services_[ServiceName];
   SteadyTime Now = SteadyClock::now();
   std::map<std::string, PieceReports> Reports;
-  Service.CompletedPieces_.emplace_back(
-      Now, countOutcomes(Outcomes, PieceStatus::Completed));
   for (std::size_t I = 0; I < CallPieces.size(); ++I) {
     const PieceOutcome &Outcome = Outcomes[I];
     switch (Outcome.Status_) {
@@ -494,25 +508,14 @@
       Service.Queue_.waitingCounts();
   State.InTime_ = std::move(Waiting.InTime_);
   State.Late_ = Waiting.Late_;
-  SteadyTime Oldest = SteadyClock::now() - Settings_.RateWindow_;
-  while (!Service.CompletedPieces_.empty() &&
-         Service.CompletedPieces_.front().first < Oldest)
-    Service.CompletedPieces_.pop_front();
-  std::size_t Completed = 0;
-  for (const auto &[Time, Count] : Service.CompletedPieces_)
-    Completed += Count;
-  double Measured = 1000.0 * static_cast<double>(Completed) /
-                    static_cast<double>(Settings_.RateWindow_.count());
-  State.PiecesPerSecond_ =
-      std::max(Measured, Settings_.MinRateShare_ * maxPieceRate(ServiceName));
+  State.PiecesPerSecond_ = maxPieceRate(ServiceName) * Service.Yield_;
   return State;
 }
 
 std::vector<protocol::QueueState> StageDispatcher::queueStates() {
   std::vector<protocol::QueueState> States;
   for (const auto &[ServiceName, Service] : Services_)
-    if (!Service.Queue_.empty())
-      States.push_back(queueState(ServiceName));
+    States.push_back(queueState(ServiceName));
   return States;
 }
 
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -35,12 +35,8 @@
   /// count as read, and can be freed, after the fixed time of a call divided by
   /// this number.
   int InputReadDivisor_ = 3;
-  /// Period over which the completion rate of a service is measured. It spans
-  /// several calls of each target.
-  Milliseconds RateWindow_{2000};
-  /// Lower bound of the reported rate, as a share of the rate with only full
-  /// calls. The measured rate is too low while few pieces are queued.
-  double MinRateShare_ = 0.6;
+  /// Weight of a new call in the average yield of a service's calls.
+  double YieldWeight_ = 0.05;
 };
 
 /// Receives the outcomes of pieces and passes them to the host that ordered
@@ -68,7 +64,7 @@
   /// them as refused, in case the host still waits for them.
   void dropEntryHost(const std::string &OrderingHost);
   void releaseResult(const protocol::UnneededResult &Result);
-  /// State of each queue that is not empty.
+  /// State of each queue that has been used.
   std::vector<protocol::QueueState> queueStates();
   protocol::QueueState queueState(const std::string &ServiceName);
 
@@ -87,9 +83,10 @@
     coordination::ResultLedger Ledger_;
     std::map<std::string, TargetState> Targets_;
     bool StartCallsPosted_ = false;
-    /// Times at which calls ended within the rate window, and how many pieces
-    /// each completed.
-    std::deque<std::pair<SteadyTime, std::size_t>> CompletedPieces_;
+    /// Average yield of the calls after which a full call still waited: pieces
+    /// completed in a time, relative to full calls according to the
+    /// configuration. Such calls are less full if storage for results is short.
+    double Yield_ = 1;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
   /// A call to a target and what it was composed from.
@@ -100,6 +97,8 @@
     Pieces Pieces_;
     SteadyTime StartedAt_{};
     Milliseconds ExpectedTime_{0}; ///< Duration according to the configuration.
+    /// A full call still waited when this one was composed.
+    bool Saturated_ = false;
     bool Ended_ = false;
   };
   using RunningCallPtr = std::shared_ptr<RunningCall>;
@@ -120,6 +119,9 @@
   std::string encodeCall(const RunningCall &Call) const;
   /// Updates health, ledger and pieces from the answer or failure of a call.
   void finishCall(RunningCall &Call, TargetExchange &Exchange);
+  /// Updates the yield of the service from a call that succeeded.
+  void recordYield(const RunningCall &Call, std::size_t Completed,
+                   Milliseconds Elapsed);
   void logCall(const RunningCall &Call,
                const std::vector<protocol::PieceOutcome> &Outcomes,
                Milliseconds Elapsed);
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -13,6 +13,8 @@
 
 /// A request fails when one of its pieces has failed more often than this.
 constexpr int MaxPieceFailures = 4;
+/// Time between sending a call and the reading of its inputs.
+constexpr Milliseconds InputReadReserve{100};
 /// How often a request whose stages may not start yet checks again.
 constexpr Milliseconds StartCheckPeriod{60};
 
@@ -23,10 +25,13 @@
     : Scope_(Scope), Client_(Client),
       Plan_(Scope.Route_->Stages_, Scope.Request_.PieceCounts_, *Scope.Table_),
       ReadyBy_(ReadyBy), UsableUntil_(UsableUntil),
-      DataCentre_(std::move(DataCentre)), PlanChanged_(Scope.Context_.Loop_) {}
+      DataCentre_(std::move(DataCentre)), PlanChanged_(Scope.Context_.Loop_) {
+  Outstanding_ = {&Plan_, Scope.Priority_, ReadyBy_, false};
+}
 
 StageRun::~StageRun() {
   Scope_.Interrupt_ = nullptr;
+  Scope_.Context_.OutstandingWork_.remove(Outstanding_);
   Client_.cancelRequest(Scope_.Request_.Id_);
   releaseAll();
 }
@@ -52,7 +57,7 @@
 
 Awaitable<std::optional<StageEnd>> StageRun::waitForStart() {
   using coordination::StageStart;
-  while (!StagesStarted_ && !Plan_.isComplete()) {
+  while (!Outstanding_.Started_ && !Plan_.isComplete()) {
     SteadyTime Now = SteadyClock::now();
     StageStart Start = Scope_.Context_.StageAdmission_.decide(
         Plan_, Scope_.Priority_, ReadyBy_, UsableUntil_, Now);
@@ -60,12 +65,14 @@
       break;
     if (Start == StageStart::Refuse)
       co_return StageEnd::OutOfTime;
+    Scope_.Context_.OutstandingWork_.add(Outstanding_);
     SteadyTime NextCheck = Now + StartCheckPeriod;
     co_await PlanChanged_.wait(NextCheck);
     if (Scope_.CallerDisconnected_)
       co_return StageEnd::CallerDisconnected;
   }
-  StagesStarted_ = true;
+  Outstanding_.Started_ = true;
+  Scope_.Context_.OutstandingWork_.add(Outstanding_);
   co_return std::nullopt;
 }
 
@@ -99,6 +106,10 @@
   Milliseconds LaterStagesTime = Plan_.timeAfterStage(Id.Stage_);
   Request.AimBy_ = ReadyBy_ - LaterStagesTime;
   Request.ExpiresAt_ = UsableUntil_ - LaterStagesTime;
+  // A call that finds its inputs gone takes as long as any other.
+  if (std::optional<SteadyTime> Expiry = Plan_.inputsExpireAt(Id.Stage_))
+    Request.ExpiresAt_ =
+        std::min(Request.ExpiresAt_, *Expiry - InputReadReserve);
   return Request;
 }
 
@@ -161,7 +172,8 @@
   PlanChanged_.notify();
   switch (Report.Outcome_.Status_) {
   case PieceStatus::Completed:
-    freeResults(Plan_.onCompleted(Id, Report.Outcome_.Handle_));
+    freeResults(
+        Plan_.onCompleted(Id, Report.Outcome_.Handle_, SteadyClock::now()));
     if (Plan_.isStageComplete(Id.Stage_))
       logStageDone(Id.Stage_);
     return;
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -74,11 +74,11 @@
   RequestScope &Scope_;
   StageClient &Client_;
   coordination::StagePlan Plan_;
+  coordination::OutstandingRequest Outstanding_;
   SteadyTime ReadyBy_;
   SteadyTime UsableUntil_;
   std::string DataCentre_;
   transport::Wakeup PlanChanged_;
-  bool StagesStarted_ = false;
   bool OutOfTime_ = false;
   bool Failed_ = false;
 };
--- a/tests/Coordination/Stages/StageAdmissionTest.cpp
+++ b/tests/Coordination/Stages/StageAdmissionTest.cpp
@@ -95,3 +95,33 @@
   F.fill(0, 0, 100000);
   CHECK(F.Admission_.retryAfter(Plan) == Milliseconds{3000});
 }
+
+// Pattern: a wave of requests is on its way through the first stage. Guards
+// against letting in more requests than the second stage can complete in time,
+// and against counting the time that the way takes twice.
+TEST_CASE("stage admission: work that arrives with the request costs no time "
+          "twice") {
+  Fixture F;
+  // Each stage takes 0.4 s, so that the second has completed 100 pieces a second
+  // for 0.8 s when this request's could be completed. The aim is 1.2 s later.
+  F.fill(0, 80, 0);
+  CHECK(F.decide() == StageStart::Begin);
+  F.fill(0, 100, 0);
+  CHECK(F.decide() == StageStart::Begin);
+  F.fill(0, 210, 0);
+  CHECK(F.decide() == StageStart::Wait);
+}
+
+// Pattern: overload that lasts. Guards against requests that all wait for the
+// same free time, and are all refused at the end of theirs.
+TEST_CASE("stage admission: those that wait already go before a new request") {
+  Fixture F;
+  F.fill(0, 300, 0);
+  CHECK(F.decide() == StageStart::Wait);
+  F.Queues_.States_["second"].Waiting_ = 600;
+  CHECK(F.decide() == StageStart::Refuse);
+  // They do not keep a request from starting that can meet its aim.
+  F.fill(0, 100, 0);
+  F.Queues_.States_["second"].Waiting_ = 600;
+  CHECK(F.decide() == StageStart::Begin);
+}
--- a/tests/Coordination/Stages/StagePlanTest.cpp
+++ b/tests/Coordination/Stages/StagePlanTest.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+const SteadyTime Now{Seconds{1000}};
+
 /// Three stages, each of which reads the results of the one before.
 StagePlan chain() {
   std::vector<state::StageStep> Steps = {
@@ -20,8 +22,8 @@
 std::size_t completeReadyPieces(StagePlan &Plan) {
   std::vector<PieceId> Ready = Plan.takeReadyPieces();
   for (PieceId Id : Ready)
-    Plan.onCompleted(Id, "h" + std::to_string(Id.Stage_) +
-                             std::to_string(Id.Piece_));
+    Plan.onCompleted(
+        Id, "h" + std::to_string(Id.Stage_) + std::to_string(Id.Piece_), Now);
   return Ready.size();
 }
 
@@ -46,8 +48,9 @@
   StagePlan Plan = chain();
   completeReadyPieces(Plan);
   Plan.takeReadyPieces();
-  CHECK(Plan.onCompleted({1, 0}, "a").empty());
-  std::vector<StagePlan::ReleasedResult> Freed = Plan.onCompleted({1, 1}, "b");
+  CHECK(Plan.onCompleted({1, 0}, "a", Now).empty());
+  std::vector<StagePlan::ReleasedResult> Freed =
+      Plan.onCompleted({1, 1}, "b", Now);
   REQUIRE(Freed.size() == 1);
   CHECK(Freed[0].Handle_ == "h00");
   CHECK(Plan.releaseAllResults().size() == 2);
@@ -59,13 +62,13 @@
   StagePlan Plan = chain();
   completeReadyPieces(Plan);
   Plan.takeReadyPieces();
-  Plan.onCompleted({1, 0}, "a");
+  Plan.onCompleted({1, 0}, "a", Now);
   Plan.onFailed({1, 1}, true);
   std::vector<PieceId> Resubmitted = Plan.takeReadyPieces();
   REQUIRE(Resubmitted.size() == 1);
   CHECK(Resubmitted[0].Stage_ == 0);
   CHECK(Plan.wasSubmittedBefore(Resubmitted[0]));
-  Plan.onCompleted(Resubmitted[0], "new");
+  Plan.onCompleted(Resubmitted[0], "new", Now);
   Resubmitted = Plan.takeReadyPieces();
   REQUIRE(Resubmitted.size() == 1);
   CHECK(Resubmitted[0].Stage_ == 1);
@@ -109,7 +112,7 @@
   std::vector<PieceId> Ready = Plan.takeReadyPieces();
   REQUIRE(Ready.size() == 1);
   CHECK(Ready[0].Stage_ == 1);
-  Plan.onCompleted({1, 0}, "x");
+  Plan.onCompleted({1, 0}, "x", Now);
   // The remaining two stages take no more than twice the time of stage 0.
   Ready = Plan.takeReadyPieces();
   CHECK(Ready.size() == 3);
@@ -119,7 +122,7 @@
 // submitted.
 TEST_CASE("a reply for a piece that is not submitted is ignored") {
   StagePlan Plan = chain();
-  CHECK(Plan.onCompleted({0, 0}, "early").empty());
+  CHECK(Plan.onCompleted({0, 0}, "early", Now).empty());
   CHECK_FALSE(Plan.isStageComplete(0));
   completeReadyPieces(Plan);
   CHECK(Plan.onFailed({0, 0}, false).empty());
@@ -139,11 +142,11 @@
   CHECK(Freed[0].Handle_ == "h00");
   CHECK(Plan.onInputsRead({1, 1}).empty());
   CHECK(Plan.takeReadyPieces().empty());
-  CHECK(Plan.onCompleted({1, 0}, "a").empty());
-  CHECK(Plan.onCompleted({1, 1}, "b").empty());
+  CHECK(Plan.onCompleted({1, 0}, "a", Now).empty());
+  CHECK(Plan.onCompleted({1, 1}, "b", Now).empty());
   REQUIRE(Plan.takeReadyPieces().size() == 1);
   CHECK(Plan.inputHandles(2) == std::vector<std::string>{"a", "b"});
-  CHECK(Plan.onCompleted({2, 0}, "c").size() == 2);
+  CHECK(Plan.onCompleted({2, 0}, "c", Now).size() == 2);
   CHECK(Plan.isComplete());
 }
 
@@ -155,13 +158,13 @@
   Plan.takeReadyPieces();
   Plan.onInputsRead({1, 0});
   Plan.onInputsRead({1, 1});
-  Plan.onCompleted({1, 0}, "a");
+  Plan.onCompleted({1, 0}, "a", Now);
   CHECK(Plan.onFailed({1, 1}, false).empty());
   CHECK_FALSE(Plan.isComplete());
   std::vector<PieceId> Resubmitted = Plan.takeReadyPieces();
   REQUIRE(Resubmitted.size() == 1);
   CHECK(Resubmitted[0].Stage_ == 0);
-  Plan.onCompleted(Resubmitted[0], "new");
+  Plan.onCompleted(Resubmitted[0], "new", Now);
   Resubmitted = Plan.takeReadyPieces();
   REQUIRE(Resubmitted.size() == 1);
   CHECK(Resubmitted[0].Stage_ == 1);
@@ -175,7 +178,7 @@
   while (!Plan.isComplete()) {
     for (PieceId Id : Plan.takeReadyPieces()) {
       Plan.onInputsRead(Id);
-      Plan.onCompleted(Id, "h");
+      Plan.onCompleted(Id, "h", Now);
     }
   }
   Plan.discardFinalResults();
@@ -183,3 +186,18 @@
   REQUIRE(Resubmitted.size() == 1);
   CHECK(Resubmitted[0].Stage_ == 0);
 }
+
+// Pattern: a queue longer than results are kept. Guards against calls whose
+// inputs have expired: they take as long as others and complete nothing.
+TEST_CASE("a stage knows when the results that it reads expire") {
+  StagePlan Plan = chain();
+  CHECK_FALSE(Plan.inputsExpireAt(0));
+  CHECK_FALSE(Plan.inputsExpireAt(1));
+  REQUIRE(completeReadyPieces(Plan) == 1);
+  CHECK(Plan.inputsExpireAt(1) == Now + Seconds{4});
+  std::vector<PieceId> Second = Plan.takeReadyPieces();
+  REQUIRE(Second.size() == 2);
+  Plan.onCompleted(Second[0], "a", Now + Seconds{1});
+  Plan.onCompleted(Second[1], "b", Now + Seconds{2});
+  CHECK(Plan.inputsExpireAt(2) == Now + Seconds{5});
+}
--- a/tests/Coordination/Stages/StageQueueTest.cpp
+++ b/tests/Coordination/Stages/StageQueueTest.cpp
@@ -169,3 +169,25 @@
   CHECK(Queue.size() == 1);
   CHECK(Queue.takeEntryHost("host").empty());
 }
+
+// Pattern: a wave of requests with many pieces each. Guards against calls that
+// are sent with free places while a full call waits, because no whole request
+// fits: a third of the capacity was lost, and large requests never fitted.
+TEST_CASE("stage queue: a request is divided if a full call remains waiting") {
+  StageQueue Queue;
+  StageQueue ShortOfStorage;
+  for (const char *Request : {"r1", "r2", "r3"})
+    for (std::size_t Number = 0; Number < 5; ++Number) {
+      Queue.push(piece(Request, Number, 0, Now + Seconds{1}));
+      ShortOfStorage.push(piece(Request, Number, 0, Now + Seconds{1}));
+    }
+  state::StageCapacity Capacity = capacity(8);
+  // Parts of requests would take up storage until the rest is computed.
+  CHECK(ShortOfStorage.composeCall(target(), Capacity, Now).size() == 5);
+  Capacity.ResultMemoryBytes_ = 16000;
+  CHECK(Queue.composeCall(target(), Capacity, Now).size() == 8);
+  CHECK(Queue.size() == 7);
+  // Behind the rest of r2 less than a call remains: r3 stays together.
+  CHECK(requests(Queue.composeCall(target(), capacity(6), Now)) ==
+        std::vector<std::string>{"r2", "r2"});
+}
