Give work for the whole fleet to hosts with wide links

Cause, from the logs with each send: the request was written at 27.250 s, its caller left at 27.515 s, the engine got it at 28.060 s and the end of its connection at 28.346 s, so the host's link took 0.8 s. From 21.3 s on the configuration has 1,381 routes and changes about once a second. Four watchers each sent it to all 30 other hosts, 23 of which have links of 24 to 26 Mbit/s; their own links were full, all peers seemed silent to them ("peer_lost reason=silent" for all 31 hosts at 22 s on three of them), and they dispatched stages on their own.

- Watchers and dispatchers are elected among the hosts whose link has at least half of the widest link's bandwidth.
- Each host that does not watch gets changes from one watcher; another one sends them if the digests still differ after 1.2 s.

Tests of the election in a module without network.

--- a/source/Coordination/Store/WatcherElection.cpp
+++ b/source/Coordination/Store/WatcherElection.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Store/WatcherElection.h"
 
 #include "Coordination/Engines/EngineChooser.h"
+#include "Coordination/HostElection.h"
 
 #include <algorithm>
 #include <tuple>
@@ -11,10 +12,10 @@
 
 const std::string RankKey = "store-watcher";
 
-std::tuple<bool, std::uint64_t, std::string>
-electionRank(const WatcherCandidate &Candidate) {
-  return {!Candidate.StoreConnected_, ~rendezvousRank(RankKey, Candidate.Host_),
-          Candidate.Host_};
+std::tuple<bool, bool, std::uint64_t, std::string>
+electionRank(const WatcherCandidate &Candidate, double WideLink) {
+  return {!Candidate.StoreConnected_, Candidate.LinkMegabits_ < WideLink,
+          ~rendezvousRank(RankKey, Candidate.Host_), Candidate.Host_};
 }
 
 } // namespace
@@ -28,10 +29,14 @@
                                    });
   if (OwnCandidate == Candidates.end())
     return true;
+  std::vector<ElectionCandidate> Links;
+  for (const WatcherCandidate &Candidate : Candidates)
+    Links.push_back({Candidate.Host_, Candidate.LinkMegabits_});
+  double WideLink = wideLinkThreshold(Links);
   auto Preceding = std::count_if(Candidates.begin(), Candidates.end(),
                                  [&](const WatcherCandidate &Candidate) {
-                                   return electionRank(Candidate) <
-                                          electionRank(*OwnCandidate);
+                                   return electionRank(Candidate, WideLink) <
+                                          electionRank(*OwnCandidate, WideLink);
                                  });
   return static_cast<std::size_t>(Preceding) < Settings.Watchers_;
 }
--- a/source/Coordination/Store/WatcherElection.h
+++ b/source/Coordination/Store/WatcherElection.h
@@ -22,10 +22,12 @@
   std::string Host_;
   /// False if the store does not answer this host's calls.
   bool StoreConnected_ = true;
+  double LinkMegabits_ = 0; ///< Bandwidth of its network link; 0 if unknown.
 };
 
 /// True if \p Host is a watcher. Candidates are ordered by rendezvous rank,
-/// those that the store answers before all others, and the first Watchers_ of
+/// those that the store answers before all others and among these those with
+/// wide links, since watchers pass changes on; the first Watchers_ of
 /// them watch. Each host evaluates this on its own view of the fleet; while
 /// views differ, more hosts may watch. A host that is no candidate watches.
 bool isWatcher(const std::string &Host,
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -132,6 +132,7 @@
   State.Serving_ = ready();
   State.StoreConnected_ = storeConnected();
   State.Watching_ = Watching_;
+  State.LinkMegabits_ = Context_.Settings_.LinkMegabits_;
   for (const FollowedPrefix &Followed : FollowedPrefixes_)
     State.Digests_.push_back(Followed.Mirror_.digest());
   State.Queues_ = Dispatcher_.queueStates();
@@ -163,7 +164,10 @@
   }
   SteadyTime Now = SteadyClock::now();
   auto [Entry, Inserted] = DiffersSince_.emplace(State.Host_, Now);
-  if (Inserted || Now - Entry->second < ResendDelay)
+  // Another watcher sends the records if the host's own does not.
+  Milliseconds Delay =
+      passesChangesTo(State.Host_) ? ResendDelay : 2 * ResendDelay;
+  if (Inserted || Now - Entry->second < Delay)
     return;
   DiffersSince_.erase(Entry);
   for (const FollowedPrefix *Followed : DifferingPrefixes) {
@@ -187,7 +191,12 @@
   protocol::StoreRecords Records;
   Records.Prefix_ = Prefix;
   Records.Items_ = Changes;
-  Peers_.broadcast(FleetMessage(std::move(Records)));
+  FleetMessage Message = std::move(Records);
+  Peers_.forEachServing([&](const HostState &Peer) {
+    bool ReadsStore = Peer.Watching_ && Peer.StoreConnected_;
+    if (!ReadsStore && passesChangesTo(Peer.Host_))
+      Peers_.send(Peer.Host_, Message);
+  });
 }
 
 void EntryHost::applyRecords(const protocol::StoreRecords &Records) {
@@ -212,9 +221,11 @@
 void EntryHost::electWatchers() {
   std::vector<coordination::WatcherCandidate> Candidates;
   HostState OwnState = ownState();
-  Candidates.push_back({OwnState.Host_, OwnState.StoreConnected_});
+  Candidates.push_back(
+      {OwnState.Host_, OwnState.StoreConnected_, OwnState.LinkMegabits_});
   for (const HostState &Peer : Peers_.servingPeers())
-    Candidates.push_back({Peer.Host_, Peer.StoreConnected_});
+    Candidates.push_back(
+        {Peer.Host_, Peer.StoreConnected_, Peer.LinkMegabits_});
   bool ShouldWatch = coordination::isWatcher(OwnState.Host_, Candidates);
   if (ShouldWatch != Watching_)
     LogEvent(LogLevel::Info,
@@ -322,20 +333,27 @@
 }
 
 std::string EntryHost::findDispatcher(const std::string &Service) const {
-  std::string BestHost;
-  std::uint64_t BestRank = 0;
-  auto ConsiderHost = [&](const std::string &Host) {
-    std::uint64_t Rank = coordination::rendezvousRank(Service, Host);
-    if (BestHost.empty() || Rank > BestRank) {
-      BestHost = Host;
-      BestRank = Rank;
-    }
-  };
+  std::vector<coordination::ElectionCandidate> Candidates;
   if (ready())
-    ConsiderHost(Context_.Settings_.Host_);
-  for (const HostState &Peer : Peers_.servingPeers())
-    ConsiderHost(Peer.Host_);
-  return BestHost.empty() ? Context_.Settings_.Host_ : BestHost;
+    Candidates.push_back(
+        {Context_.Settings_.Host_, Context_.Settings_.LinkMegabits_});
+  Peers_.forEachServing([&](const HostState &Peer) {
+    Candidates.push_back({Peer.Host_, Peer.LinkMegabits_});
+  });
+  std::string Elected = coordination::electHost(Service, Candidates);
+  return Elected.empty() ? Context_.Settings_.Host_ : Elected;
+}
+
+bool EntryHost::passesChangesTo(const std::string &Host) const {
+  std::vector<coordination::ElectionCandidate> Watchers;
+  if (Watching_ && storeConnected())
+    Watchers.push_back(
+        {Context_.Settings_.Host_, Context_.Settings_.LinkMegabits_});
+  Peers_.forEachServing([&](const HostState &Peer) {
+    if (Peer.Watching_ && Peer.StoreConnected_)
+      Watchers.push_back({Peer.Host_, Peer.LinkMegabits_});
+  });
+  return coordination::electHost(Host, Watchers) == Context_.Settings_.Host_;
 }
 
 bool EntryHost::sendTo(const std::string &Host, const FleetMessage &Message) {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_SERVING_ENTRYHOST_H
 #define AMARANTH_SERVING_ENTRYHOST_H
 
+#include "Coordination/HostElection.h"
 #include "Coordination/Stages/UndeliveredReports.h"
 #include "Coordination/Store/StoreMirror.h"
 #include "Serving/CallerServer.h"
@@ -85,7 +86,10 @@
   void applyTarget(const protocol::StoreItem &Item);
   void applyHost(const protocol::StoreItem &Item);
   void applyRecords(const protocol::StoreRecords &Records);
-  /// Sends changes to the hosts that do not watch the store.
+  /// Whether this host is the watcher that passes changes on to \p Host.
+  bool passesChangesTo(const std::string &Host) const;
+  /// Sends changes to the hosts that do not watch the store, each of which gets
+  /// them from one watcher.
   void relayChanges(const std::string &Prefix,
                     const std::vector<protocol::StoreItem> &Changes);
   /// Sends the prefixes whose records differ from this host's, unless the other
--- a/source/State/HostSettings.h
+++ b/source/State/HostSettings.h
@@ -34,6 +34,7 @@
   Milliseconds HeartbeatPeriod_{1200};
   std::size_t MemoryMegabytes_ = 256;
   std::size_t MaxDescriptors_ = 4096;
+  double LinkMegabits_ = 0; ///< Bandwidth of the host's link; 0 if unknown.
 };
 
 } // namespace amaranth::state
--- a/tests/Coordination/Store/WatcherElectionTest.cpp
+++ b/tests/Coordination/Store/WatcherElectionTest.cpp
@@ -55,3 +55,20 @@
 TEST_CASE("watcher election: a host that is no candidate watches for itself") {
   CHECK(isWatcher("unknown", fleet(30)));
 }
+
+// Pattern: the configuration grows by many routes, on a fleet of which some
+// hosts have wide links. Guards against watchers whose links are filled by
+// passing it on.
+TEST_CASE("watcher election: hosts with wide links are preferred") {
+  std::vector<WatcherCandidate> Fleet = fleet(30);
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    Fleet[I].LinkMegabits_ = I % 5 == 0 ? 200 : 24;
+  for (const std::string &Host : watchers(Fleet))
+    CHECK(std::stoi(Host.substr(5)) % 5 == 0);
+  // Whether the store answers comes first.
+  for (std::size_t I = 0; I < Fleet.size(); I += 5)
+    Fleet[I].StoreConnected_ = false;
+  CHECK(watchers(Fleet).size() == 4);
+  for (const std::string &Host : watchers(Fleet))
+    CHECK(std::stoi(Host.substr(5)) % 5 != 0);
+}
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -20,7 +20,8 @@
                        "internal_port_range=7740,7755\n"
                        "bounds.grace_s=8\nbounds.ttl_max_s=5\n"
                        "bounds.retry_budget_ratio=0.25\n"
-                       "limits.memory_mb=260\nsome.new.field=1\n";
+                       "limits.memory_mb=260\nlimits.link_mbps=24.5\n"
+                       "some.new.field=1\n";
 
 const char *Configuration = R"({"version":7,"routes":[
   {"name":"r1","host":"h.example","prefix":"/a/","kind":"streaming",
@@ -66,6 +67,7 @@
   CHECK(Valid.Settings_->ShutdownGrace_ == Seconds{8});
   CHECK(Valid.Settings_->RetryRatio_ == 0.25);
   CHECK(Valid.Settings_->MemoryMegabytes_ == 260);
+  CHECK(Valid.Settings_->LinkMegabits_ == 24.5);
 
   std::string Text = Settings;
   auto Invalid = platform::readSettingsFile(
