Test a stop while a request is being read; accept a piece computed again

"platform: a stopping host answers a request that it is reading": half of a request arrives 0.5 s before the host stops accepting, the rest 0.7 s after. A result counts as a copy of an earlier answer only if it was reported for another piece, so that a target may give a piece that it computes again the same handle.

--- a/source/Coordination/Stages/ResultLedger.cpp
+++ b/source/Coordination/Stages/ResultLedger.cpp
@@ -14,19 +14,23 @@
 }
 
 void ResultLedger::add(const std::string &Target, const std::string &Handle,
-                       std::uint64_t Bytes, SteadyTime Expiry) {
+                       const std::string &Piece, std::uint64_t Bytes,
+                       SteadyTime Expiry) {
   TargetUsage &Usage = UsageByTarget_[Target];
-  if (!Usage.Results_.emplace(Handle, Bytes).second)
+  if (!Usage.Results_.emplace(Handle, StoredResult{Piece, Bytes}).second)
     return;
   Usage.StoredBytes_ += Bytes;
   Usage.Expiries_.emplace_back(Expiry, Handle);
 }
 
-bool ResultLedger::wasReported(const std::string &Target,
-                               const std::string &Handle) const {
-  auto Found = UsageByTarget_.find(Target);
-  return Found != UsageByTarget_.end() &&
-         Found->second.Results_.contains(Handle);
+bool ResultLedger::wasReportedForOther(const std::string &Target,
+                                       const std::string &Handle,
+                                       const std::string &Piece) const {
+  auto Usage = UsageByTarget_.find(Target);
+  if (Usage == UsageByTarget_.end())
+    return false;
+  auto Found = Usage->second.Results_.find(Handle);
+  return Found != Usage->second.Results_.end() && Found->second.Piece_ != Piece;
 }
 
 void ResultLedger::remove(const std::string &Target,
@@ -34,13 +38,13 @@
   TargetUsage &Usage = UsageByTarget_[Target];
   auto Found = Usage.Results_.find(Handle);
   if (Found != Usage.Results_.end())
-    Usage.StoredBytes_ -= std::exchange(Found->second, 0);
+    Usage.StoredBytes_ -= std::exchange(Found->second.Bytes_, 0);
 }
 
 void ResultLedger::removeExpired(TargetUsage &Usage, SteadyTime Now) {
   while (!Usage.Expiries_.empty() && Usage.Expiries_.front().first <= Now) {
     auto Found = Usage.Results_.find(Usage.Expiries_.front().second);
-    Usage.StoredBytes_ -= Found->second;
+    Usage.StoredBytes_ -= Found->second.Bytes_;
     Usage.Results_.erase(Found);
     Usage.Expiries_.pop_front();
   }
--- a/source/Coordination/Stages/ResultLedger.h
+++ b/source/Coordination/Stages/ResultLedger.h
@@ -23,14 +23,15 @@
   void reserve(const std::string &Target, std::uint64_t Bytes);
   /// Ends a reservation.
   void unreserve(const std::string &Target, std::uint64_t Bytes);
-  /// Records a stored result, which exists until \p Expiry unless it is
-  /// removed.
+  /// Records the stored result of \p Piece, which exists until \p Expiry unless
+  /// it is removed.
   void add(const std::string &Target, const std::string &Handle,
-           std::uint64_t Bytes, SteadyTime Expiry);
-  /// True if \p Target reported the result before, also if it has been removed
-  /// since. Two results never have the same handle, so that the answer is a
-  /// copy of an earlier one.
-  bool wasReported(const std::string &Target, const std::string &Handle) const;
+           const std::string &Piece, std::uint64_t Bytes, SteadyTime Expiry);
+  /// True if \p Target reported the result for a piece other than \p Piece,
+  /// also if it has been removed since. Results of two pieces never have the
+  /// same handle, so that the answer is a copy of an earlier one.
+  bool wasReportedForOther(const std::string &Target, const std::string &Handle,
+                           const std::string &Piece) const;
   /// Ends the use of the bytes of a result.
   void remove(const std::string &Target, const std::string &Handle);
   /// Treats \p Target as full until \p FullUntil.
@@ -42,11 +43,15 @@
                           SteadyTime Now);
 
 private:
+  struct StoredResult {
+    std::string Piece_;
+    std::uint64_t Bytes_ = 0; ///< 0 once it has been removed.
+  };
   struct TargetUsage {
     std::uint64_t ReservedBytes_ = 0;
     std::uint64_t StoredBytes_ = 0;
-    /// Bytes of each result that has not expired, 0 once it has been removed.
-    std::map<std::string, std::uint64_t> Results_;
+    /// Results that have not expired, by handle.
+    std::map<std::string, StoredResult> Results_;
     /// The handles of Results_ in the order of their expiry.
     std::deque<std::pair<SteadyTime, std::string>> Expiries_;
     SteadyTime FullUntil_{};
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -63,6 +63,12 @@
       [=](const PieceOutcome &Outcome) { return Outcome.Status_ == End; }));
 }
 
+/// Identifies a piece among those of all requests.
+std::string pieceName(const QueuedPiece &Piece) {
+  return Piece.Piece_.RequestId_ + "/" + std::to_string(Piece.Piece_.Stage_) +
+         "/" + std::to_string(Piece.Piece_.Piece_);
+}
+
 void addReport(std::map<std::string, PieceReports> &Reports,
                const QueuedPiece &Piece, const PieceOutcome &Outcome) {
   Reports[Piece.EntryHost_].Reports_.push_back({Piece.Piece_.RequestId_,
@@ -386,14 +392,15 @@
     case PieceStatus::Completed:
       // The answer to a call names no request, so that a late copy of an
       // earlier answer shows only by its handles.
-      if (Service.Ledger_.wasReported(Target.Id_, Outcome.Handle_)) {
+      if (Service.Ledger_.wasReportedForOther(Target.Id_, Outcome.Handle_,
+                                              pieceName(CallPieces[I]))) {
         LogEvent(LogLevel::Warn, "stage_answer_repeated")
             .field("target", Target.Id_);
         retryOrReport(Service, std::move(CallPieces[I]), PieceStatus::Failed,
                       Reports);
         break;
       }
-      Service.Ledger_.add(Target.Id_, Outcome.Handle_,
+      Service.Ledger_.add(Target.Id_, Outcome.Handle_, pieceName(CallPieces[I]),
                           CallPieces[I].ResultBytes_,
                           Now + Call.Capacity_.ResultLifetime_);
       if (Cancelled_.count(RequestKey{CallPieces[I].EntryHost_,
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -62,6 +62,9 @@
   ChildProcess &process(std::size_t Host) { return *Hosts_.at(Host).Process_; }
   /// Sends a request to the caller address of a host and reads the answer.
   PlatformAnswer call(std::size_t Host, const std::string &Request);
+  /// The same with a pause after the first \p FirstBytes of the request.
+  PlatformAnswer callWithPause(std::size_t Host, const std::string &Request,
+                               std::size_t FirstBytes, Milliseconds Pause);
   /// Sends a request and closes the connection after \p Delay without reading.
   void sendAndDisconnect(std::size_t Host, const std::string &Request,
                          Milliseconds Delay);
--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -342,6 +342,25 @@
   CHECK(Exit->Signal_ == 0);
 }
 
+// Pattern: a planned stop under load. Guards against cutting off a request of
+// which a part has arrived when the host has no other request in progress.
+TEST_CASE("platform: a stopping host answers a request that it is reading") {
+  Platform Setup;
+  TargetDouble Desk(Setup.Store_, "i-1", "desk", answerDone);
+  PlatformFleet Fleet(Setup.Store_, 1);
+  std::string Request = platformRequest("POST", "/order/1", "", "wood");
+  Fleet.process(0).terminate();
+  // The host accepts connections for three seconds more.
+  std::this_thread::sleep_for(Milliseconds{2500});
+  PlatformAnswer Answer =
+      Fleet.callWithPause(0, Request, Request.size() / 2, Milliseconds{1200});
+  CHECK(Answer.Status_ == 200);
+  CHECK(Answer.Body_ == "done");
+  std::optional<ExitStatus> Exit = Fleet.process(0).waitExit(Seconds{9});
+  REQUIRE(Exit);
+  CHECK(Exit->Code_ == 0);
+}
+
 // Rule MIXED, for pieces. Guards against an engine that receives the results of
 // another stage or none, and against stage work that stops with one host:
 // whichever of the three is the dispatcher (the entry host that composes the
