--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -15,7 +15,7 @@
 struct StageAdmissionSettings {
   /// The predicted delay by other work is multiplied with this: more urgent
   /// requests arrive meanwhile, and a longer queue serves nobody better.
-  int DelayMargin_ = 4;
+  int DelayMargin_ = 2;
   /// A request that will miss its aim (the time within which its answer has
   /// full worth) starts only if the backlog of each of its stages can be
   /// completed within this time. Otherwise results of its first stages would
