Stop at once when a caller leaves during an attempt whose stages must run again

Found by reading the change: after an attempt that ended without an answer, the run looked at the caller only after its stages had completed again, and an end that has been reported is not reported twice.

--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -9,7 +9,6 @@
 #include "Protocol/FleetMessages.h"
 #include "Serving/EntryContext.h"
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -76,7 +76,7 @@
       break;
     TargetRecord Target = *Chosen;
     Step NextStep = co_await attempt(Target);
-    if (NextStep == Step::Finished)
+    if (NextStep == Step::Finished || Scope_.CallerDisconnected_)
       co_return;
   }
   co_await answerOrAbort();
