--- a/tests/Coordination/Stages/StageAdmissionTest.cpp
+++ b/tests/Coordination/Stages/StageAdmissionTest.cpp
@@ -102,8 +102,9 @@
 TEST_CASE("stage admission: work that arrives with the request costs no time "
           "twice") {
   Fixture F;
-  // Each stage takes 0.4 s, so that the second has completed 100 pieces a second
-  // for 0.8 s when this request's could be completed. The aim is 1.2 s later.
+  // Each stage takes 0.4 s, so that the second has completed 100 pieces a
+  // second for 0.8 s when this request's could be completed. The aim is 1.2 s
+  // later.
   F.fill(0, 80, 0);
   CHECK(F.decide() == StageStart::Begin);
   F.fill(0, 100, 0);
