Refuse requests with stages whose wait leaves no time to spare

Cause: a late request waits if the work ahead, also of those that wait already, leaves it time before its deadline. Under lasting overload requests that arrive later and can meet their aim start first, so that most of those that wait are refused at the end of their time, after up to 10 s. The predicted delay now counts twice here too.

--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -46,15 +46,19 @@
                                   SteadyTime ReadyBy, SteadyTime UsableUntil,
                                   SteadyTime Now) const {
   Milliseconds Undelayed = Plan.timeToFinish();
-  Milliseconds InTimeDelay =
-      timeToFinish(Plan, Ahead::InTime, Priority) - Undelayed;
-  if (Now + Undelayed + Settings_.DelayMargin_ * InTimeDelay <= ReadyBy)
+  auto Delay = [&](Ahead Work) {
+    return timeToFinish(Plan, Work, Priority) - Undelayed;
+  };
+  auto Finish = [&](Ahead Work) {
+    return Now + Undelayed + Settings_.DelayMargin_ * Delay(Work);
+  };
+  if (Finish(Ahead::InTime) <= ReadyBy)
     return StageStart::Begin;
-  if (Now + timeToFinish(Plan, Ahead::All, Priority) > UsableUntil)
+  if (Finish(Ahead::All) > UsableUntil)
     return StageStart::Refuse;
-  Milliseconds Delay = timeToFinish(Plan, Ahead::Started, Priority) - Undelayed;
-  return Delay > Settings_.MaxBacklogForLate_ ? StageStart::Wait
-                                              : StageStart::Begin;
+  return Delay(Ahead::Started) > Settings_.MaxBacklogForLate_
+             ? StageStart::Wait
+             : StageStart::Begin;
 }
 
 Milliseconds StageAdmission::retryAfter(const StagePlan &Plan) const {
--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -14,7 +14,9 @@
 /// Settings of StageAdmission.
 struct StageAdmissionSettings {
   /// The predicted delay by other work is multiplied with this: more urgent
-  /// requests arrive meanwhile, and a longer queue serves nobody better.
+  /// requests arrive meanwhile, and a longer queue serves nobody better. A
+  /// request that waits for longer than this allows would mostly be refused at
+  /// the end of its time.
   int DelayMargin_ = 2;
   /// A request that will miss its aim (the time within which its answer has
   /// full worth) starts only if the backlog of each of its stages can be
--- a/tests/Coordination/Stages/StageAdmissionTest.cpp
+++ b/tests/Coordination/Stages/StageAdmissionTest.cpp
@@ -126,3 +126,15 @@
   F.Queues_.States_["second"].Waiting_ = 600;
   CHECK(F.decide() == StageStart::Begin);
 }
+
+// Pattern: overload that lasts while hosts are killed. Guards against callers
+// that are kept waiting for a start that requests which arrive later take: most
+// of them were refused at the end of their time.
+TEST_CASE("stage admission: a wait that leaves no time to spare is refused") {
+  Fixture F;
+  // The request is usable for 8 s more and needs 0.8 s itself.
+  F.fill(0, 400, 0);
+  CHECK(F.decide() == StageStart::Wait);
+  F.fill(0, 500, 0);
+  CHECK(F.decide() == StageStart::Refuse);
+}
