Count fleet work once in 20 ms, and late work by priority

Processor time: each request that waits decides every 60 ms, and each decision added up the work of all requests of this host and of all peers up to nine times. Sums are now kept for 20 ms.

Urgency: whether a late request is refused was predicted behind all late and waiting work, also less urgent. Late and waiting work is now counted by priority.

--- a/source/Coordination/Stages/OutstandingWork.h
+++ b/source/Coordination/Stages/OutstandingWork.h
@@ -32,11 +32,19 @@
   void add(const OutstandingRequest &Request) { Requests_.insert(&Request); }
   void remove(const OutstandingRequest &Request) { Requests_.erase(&Request); }
 
-  /// The pieces of all requests, by service.
-  std::vector<protocol::QueueState> states(SteadyTime Now) const;
+  /// The pieces of all requests, by service. Computed anew when the last result
+  /// is RefreshPeriod old: each request that waits, and each message to a peer,
+  /// asks for it.
+  const std::vector<protocol::QueueState> &states(SteadyTime Now);
+
+  static constexpr Milliseconds RefreshPeriod{20};
 
 private:
+  std::vector<protocol::QueueState> countPieces(SteadyTime Now) const;
+
   std::set<const OutstandingRequest *> Requests_;
+  std::vector<protocol::QueueState> States_;
+  SteadyTime CountedAt_ = SteadyTime::min();
 };
 
 /// Adds the pieces of \p Source to \p Sum.
--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -1,6 +1,7 @@
 #include "Coordination/Stages/StageAdmission.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace amaranth::coordination {
 
@@ -8,6 +9,18 @@
 
 namespace {
 
+constexpr int LeastUrgentPriority = std::numeric_limits<int>::max();
+
+/// Number of the pieces whose priority is \p Priority or more urgent.
+std::uint64_t count(const std::vector<std::uint32_t> &ByPriority,
+                    int Priority) {
+  std::uint64_t Pieces = 0;
+  for (std::size_t I = 0; I < ByPriority.size(); ++I)
+    if (static_cast<int>(I) <= Priority)
+      Pieces += ByPriority[I];
+  return Pieces;
+}
+
 Milliseconds processingTime(std::uint64_t Pieces, double PiecesPerSecond) {
   if (Pieces == 0 || PiecesPerSecond <= 0)
     return Milliseconds(0);
@@ -17,21 +30,21 @@
 
 } // namespace
 
-StageAdmission::StageAdmission(const QueueView &Queues,
+StageAdmission::StageAdmission(QueueView &Queues,
                                StageAdmissionSettings Settings)
     : Queues_(Queues), Settings_(Settings) {}
 
 Milliseconds StageAdmission::workTime(const std::string &Service, Ahead Work,
                                       int Priority) const {
   QueueState State = Queues_.queueState(Service);
-  std::uint64_t Pieces = 0;
-  for (std::size_t I = 0; I < State.InTime_.size(); ++I)
-    if (Work != Ahead::InTime || static_cast<int>(I) <= Priority)
-      Pieces += State.InTime_[I];
+  // Work that can meet its aim goes before all other work, and that goes by
+  // priority.
+  std::uint64_t Pieces = count(
+      State.InTime_, Work == Ahead::InTime ? Priority : LeastUrgentPriority);
   if (Work != Ahead::InTime)
-    Pieces += State.Late_;
+    Pieces += count(State.Late_, Priority);
   if (Work == Ahead::All)
-    Pieces += State.Waiting_;
+    Pieces += count(State.Waiting_, Priority);
   return processingTime(Pieces, State.PiecesPerSecond_);
 }
 
@@ -65,8 +78,9 @@
   Milliseconds LongestWork{0};
   for (std::size_t Stage = 0; Stage < Plan.stageCount(); ++Stage)
     if (Plan.pieceCount(Stage) > 0)
-      LongestWork = std::max(
-          LongestWork, workTime(Plan.step(Stage).Service_, Ahead::All, 0));
+      LongestWork =
+          std::max(LongestWork, workTime(Plan.step(Stage).Service_, Ahead::All,
+                                         LeastUrgentPriority));
   return std::clamp(LongestWork, Settings_.MinRetryAfter_,
                     Settings_.MaxRetryAfter_);
 }
--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -41,7 +41,7 @@
   virtual ~QueueView() = default;
   /// Returns the pieces of a stage service that are still needed, also those
   /// that have not been ordered yet, and the rate of its targets.
-  virtual protocol::QueueState queueState(const std::string &Service) const = 0;
+  virtual protocol::QueueState queueState(const std::string &Service) = 0;
 };
 
 /// Compares the predicted time of a request's whole pipeline with the time that
@@ -52,7 +52,7 @@
 /// unread, or are refused at once if that would be too late.
 class StageAdmission final {
 public:
-  explicit StageAdmission(const QueueView &Queues,
+  explicit StageAdmission(QueueView &Queues,
                           StageAdmissionSettings Settings = {});
 
   /// Decides for the remaining stages of \p Plan. The last results are needed
@@ -66,9 +66,9 @@
 private:
   /// Which work of other requests is completed before a request's own.
   enum class Ahead {
-    InTime,  ///< Work that is as urgent and can meet its aim.
-    Started, ///< All work of requests that have started.
-    All,     ///< Also that of requests that wait.
+    InTime, ///< Work that is as urgent and can meet its aim. Else all that can.
+    Started, ///< Also late work that is as urgent.
+    All,     ///< Also that of requests that wait and are as urgent.
   };
 
   Milliseconds workTime(const std::string &Service, Ahead Work,
@@ -77,7 +77,7 @@
   Milliseconds timeToFinish(const StagePlan &Plan, Ahead Work,
                             int Priority) const;
 
-  const QueueView &Queues_;
+  QueueView &Queues_;
   StageAdmissionSettings Settings_;
 };
 
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -35,10 +35,10 @@
 
 struct QueueState {
   service @0 :Text;
-  inTime @1 :List(UInt32);  # waiting pieces that can meet their aim, by priority
-  late @2 :UInt32;          # waiting pieces that cannot meet their aim
+  inTime @1 :List(UInt32);  # pieces that can meet their aim, by priority
+  late @2 :List(UInt32);    # pieces that cannot meet their aim, by priority
   piecesPerSecond @3 :Float64;
-  waiting @4 :UInt32;       # pieces of requests that have not started
+  waiting @4 :List(UInt32); # pieces of requests not started, by priority
 }
 
 struct Piece {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -84,7 +84,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e214b82b18fb5fed, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(e214b82b18fb5fed, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -542,11 +542,13 @@
   inline bool hasInTime() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getInTime() const;
 
-  inline  ::uint32_t getLate() const;
+  inline bool hasLate() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLate() const;
 
   inline double getPiecesPerSecond() const;
 
-  inline  ::uint32_t getWaiting() const;
+  inline bool hasWaiting() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWaiting() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -591,14 +593,24 @@
   inline void adoptInTime(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownInTime();
 
-  inline  ::uint32_t getLate();
-  inline void setLate( ::uint32_t value);
+  inline bool hasLate();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getLate();
+  inline void setLate( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLate(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initLate(unsigned int size);
+  inline void adoptLate(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownLate();
 
   inline double getPiecesPerSecond();
   inline void setPiecesPerSecond(double value);
 
-  inline  ::uint32_t getWaiting();
-  inline void setWaiting( ::uint32_t value);
+  inline bool hasWaiting();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWaiting();
+  inline void setWaiting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWaiting(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWaiting(unsigned int size);
+  inline void adoptWaiting(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWaiting();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2111,46 +2123,94 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t QueueState::Reader::getLate() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QueueState::Reader::hasLate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t QueueState::Builder::getLate() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool QueueState::Builder::hasLate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void QueueState::Builder::setLate( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueState::Reader::getLate() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::getLate() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void QueueState::Builder::setLate( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void QueueState::Builder::setLate(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::initLate(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void QueueState::Builder::adoptLate(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QueueState::Builder::disownLate() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline double QueueState::Reader::getPiecesPerSecond() const {
   return _reader.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline double QueueState::Builder::getPiecesPerSecond() {
   return _builder.getDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void QueueState::Builder::setPiecesPerSecond(double value) {
   _builder.setDataField<double>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t QueueState::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool QueueState::Reader::hasWaiting() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t QueueState::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool QueueState::Builder::hasWaiting() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline void QueueState::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader QueueState::Reader::getWaiting() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::getWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void QueueState::Builder::setWaiting( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void QueueState::Builder::setWaiting(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder QueueState::Builder::initWaiting(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void QueueState::Builder::adoptWaiting(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> QueueState::Builder::disownWaiting() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Piece::Reader::hasRequestId() const {
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -20,23 +20,33 @@
   return {reinterpret_cast<const kj::byte *>(Source.data()), Source.size()};
 }
 
+void write(const std::vector<std::uint32_t> &Source,
+           capnp::List<std::uint32_t>::Builder Builder) {
+  for (unsigned I = 0; I < Source.size(); ++I)
+    Builder.set(I, Source[I]);
+}
+
 void write(const QueueState &Source, fleet::QueueState::Builder Builder) {
   Builder.setService(Source.Service_);
-  auto InTime = Builder.initInTime(Source.InTime_.size());
-  for (unsigned I = 0; I < Source.InTime_.size(); ++I)
-    InTime.set(I, Source.InTime_[I]);
-  Builder.setLate(Source.Late_);
-  Builder.setWaiting(Source.Waiting_);
+  write(Source.InTime_, Builder.initInTime(Source.InTime_.size()));
+  write(Source.Late_, Builder.initLate(Source.Late_.size()));
+  write(Source.Waiting_, Builder.initWaiting(Source.Waiting_.size()));
   Builder.setPiecesPerSecond(Source.PiecesPerSecond_);
 }
 
+std::vector<std::uint32_t> read(capnp::List<std::uint32_t>::Reader Source) {
+  std::vector<std::uint32_t> Decoded;
+  for (std::uint32_t Value : Source)
+    Decoded.push_back(Value);
+  return Decoded;
+}
+
 QueueState read(fleet::QueueState::Reader Source) {
   QueueState Decoded;
   Decoded.Service_ = text(Source.getService());
-  for (std::uint32_t Pieces : Source.getInTime())
-    Decoded.InTime_.push_back(Pieces);
-  Decoded.Late_ = Source.getLate();
-  Decoded.Waiting_ = Source.getWaiting();
+  Decoded.InTime_ = read(Source.getInTime());
+  Decoded.Late_ = read(Source.getLate());
+  Decoded.Waiting_ = read(Source.getWaiting());
   Decoded.PiecesPerSecond_ = Source.getPiecesPerSecond();
   return Decoded;
 }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -16,19 +16,18 @@
 
 namespace amaranth::protocol {
 
-/// Pieces of a stage service: those that wait at its dispatcher, the entry host
-/// that composes the calls to the service's targets, or those that the requests
-/// of an entry host still need.
+/// Pieces of a stage service that the requests of an entry host still need,
+/// each by the priority of the request.
 struct QueueState {
   std::string Service_;
-  /// Pieces that can meet their request's aim, by priority. The aim is
-  /// the time within which an answer has its full worth to the caller; the
-  /// deadline is later.
+  /// Pieces that can meet their request's aim. The aim is the time within which
+  /// an answer has its full worth to the caller; the deadline is later.
   std::vector<std::uint32_t> InTime_;
-  std::uint32_t Late_ = 0; ///< Pieces that cannot meet their aim.
-  /// Rate at which the targets complete pieces in full calls; 0 if unknown.
+  std::vector<std::uint32_t> Late_;    ///< Pieces that cannot meet their aim.
+  std::vector<std::uint32_t> Waiting_; ///< Of requests that have not started.
+  /// Rate at which the targets complete pieces in full calls; 0 if unknown. Set
+  /// by the service's dispatcher, the entry host that composes the calls.
   double PiecesPerSecond_ = 0;
-  std::uint32_t Waiting_ = 0; ///< Pieces of requests that have not started.
 };
 
 /// State that a host reports about itself.
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -31,7 +31,7 @@
   EntryContext(transport::Loop &Executor, state::HostSettings HostSettings,
                const protocol::EdgeProtocol &EdgeProtocol,
                coordination::SuspectListener &SuspectChanges,
-               const coordination::QueueView &Queues)
+               coordination::QueueView &Queues)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
         Edge_(EdgeProtocol), MessageBytes_(Settings_.MemoryMegabytes_ * 1024 *
                                            1024 / MessageMemoryDivisor),
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -306,19 +306,31 @@
   Peers_.broadcast(FleetMessage(std::move(Update)));
 }
 
-protocol::QueueState EntryHost::queueState(const std::string &Service) const {
-  protocol::QueueState Sum;
-  Sum.Service_ = Service;
-  Sum.PiecesPerSecond_ = piecesPerSecond(Service);
+protocol::QueueState EntryHost::queueState(const std::string &Service) {
+  SteadyTime Now = SteadyClock::now();
+  if (Now - FleetWorkAt_ >= coordination::OutstandingWork::RefreshPeriod) {
+    FleetWork_ = addUpFleetWork(Now);
+    FleetWorkAt_ = Now;
+  }
+  auto Found = FleetWork_.find(Service);
+  return Found == FleetWork_.end() ? protocol::QueueState{} : Found->second;
+}
+
+std::map<std::string, protocol::QueueState>
+EntryHost::addUpFleetWork(SteadyTime Now) {
+  std::map<std::string, protocol::QueueState> Sums;
   auto AddFrom = [&](const std::vector<protocol::QueueState> &States) {
     for (const protocol::QueueState &State : States)
-      if (State.Service_ == Service)
-        coordination::addPieces(State, Sum);
+      coordination::addPieces(State, Sums[State.Service_]);
   };
-  AddFrom(Context_.OutstandingWork_.states(SteadyClock::now()));
+  AddFrom(Context_.OutstandingWork_.states(Now));
   Peers_.forEachServing(
       [&](const HostState &Peer) { AddFrom(Peer.Outstanding_); });
-  return Sum;
+  for (auto &[Service, Sum] : Sums) {
+    Sum.Service_ = Service;
+    Sum.PiecesPerSecond_ = piecesPerSecond(Service);
+  }
+  return Sums;
 }
 
 double EntryHost::piecesPerSecond(const std::string &Service) const {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -67,7 +67,7 @@
   // SuspectListener
   void onSuspectChanged(const protocol::SuspectInput &Suspect) override;
   // QueueView
-  protocol::QueueState queueState(const std::string &Service) const override;
+  protocol::QueueState queueState(const std::string &Service) override;
 
 private:
   /// A local copy of one prefix of the store, kept up to date by watching the
@@ -110,6 +110,8 @@
                      const protocol::FleetMessage &Message);
   /// Rate at which the targets of a stage service complete pieces.
   double piecesPerSecond(const std::string &Service) const;
+  /// Adds up what the requests of all hosts still need, by service.
+  std::map<std::string, protocol::QueueState> addUpFleetWork(SteadyTime Now);
   transport::Awaitable<void> maintain();
   transport::Awaitable<void> finishDrain();
 
@@ -117,6 +119,8 @@
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
   coordination::UndeliveredReports UndeliveredReports_;
+  std::map<std::string, protocol::QueueState> FleetWork_;
+  SteadyTime FleetWorkAt_{};           ///< When FleetWork_ was added up.
   mutable StageDispatcher Dispatcher_; ///< Reading its queue states drops old
                                        ///< entries.
   PeerMesh Peers_;
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -511,10 +511,6 @@
   if (Found == Services_.end())
     return State;
   ServiceState &Service = Found->second;
-  coordination::StageQueue::WaitingCounts Waiting =
-      Service.Queue_.waitingCounts();
-  State.InTime_ = std::move(Waiting.InTime_);
-  State.Late_ = Waiting.Late_;
   State.PiecesPerSecond_ = maxPieceRate(ServiceName) * Service.Yield_;
   return State;
 }
