--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -66,9 +66,9 @@
 private:
   /// Which work of other requests is completed before a request's own.
   enum class Ahead {
-    InTime, ///< Work that is as urgent and can meet its aim. Else all that can.
-    Started, ///< Also late work that is as urgent.
-    All,     ///< Also that of requests that wait and are as urgent.
+    InTime,  ///< Work that is as urgent and can meet its aim.
+    Started, ///< All work that can meet its aim, and late work as urgent.
+    All,     ///< Also the work of requests that wait and are as urgent.
   };
 
   Milliseconds workTime(const std::string &Service, Ahead Work,
