Show that hosts miss changes while the watchers are cut off from the store

Callers saw requests handled by a configuration whose successor had been acknowledged seconds before, and targets that had announced their end still got requests.

The test double of the store now has an address for each host, so that it can leave single hosts without an answer.

--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -169,7 +169,7 @@
        << "listen.front=" << AddressLine(Host.CallerPort_)
        << "listen.ready=" << AddressLine(Host.ReadinessPort_)
        << "listen.directory=" << AddressLine(Host.DirectoryPort_)
-       << "platform.address=" << Store.address() << "\n"
+       << "platform.address=" << Store.address(Index) << "\n"
        << "internal_port_range=" << PeerPort << "," << PeerPort << "\n"
        << "bounds.grace_s=8\nlimits.memory_mb=260\nlimits.max_fds=4100\n";
   File.close();
--- a/tests/Integration/Platform/StoreDouble.cpp
+++ b/tests/Integration/Platform/StoreDouble.cpp
@@ -29,15 +29,29 @@
 
 } // namespace
 
-StoreDouble::StoreDouble()
-    : Server_(std::make_unique<RawServer>(
-          [this](RawServerConnection &Connection, const RawRequest &Request) {
-            return handle(Connection, Request);
-          })) {}
+StoreDouble::StoreDouble() = default;
 
 StoreDouble::~StoreDouble() {
-  setDown(true);
-  Server_.reset();
+  {
+    std::lock_guard Lock(Mutex_);
+    IsStopping_ = true;
+  }
+  Changed_.notify_all();
+  Servers_.clear();
+}
+
+std::string StoreDouble::address(std::size_t Host) {
+  std::unique_ptr<RawServer> &Server = Servers_[Host];
+  if (!Server)
+    Server = std::make_unique<RawServer>(
+        [this, Host](RawServerConnection &Connection,
+                     const RawRequest &Request) {
+          std::optional<std::string> Answer = answer(Host, Request);
+          if (Answer)
+            Connection.write(*Answer);
+          return true;
+        });
+  return Server->address();
 }
 
 void StoreDouble::write(const std::string &Key, const std::string &Value,
@@ -67,6 +81,24 @@
   Changed_.notify_all();
 }
 
+void StoreDouble::setSilent(std::size_t Host) {
+  std::lock_guard Lock(Mutex_);
+  SilentHosts_.insert(Host);
+  Changed_.notify_all();
+}
+
+void StoreDouble::silenceWaitingCalls() {
+  std::lock_guard Lock(Mutex_);
+  ++Silences_;
+  Changed_.notify_all();
+}
+
+std::set<std::size_t> StoreDouble::watchingHosts(const std::string &Prefix) {
+  std::lock_guard Lock(Mutex_);
+  const std::multiset<std::size_t> &Hosts = Watchers_[Prefix];
+  return {Hosts.begin(), Hosts.end()};
+}
+
 json StoreDouble::toJson(const Change &Item) {
   json Result{{"key", Item.Key_}, {"revision", Item.Revision_}};
   if (Item.Removed_)
@@ -85,18 +117,27 @@
       200, {{"items", Items}, {"truncated", false}, {"as_of", Revision_}});
 }
 
-std::string StoreDouble::watch(const RawRequest &Request) {
+std::optional<std::string> StoreDouble::watch(std::size_t Host,
+                                              const RawRequest &Request) {
   std::string Prefix = decodePercent(Request.queryParameter("prefix"));
   std::uint64_t After = std::stoull(Request.queryParameter("after"));
   Milliseconds Wait(std::stoll(Request.queryParameter("wait_ms")));
   json Events = json::array();
   std::unique_lock Lock(Mutex_);
+  int SilencesBefore = Silences_;
+  auto Position = Watchers_[Prefix].insert(Host);
+  auto IsSilent = [&] {
+    return Silences_ != SilencesBefore || SilentHosts_.contains(Host);
+  };
   Changed_.wait_for(Lock, Wait, [&] {
     for (const Change &Event : History_)
       if (Event.Revision_ > After && Event.Key_.rfind(Prefix, 0) == 0)
         Events.push_back(toJson(Event));
-    return IsDown_ || !Events.empty();
+    return IsStopping_ || IsDown_ || IsSilent() || !Events.empty();
   });
+  Watchers_[Prefix].erase(Position);
+  if (IsSilent())
+    return std::nullopt;
   if (IsDown_)
     return rawAnswer(503, "", "");
   return jsonAnswer(200, {{"events", Events}, {"as_of", Revision_}});
@@ -109,32 +150,26 @@
   return jsonAnswer(200, {{"revision", Revision_}});
 }
 
-bool StoreDouble::handle(RawServerConnection &Connection,
-                         const RawRequest &Request) {
+std::optional<std::string> StoreDouble::answer(std::size_t Host,
+                                               const RawRequest &Request) {
   std::string Call =
       Request.path().substr(std::string("/amaranthcourse/").size());
-  if (Call == "kv-watch") {
-    Connection.write(watch(Request));
-    return true;
-  }
-  std::string Answer;
-  {
-    std::lock_guard Lock(Mutex_);
-    if (IsDown_)
-      Answer = rawAnswer(503, "", "");
-    else if (Call == "kv-range")
-      Answer = range(decodePercent(Request.queryParameter("prefix")));
-    else if (Call == "kv-txn")
-      Answer = transact(Request.Body_);
-    else if (Call == "kv-lease")
-      Answer = jsonAnswer(200, {{"lease", ++LastLease_}, {"ttl_ms", 20000}});
-    else if (Call.rfind("kv-keep/", 0) == 0)
-      Answer = jsonAnswer(200, {{"ttl_ms", 20000}});
-    else
-      Answer = rawAnswer(404, "", "");
-  }
-  Connection.write(Answer);
-  return true;
+  if (Call == "kv-watch")
+    return watch(Host, Request);
+  std::lock_guard Lock(Mutex_);
+  if (SilentHosts_.contains(Host))
+    return std::nullopt;
+  if (IsDown_)
+    return rawAnswer(503, "", "");
+  if (Call == "kv-range")
+    return range(decodePercent(Request.queryParameter("prefix")));
+  if (Call == "kv-txn")
+    return transact(Request.Body_);
+  if (Call == "kv-lease")
+    return jsonAnswer(200, {{"lease", ++LastLease_}, {"ttl_ms", 20000}});
+  if (Call.rfind("kv-keep/", 0) == 0)
+    return jsonAnswer(200, {{"ttl_ms", 20000}});
+  return rawAnswer(404, "", "");
 }
 
 } // namespace amaranth::integration
--- a/tests/Integration/Platform/StoreDouble.h
+++ b/tests/Integration/Platform/StoreDouble.h
@@ -12,23 +12,34 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace amaranth::integration {
 
 /// Stores keys with revisions and answers range, watch, transaction and lease
-/// calls. Leases never expire.
+/// calls. Leases never expire. Each host has an address of its own, so that the
+/// store can treat hosts differently.
 class StoreDouble final {
 public:
   StoreDouble();
   ~StoreDouble();
 
-  std::string address() const { return Server_->address(); }
+  /// Address for the host with number \p Host.
+  std::string address(std::size_t Host);
   void put(const std::string &Key, const nlohmann::json &Value);
   void remove(const std::string &Key);
   /// While down, calls are answered with 503 and open watches end with 503.
   void setDown(bool Down);
+  /// From now on no call of \p Host is answered, while its connections stay
+  /// open.
+  void setSilent(std::size_t Host);
+  /// No call that is waiting now is answered, while new ones are.
+  void silenceWaitingCalls();
+  /// The hosts that watch \p Prefix.
+  std::set<std::size_t> watchingHosts(const std::string &Prefix);
 
 private:
   struct Change {
@@ -38,9 +49,11 @@
     std::string Value_; ///< As base64.
   };
 
-  bool handle(RawServerConnection &Connection, const RawRequest &Request);
+  /// Returns the answer to \p Request, or nothing if it is not answered.
+  std::optional<std::string> answer(std::size_t Host,
+                                    const RawRequest &Request);
   std::string range(const std::string &Prefix);
-  std::string watch(const RawRequest &Request);
+  std::optional<std::string> watch(std::size_t Host, const RawRequest &Request);
   std::string transact(const std::string &Body);
   void write(const std::string &Key, const std::string &Value, bool Removed);
   static nlohmann::json toJson(const Change &Item);
@@ -48,11 +61,15 @@
   std::mutex Mutex_;
   std::condition_variable Changed_;
   bool IsDown_ = false;
+  bool IsStopping_ = false;
+  std::set<std::size_t> SilentHosts_;
+  int Silences_ = 0; ///< Calls of silenceWaitingCalls().
+  std::map<std::string, std::multiset<std::size_t>> Watchers_; ///< By prefix.
   std::uint64_t Revision_ = 1;
   std::uint64_t LastLease_ = 0;
   std::map<std::string, Change> Items_;
   std::vector<Change> History_;
-  std::unique_ptr<RawServer> Server_;
+  std::map<std::size_t, std::unique_ptr<RawServer>> Servers_; ///< By host.
 };
 
 } // namespace amaranth::integration
