Take test ports from outside the kernel's own range

The platform tests reserve the ports of their daemons by binding and closing them before the daemons start. The kernel could give such a port to a connection of another test server in between, and the daemon then could not listen. Ports now come from 20000 to 31999, below the range from which the kernel takes ports for connections. Found by reading; no failed run was traced to it.

--- a/tests/Integration/Platform/RawServer.cpp
+++ b/tests/Integration/Platform/RawServer.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <stdexcept>
 
 namespace amaranth::integration {
@@ -25,14 +26,25 @@
   return Address;
 }
 
-int listenOn(int Port, int &BoundPort) {
+/// Returns a socket bound to \p Port, or to any free port if it is 0; negative
+/// if that fails.
+int bindTo(int Port) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in Address = loopback(Port);
+  if (Socket >= 0 && bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                          sizeof Address) != 0) {
+    close(Socket);
+    return -1;
+  }
+  return Socket;
+}
+
+int listenOn(int Port, int &BoundPort) {
+  int Socket = bindTo(Port);
+  sockaddr_in Address{};
   socklen_t Length = sizeof Address;
-  auto *AddressPointer = reinterpret_cast<sockaddr *>(&Address);
-  if (Socket < 0 || bind(Socket, AddressPointer, Length) != 0 ||
-      listen(Socket, 256) != 0 ||
-      getsockname(Socket, AddressPointer, &Length) != 0)
+  if (Socket < 0 || listen(Socket, 256) != 0 ||
+      getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length) != 0)
     throw std::runtime_error("cannot listen on a loopback port");
   BoundPort = ntohs(Address.sin_port);
   return Socket;
@@ -156,9 +168,20 @@
 }
 
 int freePort() {
-  int Port = 0;
-  close(listenOn(0, Port));
-  return Port;
+  // Below the range from which the kernel takes ports for connections and for
+  // servers that ask for any port.
+  constexpr int FirstPort = 20000;
+  constexpr int PortCount = 12000;
+  static std::atomic<int> NextOffset{getpid() * 64 % PortCount};
+  for (int Attempt = 0; Attempt < PortCount; ++Attempt) {
+    int Port = FirstPort + NextOffset++ % PortCount;
+    int Socket = bindTo(Port);
+    if (Socket < 0)
+      continue;
+    close(Socket);
+    return Port;
+  }
+  throw std::runtime_error("no loopback port is free");
 }
 
 } // namespace amaranth::integration
