Log the prompt parts of requests whose target's connection broke

The line suspect_input names the digest of a request and a count. When requests that differ crash engines one after the other, this cannot tell apart these hypotheses: a part that all these requests share is the cause; several requests are; the engines fail on their own and the requests are incidental.

target_connection_lost names request, target, run time and the ids of the shared parts.

--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -1,5 +1,7 @@
 #include "Serving/RequestScope.h"
 
+#include "Support/Log.h"
+
 #include <algorithm>
 
 namespace amaranth::serving {
@@ -12,6 +14,22 @@
 /// Retry-After of a request for which no target was available.
 constexpr Milliseconds RetryAfterNoTarget{250};
 
+/// Names the prompt parts that the target was running, so that the logs of all
+/// hosts show which part its crashes have in common.
+void logLostConnection(const RequestScope &Scope, const std::string &Target,
+                       Milliseconds RunTime) {
+  std::string Parts;
+  for (const std::string &Part : Scope.SharedParts_)
+    Parts += (Parts.empty() ? "" : ",") + Part;
+  LogEvent(LogLevel::Warn, "target_connection_lost")
+      .field("request", Scope.Request_.Id_)
+      .field("target", Target)
+      .field("ms", RunTime.count())
+      .field("first_event_ms",
+             Scope.TimeToFirstEvent_ ? Scope.TimeToFirstEvent_->count() : -1)
+      .field("prompt_parts", Parts.empty() ? "none" : Parts);
+}
+
 } // namespace
 
 Awaitable<void> sendOwnAnswer(RequestScope &Scope, int Status,
@@ -60,12 +78,14 @@
   coordination::SuspectRegistry &Suspects = Scope.Context_.Suspects_;
   const std::string &Target = Exchange.target().Id_;
   // A timeout does not count as a crash.
-  if (Exchange.state() == ExchangeState::Broken)
+  if (Exchange.state() == ExchangeState::Broken) {
+    logLostConnection(Scope, Target, RunTime);
     Suspects.onConnectionReset(Scope.InputDigest_, Target, RunTime);
-  else if (Exchange.state() == ExchangeState::NotSent)
+  } else if (Exchange.state() == ExchangeState::NotSent) {
     Suspects.onConnectionRefused(Target);
-  else if (Exchange.state() == ExchangeState::Complete)
+  } else if (Exchange.state() == ExchangeState::Complete) {
     Suspects.onCompleted(Scope.InputDigest_, Target);
+  }
 }
 
 protocol::TargetCallFields targetFields(const RequestScope &Scope,
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace amaranth::serving {
 
@@ -29,6 +30,9 @@
   std::string Service_;
   /// Equal for requests of one account with the same method, path and body.
   std::string InputDigest_;
+  /// Ids of the parts of the prompt that other requests may share: all but the
+  /// last.
+  std::vector<std::string> SharedParts_;
   int Priority_ = 0;
   SteadyTime Deadline_; ///< The caller's or the route's, whichever is earlier.
   SteadyTime AimBy_;    ///< The answer has its full worth until then.
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -68,6 +68,9 @@
     return Refusal{400, Decoded.error().Message_, std::nullopt};
   }
   Scope.Request_ = std::move(*Decoded);
+  const std::vector<protocol::PromptPart> &Prompt = Scope.Request_.Prompt_;
+  for (std::size_t I = 0; I + 1 < Prompt.size(); ++I)
+    Scope.SharedParts_.push_back(Prompt[I].Id_);
   Scope.Table_ = Context.Table_;
   if (!Scope.Table_)
     return Refusal{503, "no configuration is known yet", RetryAfterStart};
