Refuse prompt parts that crash the engines that begin to answer them

Requests of one kind crashed engines one after the other (BUDGET); callers of sound requests lost their streams with them.

Cause: an input is known by the digest of its whole request, and these requests are no two alike, so that each counts as a new input with one or two crashes. Class of fault: blame is recorded on the wrong unit. The registry also told hosts that start, or were cut off, nothing of what the others refuse.

SuspectPartRegistry counts the crashes of each shared prompt part, over all hosts, among requests that had no event for at least 0.2 s when their engine's connection ended. An answer clears the parts of its prompt. A part with three crashes, 0.25 s apart, is refused unless a likelier part explains them: one that was never answered, then one with more crashes. This works since sound prompts share the other parts and are answered in between. Single trials by one host clear a part that was refused by mistake. Requests are checked again before each attempt. New peers are sent all suspects, inputs too.

Weighed: the whole digest with a lower limit (each request still crashes engines), refusing all parts of the prompts at a crash (LOST), running suspects alone (a waiting list over all hosts).

--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -15,6 +15,7 @@
     release @5 :List(Result); # results that are no longer needed
     records @6 :StoreRecords; # for hosts that do not watch the store
     suspects @7 :List(Suspect);
+    suspectParts @8 :List(SuspectPart);
   }
 }
 
@@ -89,3 +90,15 @@
   cleared @2 :Bool;        # a target has completed it
   longestRunMs @3 :Int64;  # longest time that it had run when one crashed
 }
+
+struct SuspectPart {
+  part @0 :Text;
+  answered @1 :Bool;       # an engine has completed an answer with it
+  cleared @2 :Bool;        # the crashes before this message do not count
+  crashes @3 :List(Crash);
+}
+
+struct Crash {
+  engine @0 :Text;
+  ageMs @1 :Int64;         # time since the crash
+}
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(9b843466040b44cf);
 CAPNP_DECLARE_SCHEMA(9b923c22699e8736);
 CAPNP_DECLARE_SCHEMA(fe1435118b07275f);
+CAPNP_DECLARE_SCHEMA(d68995ff21aa03e4);
+CAPNP_DECLARE_SCHEMA(b633ddecbb25dc89);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -51,6 +53,7 @@
     RELEASE,
     RECORDS,
     SUSPECTS,
+    SUSPECT_PARTS,
   };
 
   struct _capnpPrivate {
@@ -181,6 +184,36 @@
   };
 };
 
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d68995ff21aa03e4, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b633ddecbb25dc89, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class FleetMessage::Reader {
@@ -233,6 +266,10 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::amaranth::protocol::fleet::Suspect,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool isSuspectParts() const;
+  inline bool hasSuspectParts() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -326,6 +363,14 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Suspect,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Suspect,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool isSuspectParts();
+  inline bool hasSuspectParts();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspectParts();
+  inline void setSuspectParts( ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspectParts(unsigned int size);
+  inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1296,6 +1341,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectPart::Reader {
+public:
+  typedef SuspectPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline bool getAnswered() const;
+
+  inline bool getCleared() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectPart::Builder {
+public:
+  typedef SuspectPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline bool getAnswered();
+  inline void setAnswered(bool value);
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectPart::Pipeline {
+public:
+  typedef SuspectPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::amaranth::protocol::fleet::FleetMessage::Which FleetMessage::Reader::which() const {
@@ -1739,6 +1971,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isSuspectParts() const {
+  return which() == FleetMessage::SUSPECT_PARTS;
+}
+inline bool FleetMessage::Builder::isSuspectParts() {
+  return which() == FleetMessage::SUSPECT_PARTS;
+}
+inline bool FleetMessage::Reader::hasSuspectParts() const {
+  if (which() != FleetMessage::SUSPECT_PARTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasSuspectParts() {
+  if (which() != FleetMessage::SUSPECT_PARTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Reader FleetMessage::Reader::getSuspectParts() const {
+  KJ_IREQUIRE((which() == FleetMessage::SUSPECT_PARTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FleetMessage::Builder::getSuspectParts() {
+  KJ_IREQUIRE((which() == FleetMessage::SUSPECT_PARTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setSuspectParts( ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SUSPECT_PARTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FleetMessage::Builder::initSuspectParts(unsigned int size) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SUSPECT_PARTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetMessage::Builder::adoptSuspectParts(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SUSPECT_PARTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>> FleetMessage::Builder::disownSuspectParts() {
+  KJ_IREQUIRE((which() == FleetMessage::SUSPECT_PARTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool HostState::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2955,6 +3241,150 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SuspectPart::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SuspectPart::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setPart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::initPart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptPart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectPart::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectPart::Reader::getAnswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectPart::Builder::getAnswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setAnswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectPart::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectPart::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectPart::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setCrashes( ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Crash::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Crash::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Crash::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Crash::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Crash::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Crash::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Crash::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Crash::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -216,6 +216,20 @@
         Targets.set(J, Input.CrashedTargets_[J]);
     }
   }
+  void operator()(const SuspectParts &Source) {
+    auto List = Builder_.initSuspectParts(Source.Parts_.size());
+    for (unsigned I = 0; I < Source.Parts_.size(); ++I) {
+      const SuspectPart &Part = Source.Parts_[I];
+      List[I].setPart(Part.Id_);
+      List[I].setAnswered(Part.Answered_);
+      List[I].setCleared(Part.Cleared_);
+      auto Crashes = List[I].initCrashes(Part.Crashes_.size());
+      for (unsigned J = 0; J < Part.Crashes_.size(); ++J) {
+        Crashes[J].setEngine(Part.Crashes_[J].Engine_);
+        Crashes[J].setAgeMs(Part.Crashes_[J].Age_.count());
+      }
+    }
+  }
 };
 
 SuspectRequests
@@ -233,6 +247,20 @@
   return Decoded;
 }
 
+SuspectParts readSuspectParts(
+    capnp::List<fleet::SuspectPart, capnp::Kind::STRUCT>::Reader List) {
+  SuspectParts Decoded;
+  for (auto Source : List) {
+    SuspectPart Part{
+        text(Source.getPart()), Source.getAnswered(), Source.getCleared(), {}};
+    for (auto Crash : Source.getCrashes())
+      Part.Crashes_.push_back(
+          {text(Crash.getEngine()), Milliseconds(Crash.getAgeMs())});
+    Decoded.Parts_.push_back(std::move(Part));
+  }
+  return Decoded;
+}
+
 std::optional<FleetMessage> read(fleet::FleetMessage::Reader Source) {
   using Which = fleet::FleetMessage::Which;
   switch (Source.which()) {
@@ -273,6 +301,8 @@
   }
   case Which::SUSPECTS:
     return readSuspects(Source.getSuspects());
+  case Which::SUSPECT_PARTS:
+    return readSuspectParts(Source.getSuspectParts());
   }
   return std::nullopt;
 }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -113,9 +113,25 @@
   std::vector<SuspectInput> Inputs_;
 };
 
+/// A crash of an engine before it answered a request with a prompt part.
+struct PartCrash {
+  std::string Engine_;
+  Milliseconds Age_{0}; ///< Time since the crash.
+};
+/// A prompt part that may crash engines.
+struct SuspectPart {
+  std::string Id_;
+  bool Answered_ = false; ///< An engine has completed an answer with it.
+  bool Cleared_ = false;  ///< The crashes before this message do not count.
+  std::vector<PartCrash> Crashes_;
+};
+struct SuspectParts {
+  std::vector<SuspectPart> Parts_;
+};
+
 using FleetMessage =
     std::variant<Ping, Pong, PieceOrders, PieceReports, CancelPieces,
-                 ReleaseResults, StoreRecords, SuspectRequests>;
+                 ReleaseResults, StoreRecords, SuspectRequests, SuspectParts>;
 
 /// Encodes one message, without the length that precedes it on a connection.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -4,6 +4,7 @@
 #define AMARANTH_SERVING_ENTRYCONTEXT_H
 
 #include "Coordination/Engines/EngineChooser.h"
+#include "Coordination/Engines/SuspectPartRegistry.h"
 #include "Coordination/Stages/OutstandingWork.h"
 #include "Coordination/Stages/StageAdmission.h"
 #include "Coordination/SuspectRegistry.h"
@@ -31,6 +32,7 @@
   EntryContext(transport::Loop &Executor, state::HostSettings HostSettings,
                const protocol::EdgeProtocol &EdgeProtocol,
                coordination::SuspectListener &SuspectChanges,
+               coordination::SuspectPartPeers &PartPeers,
                coordination::QueueView &Queues)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
         Edge_(EdgeProtocol), Targets_(targetSettings(Settings_)),
@@ -39,8 +41,8 @@
         Connections_(Executor),
         RetryBudget_({Settings_.RetryRatio_, Settings_.RetryExtra_,
                       Settings_.RetryWindow_}),
-        Suspects_(suspectSettings(), &SuspectChanges), StageAdmission_(Queues) {
-  }
+        Suspects_(suspectSettings(), &SuspectChanges), SuspectParts_(PartPeers),
+        StageAdmission_(Queues) {}
 
   transport::Loop &Loop_;
   state::HostSettings Settings_;
@@ -54,6 +56,7 @@
   TargetConnections Connections_;
   coordination::WindowBudget RetryBudget_;
   coordination::SuspectRegistry Suspects_;
+  coordination::SuspectPartRegistry SuspectParts_;
   coordination::StageAdmission StageAdmission_;
   coordination::OutstandingWork OutstandingWork_;
   bool Draining_ = false;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -58,8 +58,10 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : Context_(Executor, Settings, Edge, *this, *this), Codec_(Codec),
-      Stages_(*this), Dispatcher_(Context_, *this),
+    : SuspectExchange_(Context_, Peers_, *this),
+      Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
+               *this),
+      Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
@@ -136,6 +138,7 @@
 
 void EntryHost::onPeerState(const HostState &State) {
   sendDifferingRecords(State);
+  SuspectExchange_.onPeerState(State);
   if (UndeliveredReports_.empty())
     return;
   protocol::PieceReports Reports =
@@ -293,24 +296,17 @@
     applyRecords(*Records);
   } else if (const auto *Suspects =
                  std::get_if<protocol::SuspectRequests>(&Message)) {
-    for (const protocol::SuspectInput &Input : Suspects->Inputs_)
-      Context_.Suspects_.merge(Input);
+    SuspectExchange_.merge(*Suspects);
+  } else if (const auto *Parts =
+                 std::get_if<protocol::SuspectParts>(&Message)) {
+    SuspectExchange_.merge(*Parts);
   }
 }
 
 void EntryHost::onPeerLost(const std::string &Host) {
   Dispatcher_.dropEntryHost(Host);
   Stages_.onDispatcherLost(Host);
-}
-
-void EntryHost::onSuspectChanged(const protocol::SuspectInput &Suspect) {
-  LogEvent(LogLevel::Info, "suspect_input")
-      .field("digest", Suspect.Digest_.substr(0, 16))
-      .field("targets", Suspect.CrashedTargets_.size())
-      .field("cleared", Suspect.Cleared_ ? 1 : 0);
-  protocol::SuspectRequests Update;
-  Update.Inputs_.push_back(Suspect);
-  Peers_.broadcast(FleetMessage(std::move(Update)));
+  SuspectExchange_.onPeerLost(Host);
 }
 
 protocol::QueueState EntryHost::queueState(const std::string &Service) {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -14,6 +14,7 @@
 #include "Serving/StageClient.h"
 #include "Serving/StageDispatcher.h"
 #include "Serving/StoreFollower.h"
+#include "Serving/SuspectExchange.h"
 
 #include <map>
 #include <memory>
@@ -29,7 +30,6 @@
                         public HostStatus,
                         public DispatcherRouter,
                         public PieceReportListener,
-                        public coordination::SuspectListener,
                         public coordination::QueueView {
 public:
   EntryHost(transport::Loop &Executor, const state::HostSettings &Settings,
@@ -65,8 +65,6 @@
   // PieceReportListener
   void onPieceReports(const std::string &OrderingHost,
                       protocol::PieceReports Reports) override;
-  // SuspectListener
-  void onSuspectChanged(const protocol::SuspectInput &Suspect) override;
   // QueueView
   protocol::QueueState queueState(const std::string &Service) override;
 
@@ -121,6 +119,7 @@
   transport::Awaitable<void> maintain();
   transport::Awaitable<void> finishDrain();
 
+  SuspectExchange SuspectExchange_;
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -69,7 +69,7 @@
   EntryContext &Context = Scope_.Context_;
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
   while (!Succeeded_ && !FailureIsFinal_ && mayTryAgain() &&
-         !Scope_.hasCallerLeft()) {
+         !Scope_.hasCallerLeft() && crashReason(Scope_).empty()) {
     const TargetRecord *Chosen = chooseTarget();
     if (!Chosen)
       break;
@@ -102,6 +102,7 @@
                           Context.MessageBytes_, Target);
   Scope_.Interrupt_ = [&Exchange] { Exchange.stop(); };
   SteadyTime StartedAt = SteadyClock::now();
+  Context.SuspectParts_.onSent(Scope_.SharedParts_, StartedAt);
   Context.Health_.begin(Target.Id_);
   std::string Id = Scope_.Request_.Id_;
   co_await Exchange.start(Request, Id, AttemptDeadline);
@@ -136,6 +137,8 @@
     ++SentAttempts_;
     ++PossibleRuns_;
     Context.Health_.end(Id, TargetResult::Broken, Elapsed, Now);
+    if (Exchange.state() == ExchangeState::Broken)
+      reportPromptEnd(Scope_, Id, PromptEnd::Lost);
     return;
   }
   ++SentAttempts_;
@@ -154,6 +157,7 @@
   TargetAnswer Answer{Exchange.head(), Exchange.takeBody()};
   if (Success) {
     Context.Health_.end(Id, TargetResult::Success, Elapsed, Now);
+    reportPromptEnd(Scope_, Id, PromptEnd::Answered);
     Success_ = std::move(Answer);
     Succeeded_ = true;
     return;
--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -88,6 +88,26 @@
   }
 }
 
+void reportPromptEnd(RequestScope &Scope, const std::string &Target,
+                     PromptEnd End) {
+  coordination::SuspectPartRegistry &Parts = Scope.Context_.SuspectParts_;
+  if (End == PromptEnd::Answered)
+    Parts.onAnswered(Scope.SharedParts_, SteadyClock::now());
+  else if (End == PromptEnd::Lost)
+    Parts.onCrash(Scope.SharedParts_, Target, SteadyClock::now());
+}
+
+std::string crashReason(RequestScope &Scope) {
+  EntryContext &Context = Scope.Context_;
+  if (Context.Suspects_.inputStatus(Scope.InputDigest_) ==
+      coordination::InputStatus::Refused)
+    return "this input has crashed the targets that ran it";
+  const std::string *Part =
+      Context.SuspectParts_.findRefused(Scope.SharedParts_, SteadyClock::now());
+  return Part ? "prompt part " + *Part + " has crashed the engines that ran it"
+              : "";
+}
+
 protocol::TargetCallFields targetFields(const RequestScope &Scope,
                                         const state::TargetRecord &Target,
                                         SteadyTime Deadline) {
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -85,6 +85,22 @@
 void reportToSuspects(RequestScope &Scope, const TargetExchange &Exchange,
                       Milliseconds RunTime);
 
+/// How a target's answer to a request with a prompt ended.
+enum class PromptEnd {
+  Answered, ///< The whole answer has arrived.
+  Lost,     ///< The target's connection ended before or soon after it began.
+  Other,
+};
+/// Reports the end of an attempt to the registry of suspect prompt parts.
+void reportPromptEnd(RequestScope &Scope, const std::string &Target,
+                     PromptEnd End);
+
+/// Retry-After of requests that may crash targets.
+constexpr Milliseconds RetryAfterCrashes{30000};
+/// Why a request may not be sent to a target, because it may crash the target;
+/// empty if it may.
+std::string crashReason(RequestScope &Scope);
+
 /// Fields that the system adds to the request for \p Target.
 protocol::TargetCallFields targetFields(const RequestScope &Scope,
                                         const state::TargetRecord &Target,
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -25,7 +25,6 @@
 constexpr Milliseconds DrainAcceptTime{3000};
 constexpr Milliseconds RetryAfterStart{300};
 constexpr Milliseconds RetryAfterDrain{50};
-constexpr Milliseconds RetryAfterCrashes{30000};
 
 /// Answer to a request that is refused before anything is run.
 struct Refusal {
@@ -87,10 +86,9 @@
       return Refusal{401, "the key belongs to no client account", std::nullopt};
   }
   Scope.InputDigest_ = computeInputDigest(Scope);
-  if (Context.Suspects_.inputStatus(Scope.InputDigest_) ==
-      coordination::InputStatus::Refused)
-    return Refusal{503, "this input has crashed the targets that ran it",
-                   RetryAfterCrashes};
+  std::string CrashReason = crashReason(Scope);
+  if (!CrashReason.empty())
+    return Refusal{503, CrashReason, RetryAfterCrashes};
   Scope.Priority_ = Scope.Route_->Priority_;
   if (Scope.Account_ && Scope.Account_->Priority_)
     Scope.Priority_ = *Scope.Account_->Priority_;
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -21,6 +21,10 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// An engine that has sent events for this long has not crashed because of the
+/// prompt: that happens when it begins to answer.
+constexpr Milliseconds MinAnswerTime{200};
+
 /// Callers abandon a stream after a gap without events, also before the first
 /// one. The gap is the longest of a fixed time and multiples of the route's
 /// aims for latency and for pauses.
@@ -66,7 +70,12 @@
       co_return;
     if (Scope_.hasCallerLeft())
       co_return;
-    if (!mayTryAgain())
+    std::string CrashReason = crashReason(Scope_);
+    if (!CrashReason.empty() && PossibleRuns_ == 0) {
+      co_await sendOwnAnswer(Scope_, 503, CrashReason, RetryAfterCrashes);
+      co_return;
+    }
+    if (!mayTryAgain() || !CrashReason.empty())
       break;
     const TargetRecord *Chosen = chooseTarget();
     if (!Chosen)
@@ -134,6 +143,9 @@
                           Context.MessageBytes_, Target);
   Scope_.Interrupt_ = [&Exchange] { Exchange.stop(); };
   AttemptStart_ = SteadyClock::now();
+  FirstEventAt_.reset();
+  AnswerCompleted_ = false;
+  Context.SuspectParts_.onSent(Scope_.SharedParts_, AttemptStart_);
   Context.Health_.begin(Target.Id_);
   Context.Engines_.onPromptSent(Target.Id_, Scope_.Request_.Prompt_,
                                 AttemptStart_);
@@ -173,6 +185,7 @@
   }
   auto Elapsed = std::chrono::ceil<Milliseconds>(Now - AttemptStart_);
   reportToSuspects(Scope_, Exchange, Elapsed);
+  reportPromptEnd(Scope_, Id, promptEnd(Exchange));
   TargetResult Result = TargetResult::Broken;
   if (Exchange.state() == ExchangeState::NotSent)
     Result = TargetResult::Unreachable;
@@ -184,6 +197,18 @@
   Context.Health_.end(Id, Result, Elapsed, Now);
 }
 
+PromptEnd StreamRun::promptEnd(const TargetExchange &Exchange) const {
+  if (AnswerCompleted_)
+    return PromptEnd::Answered;
+  // An answer without a length ends with its connection, also in a crash.
+  bool HasEnded = Exchange.state() == ExchangeState::Broken ||
+                  (Exchange.state() == ExchangeState::Complete &&
+                   isSuccess(Exchange.head().Status_));
+  bool IsAnswering =
+      FirstEventAt_ && SteadyClock::now() - *FirstEventAt_ >= MinAnswerTime;
+  return HasEnded && !IsAnswering ? PromptEnd::Lost : PromptEnd::Other;
+}
+
 Awaitable<StreamRun::Step> StreamRun::forwardEvents(TargetExchange &Exchange) {
   const protocol::TargetReply &Reply = Exchange.reply();
   if (!Reply.Signed_ || Reply.ContentEncoded_) {
@@ -196,6 +221,8 @@
     std::string Body = Exchange.takeBody();
     std::string WholeEvents = Events_.addBytes(Body);
     if (!WholeEvents.empty()) {
+      if (!FirstEventAt_)
+        FirstEventAt_ = SteadyClock::now();
       bool Written = co_await writeEvents(Exchange, WholeEvents);
       if (!Written)
         co_return Step::Finished;
@@ -220,6 +247,7 @@
     Events_.discardPartialEvent();
     co_return Step::TryAgain;
   }
+  AnswerCompleted_ = true;
   std::string FinalChunk(transport::LastChunk);
   LinkStatus Status = co_await Scope_.Caller_->write(FinalChunk);
   if (Status != LinkStatus::Ok)
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -38,6 +38,7 @@
   /// Handles an answer whose status is not 2xx.
   transport::Awaitable<Step> handleFailure(TargetExchange &Exchange);
   void recordOutcome(const TargetExchange &Exchange);
+  PromptEnd promptEnd(const TargetExchange &Exchange) const;
   /// Answers a request that no engine served, or resets the caller's connection
   /// if part of the answer has been sent.
   transport::Awaitable<void> answerOrAbort();
@@ -52,6 +53,9 @@
   int UnreachedTargets_ = 0;
   bool HeadWritten_ = false;
   SteadyTime AttemptStart_{};
+  /// Time of the first event of this attempt.
+  std::optional<SteadyTime> FirstEventAt_;
+  bool AnswerCompleted_ = false; ///< This attempt ended with a whole answer.
 };
 
 } // namespace amaranth::serving
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -120,6 +120,30 @@
   return true;
 }
 
+bool resetWithoutAnswer(RawServerConnection &Connection, const RawRequest &) {
+  Connection.resetOnClose();
+  return false;
+}
+
+std::string streamEvent(int Number) {
+  return "id: " + std::to_string(Number) + "\ndata: x\n\n";
+}
+
+std::string streamHead(const RawRequest &Request) {
+  return transport::statusLine(200) + validResponseFields(Request) +
+         "Content-Type: text/event-stream\r\n";
+}
+
+bool streamAll(RawServerConnection &Connection, const RawRequest &Request) {
+  std::string Last = Request.field("Last-Event-Id");
+  std::string Bytes =
+      streamHead(Request) + "Transfer-Encoding: chunked\r\n\r\n";
+  for (int I = Last.empty() ? 1 : std::stoi(Last) + 1; I <= 4; ++I)
+    Bytes += transport::encodeChunk(streamEvent(I));
+  Connection.write(Bytes + std::string(transport::LastChunk));
+  return true;
+}
+
 bool answerStageCall(RawServerConnection &Connection, const RawRequest &Request,
                      const std::string &Address) {
   json Results = json::array();
@@ -139,9 +163,19 @@
   Hosts_.resize(Hosts);
   for (std::size_t I = 0; I < Hosts; ++I)
     start(Store, I);
+  waitUntilServing();
+}
+
+void PlatformFleet::addHost(StoreDouble &Store) {
+  Hosts_.emplace_back();
+  start(Store, Hosts_.size() - 1);
+  waitUntilServing();
+}
+
+void PlatformFleet::waitUntilServing() {
   auto AllServe = [&] {
-    for (std::size_t I = 0; I < Hosts; ++I)
-      if (!isReady(I) || resolveEntryHosts(I).size() != Hosts)
+    for (std::size_t I = 0; I < Hosts_.size(); ++I)
+      if (!isReady(I) || resolveEntryHosts(I).size() != Hosts_.size())
         return false;
     return true;
   };
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -48,6 +48,14 @@
 std::string validResponseFields(const RawRequest &Request);
 /// Sends a valid answer with the body "done".
 bool answerDone(RawServerConnection &Connection, const RawRequest &Request);
+/// A server-sent event with the id \p Number.
+std::string streamEvent(int Number);
+/// Status line and fields of a valid stream, without framing and empty line.
+std::string streamHead(const RawRequest &Request);
+/// Streams events 1 to 4 in chunks, starting after Last-Event-Id.
+bool streamAll(RawServerConnection &Connection, const RawRequest &Request);
+/// Resets the connection without an answer.
+bool resetWithoutAnswer(RawServerConnection &Connection, const RawRequest &);
 /// Answers a stage call with a result handle for every piece, which is one unit
 /// of a stage's work for a request.
 bool answerStageCall(RawServerConnection &Connection, const RawRequest &Request,
@@ -59,6 +67,8 @@
 public:
   PlatformFleet(StoreDouble &Store, std::size_t Hosts);
 
+  /// Starts one more host and waits until it is ready and listed.
+  void addHost(StoreDouble &Store);
   ChildProcess &process(std::size_t Host) { return *Hosts_.at(Host).Process_; }
   /// Sends a request to the caller address of a host and reads the answer.
   PlatformAnswer call(std::size_t Host, const std::string &Request);
@@ -82,6 +92,7 @@
   };
 
   void start(StoreDouble &Store, std::size_t Index);
+  void waitUntilServing();
 
   std::vector<HostProcess> Hosts_;
 };
--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -27,35 +27,11 @@
   return true;
 }
 
-bool resetWithoutAnswer(RawServerConnection &Connection, const RawRequest &) {
-  Connection.resetOnClose();
-  return false;
-}
-
-std::string event(int Number) {
-  return "id: " + std::to_string(Number) + "\ndata: x\n\n";
-}
-
-std::string streamHead(const RawRequest &Request) {
-  return transport::statusLine(200) + validResponseFields(Request) +
-         "Content-Type: text/event-stream\r\nTransfer-Encoding: "
-         "chunked\r\n\r\n";
-}
-
-/// Streams events 1 to 4, starting after Last-Event-Id.
-bool streamAll(RawServerConnection &Connection, const RawRequest &Request) {
-  std::string Last = Request.field("Last-Event-Id");
-  std::string Bytes = streamHead(Request);
-  for (int I = Last.empty() ? 1 : std::stoi(Last) + 1; I <= 4; ++I)
-    Bytes += transport::encodeChunk(event(I));
-  Connection.write(Bytes + std::string(transport::LastChunk));
-  return true;
-}
-
 /// Streams two events and resets the connection within the third.
 bool breakMidEvent(RawServerConnection &Connection, const RawRequest &Request) {
-  Connection.write(streamHead(Request) +
-                   transport::encodeChunk(event(1) + event(2) + "id: 3\nda"));
+  Connection.write(
+      streamHead(Request) + "Transfer-Encoding: chunked\r\n\r\n" +
+      transport::encodeChunk(streamEvent(1) + streamEvent(2) + "id: 3\nda"));
   std::this_thread::sleep_for(Milliseconds{50});
   Connection.resetOnClose();
   return false;
@@ -177,7 +153,7 @@
   PlatformAnswer Broken = Fleet.call(0, platformRequest("POST", "/once/1"));
   CHECK(Broken.Status_ == 200);
   CHECK_FALSE(Broken.Complete_);
-  CHECK(Broken.Body_ == event(1) + event(2));
+  CHECK(Broken.Body_ == streamEvent(1) + streamEvent(2));
   CHECK(Breaking.requests() == 1);
 }
 
@@ -196,7 +172,8 @@
     PlatformAnswer Answer =
         Fleet.call(0, platformRequest("POST", "/draft/1", Fields));
     CHECK(Answer.Complete_);
-    CHECK(Answer.Body_ == event(1) + event(2) + event(3) + event(4));
+    CHECK(Answer.Body_ ==
+          streamEvent(1) + streamEvent(2) + streamEvent(3) + streamEvent(4));
   }
   CHECK(Breaking.requests() == 1);
 }
