--- a/source/Coordination/Engines/SuspectPartRegistry.cpp
+++ b/source/Coordination/Engines/SuspectPartRegistry.cpp
@@ -128,7 +128,8 @@
   if (!isSuspect(Part, Now))
     return false;
   std::vector<Crash> Unexplained = Part.Crashes_;
-  for (const auto &[Id, Other] : Parts_) {
+  for (const auto &Item : Parts_) {
+    const Entry &Other = Item.second;
     bool IsLikelier = Part.Answered_ == Other.Answered_
                           ? Other.Crashes_.size() > Part.Crashes_.size()
                           : Part.Answered_;
