Notice silent watches of the targets in time

If only the connections on which hosts watch the targets went silent, a target that had left got requests for longer than drain_ms: the watch of the configuration still showed a store that answers.

Cause: the watch of the targets lasted the whole limit and was given up a quarter of it later (2.0 and 0.5 s of 2.0 s).

Ruled out: other watchers sending the missing records, since the watches of all hosts are silent. Weighed: restarting all watches of a host when one of them is lost; it costs no calls, but does not help when only these are silent.

The watch of the targets is now as long as that of the configuration (40 % of the limit, given up after another 25 %).

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -67,10 +67,9 @@
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
       Incarnation_(std::random_device{}() | 1ULL) {
-  Milliseconds Limit = Settings.ChangeTimeLimit_;
   follow(Store, {Codec.configurationKey(), Settings.shortWatchTime()});
-  follow(Store, {Codec.targetPrefix(), Limit});
-  follow(Store, {HostPrefix, Limit});
+  follow(Store, {Codec.targetPrefix(), Settings.shortWatchTime()});
+  follow(Store, {HostPrefix, Settings.ChangeTimeLimit_});
 }
 
 void EntryHost::follow(protocol::PlatformStore &Store,
--- a/source/State/HostSettings.h
+++ b/source/State/HostSettings.h
@@ -35,9 +35,9 @@
   /// Time within which every host must follow a change in the store: of the
   /// configuration, or of a target that leaves.
   Milliseconds ChangeTimeLimit_{2000};
-  /// Watches of the store that show whether it still answers last this long,
-  /// and a watch without an answer is given up this much later. Together they
-  /// leave time for other hosts to take over within ChangeTimeLimit_.
+  /// A watch of records that change within ChangeTimeLimit_ lasts this long,
+  /// and one without an answer is given up this much later. Together they leave
+  /// time for other hosts to take over.
   Milliseconds shortWatchTime() const { return ChangeTimeLimit_ * 2 / 5; }
   Milliseconds watchSlack() const { return ChangeTimeLimit_ / 4; }
   std::size_t MemoryMegabytes_ = 256;
--- a/tests/Integration/Platform/SilentStoreTest.cpp
+++ b/tests/Integration/Platform/SilentStoreTest.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 const std::string ConfigurationKey = "op/config";
+const std::string TargetPrefix = "servers/";
 constexpr std::size_t WatcherCount = 4;
 
 /// Time after the store's acknowledgement in which every host follows a change
@@ -33,7 +34,7 @@
     Changed["routes"][0]["prefix"] = "/found/";
     Store_.put(ConfigurationKey, Changed);
     Leaving_.setDraining();
-    Store_.remove("servers/" + Removed_.id());
+    Store_.remove(TargetPrefix + Removed_.id());
   }
 
   int requestsAtLeavingTargets() const {
@@ -107,3 +108,23 @@
   for (std::size_t Host = 0; Host < Hosts; ++Host)
     checkFollowsChange(Setup, Fleet, Host);
 }
+
+// Rule DRAIN. Guards against targets that get requests after they have left,
+// because only the connections on which the hosts watch the targets have gone
+// silent and the watches of the configuration show a store that answers.
+TEST_CASE("platform: leaving targets are noticed although the watches of the "
+          "targets have gone silent") {
+  ChangingPlatform Setup;
+  constexpr std::size_t Hosts = 3;
+  PlatformFleet Fleet(Setup.Store_, Hosts);
+  // A new target ends all watches, so that the next ones have most of their
+  // time left when they go silent.
+  TargetDouble Added(Setup.Store_, "i-4", "desk", answerDone);
+  std::this_thread::sleep_for(Milliseconds{100});
+  REQUIRE(Setup.Store_.watchingHosts(TargetPrefix).size() == Hosts);
+  Setup.Store_.silenceWaitingCalls(TargetPrefix);
+  Setup.change();
+  std::this_thread::sleep_for(ChangeLimit);
+  for (std::size_t Host = 0; Host < Hosts; ++Host)
+    checkFollowsChange(Setup, Fleet, Host);
+}
--- a/tests/Integration/Platform/StoreDouble.cpp
+++ b/tests/Integration/Platform/StoreDouble.cpp
@@ -89,7 +89,14 @@
 
 void StoreDouble::silenceWaitingCalls() {
   std::lock_guard Lock(Mutex_);
-  ++Silences_;
+  for (const auto &[Prefix, Hosts] : Watchers_)
+    ++Silences_[Prefix];
+  Changed_.notify_all();
+}
+
+void StoreDouble::silenceWaitingCalls(const std::string &Prefix) {
+  std::lock_guard Lock(Mutex_);
+  ++Silences_[Prefix];
   Changed_.notify_all();
 }
 
@@ -124,10 +131,10 @@
   Milliseconds Wait(std::stoll(Request.queryParameter("wait_ms")));
   json Events = json::array();
   std::unique_lock Lock(Mutex_);
-  int SilencesBefore = Silences_;
+  int SilencesBefore = Silences_[Prefix];
   auto Position = Watchers_[Prefix].insert(Host);
   auto IsSilent = [&] {
-    return Silences_ != SilencesBefore || SilentHosts_.contains(Host);
+    return Silences_[Prefix] != SilencesBefore || SilentHosts_.contains(Host);
   };
   Changed_.wait_for(Lock, Wait, [&] {
     for (const Change &Event : History_)
--- a/tests/Integration/Platform/StoreDouble.h
+++ b/tests/Integration/Platform/StoreDouble.h
@@ -36,8 +36,10 @@
   /// From now on no call of \p Host is answered, while its connections stay
   /// open.
   void setSilent(std::size_t Host);
-  /// No call that is waiting now is answered, while new ones are.
+  /// No watch that is waiting now is answered, while new calls are.
   void silenceWaitingCalls();
+  /// The same for the watches of \p Prefix only.
+  void silenceWaitingCalls(const std::string &Prefix);
   /// The hosts that watch \p Prefix.
   std::set<std::size_t> watchingHosts(const std::string &Prefix);
 
@@ -63,7 +65,7 @@
   bool IsDown_ = false;
   bool IsStopping_ = false;
   std::set<std::size_t> SilentHosts_;
-  int Silences_ = 0; ///< Calls of silenceWaitingCalls().
+  std::map<std::string, int> Silences_; ///< By prefix: silenceWaitingCalls().
   std::map<std::string, std::multiset<std::size_t>> Watchers_; ///< By prefix.
   std::uint64_t Revision_ = 1;
   std::uint64_t LastLease_ = 0;
