Count the trials of suspect prompt parts for the fleet

A prompt part that crashes engines could be tried more often than twice, and each trial crashes an engine (BUDGET allows three requests with the part after the fifth crash).

Cause: trials were counted by the host that made them. When that host ended or restarted, its successor counted from zero and waited the shortest delay. Class of fault: state that is kept on one host for a limit of the fleet.

A trial is reported to all hosts, with the number of trials and the time of the last attempt, and new hosts are sent both with the suspects.

Weighed: deriving the number from the times of the crashes, which all hosts have; trials that end without a crash would not count.

--- a/source/Coordination/Engines/SuspectPartRegistry.cpp
+++ b/source/Coordination/Engines/SuspectPartRegistry.cpp
@@ -16,9 +16,10 @@
   SuspectParts Report;
   for (const std::string &Id : Parts) {
     Entry &Part = findOrAdd(Id, Now);
-    if (addCrash(Part, {Engine, Now}, Now))
-      Report.Parts_.push_back(
-          {Id, Part.Answered_, false, {{Engine, Milliseconds{0}}}});
+    if (!addCrash(Part, {Engine, Now}, Now))
+      continue;
+    Report.Parts_.push_back(report(Id, Part, Now));
+    Report.Parts_.back().Crashes_.push_back({Engine, Milliseconds{0}});
   }
   if (!Report.Parts_.empty())
     Peers_.reportParts(Report);
@@ -29,11 +30,14 @@
   SuspectParts Report;
   for (const std::string &Id : Parts) {
     Entry &Part = findOrAdd(Id, Now);
-    if (!Part.Crashes_.empty())
-      Report.Parts_.push_back({Id, true, true, {}});
+    bool WasSuspected = !Part.Crashes_.empty();
     Part.Answered_ = true;
     Part.Crashes_.clear();
     Part.Trials_ = 0;
+    if (!WasSuspected)
+      continue;
+    Report.Parts_.push_back(report(Id, Part, Now));
+    Report.Parts_.back().Cleared_ = true;
   }
   if (!Report.Parts_.empty())
     Peers_.reportParts(Report);
@@ -61,13 +65,18 @@
 
 void SuspectPartRegistry::onSent(const std::vector<std::string> &Parts,
                                  SteadyTime Now) {
+  SuspectParts Report;
   for (const std::string &Id : Parts) {
     auto Found = Parts_.find(Id);
     if (Found == Parts_.end() || !isRefused(Found->second, Now))
       continue;
     ++Found->second.Trials_;
     Found->second.LastAttempt_ = Now;
+    Report.Parts_.push_back(report(Id, Found->second, Now));
   }
+  // If this host ends, its successor continues with the same number of trials.
+  if (!Report.Parts_.empty())
+    Peers_.reportParts(Report);
 }
 
 void SuspectPartRegistry::merge(const SuspectParts &FromPeer, SteadyTime Now) {
@@ -78,6 +87,11 @@
       Part.Crashes_.clear();
       Part.Trials_ = 0;
     }
+    if (Report.Trials_ > 0) {
+      Part.Trials_ = std::max(Part.Trials_, Report.Trials_);
+      Part.LastAttempt_ =
+          std::max(Part.LastAttempt_, Now - Report.LastAttemptAge_);
+    }
     for (const protocol::PartCrash &Reported : Report.Crashes_)
       addCrash(Part, {Reported.Engine_, Now - Reported.Age_}, Now);
   }
@@ -88,7 +102,7 @@
   for (const auto &[Id, Part] : Parts_) {
     if (Part.Crashes_.empty())
       continue;
-    SuspectPart Suspect{Id, Part.Answered_, false, {}};
+    SuspectPart Suspect = report(Id, Part, Now);
     for (const Crash &Known : Part.Crashes_)
       Suspect.Crashes_.push_back(
           {Known.Engine_,
@@ -98,6 +112,17 @@
   return Report;
 }
 
+SuspectPart SuspectPartRegistry::report(const std::string &Id,
+                                        const Entry &Part, SteadyTime Now) {
+  SuspectPart Report;
+  Report.Id_ = Id;
+  Report.Answered_ = Part.Answered_;
+  Report.Trials_ = Part.Trials_;
+  Report.LastAttemptAge_ =
+      std::chrono::duration_cast<Milliseconds>(Now - Part.LastAttempt_);
+  return Report;
+}
+
 bool SuspectPartRegistry::isSameCrash(const Crash &Left,
                                       const Crash &Right) const {
   return Left.Engine_ == Right.Engine_ &&
@@ -149,8 +174,8 @@
   if (!Part.Answered_ && Part.Trials_ >= Settings_.MaxUnansweredTrials_)
     return false;
   Milliseconds Delay = Settings_.TrialDelay_;
-  for (int Trial = 0; Trial < Part.Trials_ && Delay < Settings_.CrashLifetime_;
-       ++Trial)
+  for (std::uint32_t Trial = 0;
+       Trial < Part.Trials_ && Delay < Settings_.CrashLifetime_; ++Trial)
     Delay *= Settings_.TrialDelayFactor_;
   return Now - Part.LastAttempt_ >= Delay && Peers_.triesPart(Id);
 }
--- a/source/Coordination/Engines/SuspectPartRegistry.h
+++ b/source/Coordination/Engines/SuspectPartRegistry.h
@@ -30,7 +30,7 @@
   int TrialDelayFactor_ = 3;
   /// Trials of a part that no engine has ever answered. Parts that have been
   /// answered are tried without this limit.
-  int MaxUnansweredTrials_ = 2;
+  std::uint32_t MaxUnansweredTrials_ = 2;
   /// Crashes kept for each part, the latest ones.
   std::size_t MaxCrashes_ = 128;
   /// Parts remembered; those without crashes are forgotten first.
@@ -86,7 +86,7 @@
     std::vector<Crash> Crashes_; ///< Since its last answer, by time.
     bool Answered_ = false;      ///< An engine has completed an answer with it.
     SteadyTime LastAttempt_{};   ///< Time of its last crash or trial.
-    int Trials_ = 0;             ///< Trials since its last answer.
+    std::uint32_t Trials_ = 0;   ///< Trials since its last answer, by any host.
     SteadyTime LastReport_{};    ///< Time of the last report on it.
   };
 
@@ -99,6 +99,9 @@
   /// likelier cause than one that was, then the part with more crashes.
   bool isRefused(const Entry &Part, SteadyTime Now) const;
   bool mayTry(const std::string &Id, const Entry &Part, SteadyTime Now) const;
+  /// The part as it is reported to other hosts, without its crashes.
+  static protocol::SuspectPart report(const std::string &Id, const Entry &Part,
+                                      SteadyTime Now);
   /// Adds a crash. False if it is known.
   bool addCrash(Entry &Part, const Crash &Added, SteadyTime Now);
   Entry &findOrAdd(const std::string &Id, SteadyTime Now);
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -96,6 +96,8 @@
   answered @1 :Bool;       # an engine has completed an answer with it
   cleared @2 :Bool;        # the crashes before this message do not count
   crashes @3 :List(Crash);
+  trials @4 :UInt32;           # requests tried since the last answer
+  lastAttemptAgeMs @5 :Int64;  # time since the last trial or crash
 }
 
 struct Crash {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -192,7 +192,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d68995ff21aa03e4, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d68995ff21aa03e4, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1368,6 +1368,10 @@
   inline bool hasCrashes() const;
   inline  ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
+  inline  ::uint32_t getTrials() const;
+
+  inline  ::int64_t getLastAttemptAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1416,6 +1420,12 @@
   inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
 
+  inline  ::uint32_t getTrials();
+  inline void setTrials( ::uint32_t value);
+
+  inline  ::int64_t getLastAttemptAgeMs();
+  inline void setLastAttemptAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3337,6 +3347,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t SuspectPart::Reader::getTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectPart::Builder::getTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SuspectPart::Reader::getLastAttemptAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SuspectPart::Builder::getLastAttemptAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setLastAttemptAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Crash::Reader::hasEngine() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -228,6 +228,8 @@
         Crashes[J].setEngine(Part.Crashes_[J].Engine_);
         Crashes[J].setAgeMs(Part.Crashes_[J].Age_.count());
       }
+      List[I].setTrials(Part.Trials_);
+      List[I].setLastAttemptAgeMs(Part.LastAttemptAge_.count());
     }
   }
 };
@@ -251,8 +253,12 @@
     capnp::List<fleet::SuspectPart, capnp::Kind::STRUCT>::Reader List) {
   SuspectParts Decoded;
   for (auto Source : List) {
-    SuspectPart Part{
-        text(Source.getPart()), Source.getAnswered(), Source.getCleared(), {}};
+    SuspectPart Part;
+    Part.Id_ = text(Source.getPart());
+    Part.Answered_ = Source.getAnswered();
+    Part.Cleared_ = Source.getCleared();
+    Part.Trials_ = Source.getTrials();
+    Part.LastAttemptAge_ = Milliseconds(Source.getLastAttemptAgeMs());
     for (auto Crash : Source.getCrashes())
       Part.Crashes_.push_back(
           {text(Crash.getEngine()), Milliseconds(Crash.getAgeMs())});
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -124,6 +124,8 @@
   bool Answered_ = false; ///< An engine has completed an answer with it.
   bool Cleared_ = false;  ///< The crashes before this message do not count.
   std::vector<PartCrash> Crashes_;
+  std::uint32_t Trials_ = 0;       ///< Requests tried since its last answer.
+  Milliseconds LastAttemptAge_{0}; ///< Time since its last trial or crash.
 };
 struct SuspectParts {
   std::vector<SuspectPart> Parts_;
--- a/source/Serving/SuspectExchange.cpp
+++ b/source/Serving/SuspectExchange.cpp
@@ -65,7 +65,8 @@
         .field("engine",
                Part.Crashes_.empty() ? "none" : Part.Crashes_[0].Engine_)
         .field("answered", Part.Answered_ ? 1 : 0)
-        .field("cleared", Part.Cleared_ ? 1 : 0);
+        .field("cleared", Part.Cleared_ ? 1 : 0)
+        .field("trials", Part.Trials_);
   Peers_.broadcast(FleetMessage(Report));
 }
 
--- a/tests/Coordination/Engines/SuspectPartRegistryTest.cpp
+++ b/tests/Coordination/Engines/SuspectPartRegistryTest.cpp
@@ -23,6 +23,12 @@
       addHost();
   }
 
+  /// The host loses what it knows, and learns from another one.
+  void restart(std::size_t Host, std::size_t Informant) {
+    Hosts_[Host] = std::make_unique<SuspectPartRegistry>(*Links_[Host]);
+    Hosts_[Host]->merge(Hosts_[Informant]->suspects(Now_), Now_);
+  }
+
   void addHost() {
     Links_.push_back(std::make_unique<Link>(*this, Links_.size()));
     Hosts_.push_back(std::make_unique<SuspectPartRegistry>(*Links_.back()));
@@ -36,7 +42,9 @@
         if (I != Host_)
           AllHosts_.Hosts_[I]->merge(Report, AllHosts_.Now_);
     }
-    bool triesPart(const std::string &) const override { return Host_ == 0; }
+    bool triesPart(const std::string &) const override {
+      return Host_ == AllHosts_.TryingHost_;
+    }
 
     Fleet &AllHosts_;
     std::size_t Host_;
@@ -53,6 +61,7 @@
   }
 
   SteadyTime Now_ = Start;
+  std::size_t TryingHost_ = 0; ///< The host elected for trials.
   std::vector<std::unique_ptr<Link>> Links_;
   std::vector<std::unique_ptr<SuspectPartRegistry>> Hosts_;
 };
@@ -272,6 +281,35 @@
   }
 }
 
+// Pattern: hosts restart in turn while a deadly part is refused. Rule BUDGET.
+// Guards against trials that start again on each host that takes them over.
+TEST_CASE("suspect parts: trials are counted for the fleet") {
+  constexpr std::size_t Hosts = 3;
+  Fleet F(Hosts);
+  for (std::string Engine : {"e1", "e2", "e3"})
+    F.crash(0, {"p"}, Engine);
+  bool TrialsCrash = GENERATE(true, false);
+  CAPTURE(TrialsCrash);
+  int Trials = 0;
+  for (int Second = 0; Second < 300; ++Second) {
+    F.Now_ += Seconds{1};
+    if (Second % 8 == 7) {
+      std::size_t Successor = (F.TryingHost_ + 1) % Hosts;
+      F.restart(F.TryingHost_, Successor);
+      F.TryingHost_ = Successor;
+    }
+    for (std::size_t Host = 0; Host < Hosts; ++Host) {
+      if (F.isRefused(Host, {"p"}))
+        continue;
+      ++Trials;
+      F.Hosts_[Host]->onSent({"p"}, F.Now_);
+      if (TrialsCrash)
+        F.Hosts_[Host]->onCrash({"p"}, "t" + std::to_string(Second), F.Now_);
+    }
+  }
+  CHECK(Trials == 2);
+}
+
 // Rule LOST. Guards against trials of a sound part that fail because the
 // requests tried have the deadly part too.
 TEST_CASE("suspect parts: a request with two suspect parts is no trial") {
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -78,13 +78,16 @@
   CHECK(roundTrip(Suspects).Inputs_.at(0).CrashedTargets_.size() == 2);
   CHECK(roundTrip(Suspects).Inputs_.at(0).Cleared_);
 
-  SuspectParts Parts{{{"part", true, true, {{"e1", Milliseconds{70}}}}}};
+  SuspectParts Parts{
+      {{"part", true, true, {{"e1", Milliseconds{70}}}, 2, Milliseconds{40}}}};
   SuspectPart Part = roundTrip(Parts).Parts_.at(0);
   CHECK(Part.Id_ == "part");
   CHECK(Part.Answered_);
   CHECK(Part.Cleared_);
   CHECK(Part.Crashes_.at(0).Engine_ == "e1");
   CHECK(Part.Crashes_.at(0).Age_ == Milliseconds{70});
+  CHECK(Part.Trials_ == 2);
+  CHECK(Part.LastAttemptAge_ == Milliseconds{40});
 }
 
 // Guards against a crash on a damaged message.
