Move the copies of the store out of EntryHost

StoreReplica holds the copies of the store's records, elects the watchers and passes changes on; EntryHost applies the changes.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -2,7 +2,6 @@
 
 #include "Support/Log.h"
 
-#include <algorithm>
 #include <random>
 
 namespace amaranth::serving {
@@ -18,12 +17,6 @@
 const std::string HostPrefix = "amaranth/hosts/";
 
 constexpr Milliseconds MaintenancePeriod{50};
-/// A host whose records differ for this long is sent the whole prefix. Longer
-/// than a change takes to be relayed.
-constexpr Milliseconds ResendDelay{600};
-/// Time after which a host that the store did not answer is a candidate for
-/// watching again.
-constexpr Milliseconds StoreRetryDelay{5000};
 /// A draining host stops this long before the end of the grace period.
 constexpr Milliseconds DrainStopMargin{700};
 /// A draining host still accepts callers for this long, because they cache the
@@ -45,6 +38,15 @@
                                          : Total / 2;
 }
 
+/// The records that every host keeps a copy of.
+std::vector<StoreFollowerSettings>
+followedPrefixes(const state::HostSettings &Settings,
+                 const protocol::RecordCodec &Codec) {
+  return {{Codec.configurationKey(), Settings.shortWatchTime()},
+          {Codec.targetPrefix(), Settings.shortWatchTime()},
+          {HostPrefix, Settings.ChangeTimeLimit_}};
+}
+
 PeerMeshSettings meshSettings(const state::HostSettings &Settings) {
   PeerMeshSettings MeshSettings;
   MeshSettings.ListenAddress_ = Settings.PeerAddress_;
@@ -66,35 +68,15 @@
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
-      Incarnation_(std::random_device{}() | 1ULL) {
-  follow(Store, {Codec.configurationKey(), Settings.shortWatchTime()});
-  follow(Store, {Codec.targetPrefix(), Settings.shortWatchTime()});
-  follow(Store, {HostPrefix, Settings.ChangeTimeLimit_});
-}
-
-void EntryHost::follow(protocol::PlatformStore &Store,
-                       const StoreFollowerSettings &Settings) {
-  FollowedPrefix Followed;
-  Followed.Prefix_ = Settings.Prefix_;
-  Followed.Follower_ =
-      std::make_unique<StoreFollower>(Context_.Loop_, Store, *this, Settings);
-  FollowedPrefixes_.push_back(std::move(Followed));
-}
-
-EntryHost::FollowedPrefix *
-EntryHost::findFollowedPrefix(const std::string &Prefix) {
-  for (FollowedPrefix &Followed : FollowedPrefixes_)
-    if (Followed.Prefix_ == Prefix)
-      return &Followed;
-  return nullptr;
-}
+      Incarnation_(std::random_device{}() | 1ULL),
+      Replica_(Context_, Store, Peers_, *this,
+               followedPrefixes(Settings, Codec)) {}
 
 bool EntryHost::start() {
   if (!Callers_.start() || !Peers_.start())
     return false;
   Dispatcher_.start();
-  for (FollowedPrefix &Followed : FollowedPrefixes_)
-    Followed.Follower_->start();
+  Replica_.start();
   Registration_.start();
   StartedAt_ = SteadyClock::now();
   transport::startTask(Context_.Loop_, maintain());
@@ -125,18 +107,17 @@
   State.PeerAddress_ = Context_.Settings_.PeerAddress_;
   State.Incarnation_ = Incarnation_;
   State.Serving_ = ready();
-  State.StoreConnected_ = storeConnected();
-  State.ReadsStore_ = readsStore();
+  State.StoreConnected_ = Replica_.storeConnected();
+  State.ReadsStore_ = Replica_.readsStore();
   State.LinkMegabits_ = Context_.Settings_.LinkMegabits_;
-  for (const FollowedPrefix &Followed : FollowedPrefixes_)
-    State.Digests_.push_back(Followed.Mirror_.digest());
+  State.Digests_ = Replica_.digests();
   State.Queues_ = Dispatcher_.queueStates();
   State.Outstanding_ = Context_.OutstandingWork_.states(SteadyClock::now());
   return State;
 }
 
 void EntryHost::onPeerState(const HostState &State) {
-  sendDifferingRecords(State);
+  Replica_.onPeerState(State);
   SuspectExchange_.onPeerState(State);
   if (UndeliveredReports_.empty())
     return;
@@ -146,109 +127,12 @@
     onPieceReports(State.Host_, std::move(Reports));
 }
 
-void EntryHost::sendDifferingRecords(const HostState &State) {
-  std::vector<const FollowedPrefix *> DifferingPrefixes;
-  for (std::size_t I = 0; I < FollowedPrefixes_.size(); ++I)
-    if (I < State.Digests_.size() &&
-        State.Digests_[I] != FollowedPrefixes_[I].Mirror_.digest())
-      DifferingPrefixes.push_back(&FollowedPrefixes_[I]);
-  if (!readsStore() || State.ReadsStore_ || DifferingPrefixes.empty()) {
-    DiffersSince_.erase(State.Host_);
-    return;
-  }
-  SteadyTime Now = SteadyClock::now();
-  auto [Entry, Inserted] = DiffersSince_.emplace(State.Host_, Now);
-  // Another watcher sends the records if the host's own does not.
-  Milliseconds Delay =
-      passesChangesTo(State.Host_) ? ResendDelay : 2 * ResendDelay;
-  if (Inserted || Now - Entry->second < Delay)
-    return;
-  DiffersSince_.erase(Entry);
-  for (const FollowedPrefix *Followed : DifferingPrefixes) {
-    protocol::StoreRecords Records;
-    Records.Prefix_ = Followed->Prefix_;
-    Records.Items_ = Followed->Mirror_.items();
-    Records.Complete_ = true;
-    Records.Revision_ = Followed->Mirror_.revision();
-    LogEvent(LogLevel::Info, "records_sent")
-        .field("host", State.Host_)
-        .field("prefix", Followed->Prefix_)
-        .field("records", Records.Items_.size());
-    Peers_.send(State.Host_, FleetMessage(std::move(Records)));
-  }
-}
-
-void EntryHost::relayChanges(const std::string &Prefix,
-                             const std::vector<StoreItem> &Changes) {
-  if (!Watching_ || Changes.empty())
-    return;
-  protocol::StoreRecords Records;
-  Records.Prefix_ = Prefix;
-  Records.Items_ = Changes;
-  FleetMessage Message = std::move(Records);
-  Peers_.forEachServing([&](const HostState &Peer) {
-    if (!Peer.ReadsStore_ && passesChangesTo(Peer.Host_))
-      Peers_.send(Peer.Host_, Message);
-  });
-}
-
-void EntryHost::applyRecords(const protocol::StoreRecords &Records) {
-  FollowedPrefix *Followed = findFollowedPrefix(Records.Prefix_);
-  if (!Followed)
-    return;
-  applyChanges(Records.Prefix_,
-               Records.Complete_ ? Followed->Mirror_.replace(Records.Items_,
-                                                             Records.Revision_)
-                                 : Followed->Mirror_.apply(Records.Items_));
-  if (Records.Complete_ && Records.Prefix_ == Codec_.targetPrefix())
-    TargetsLoaded_ = true;
-  acceptCallersWhenReady();
-}
-
 void EntryHost::acceptCallersWhenReady() {
   bool StartDelayElapsed = SteadyClock::now() - StartedAt_ >= MaxStartDelay;
   if (!Context_.Draining_ && (hasRoutingData() || StartDelayElapsed))
     Callers_.acceptCallers();
 }
 
-void EntryHost::electWatchers() {
-  std::vector<coordination::WatcherCandidate> Candidates;
-  const std::string &OwnHost = Context_.Settings_.Host_;
-  Candidates.push_back({OwnHost, storeConnected(),
-                        Context_.Settings_.LinkMegabits_, readsStore()});
-  Peers_.forEachServing([&](const HostState &Peer) {
-    Candidates.push_back({Peer.Host_, Peer.StoreConnected_, Peer.LinkMegabits_,
-                          Peer.ReadsStore_});
-  });
-  bool ShouldWatch =
-      WatcherElection_.isWatcher(OwnHost, Candidates, SteadyClock::now());
-  if (ShouldWatch != Watching_)
-    LogEvent(LogLevel::Info,
-             ShouldWatch ? "watching_store" : "not_watching_store")
-        .field("hosts", Candidates.size());
-  Watching_ = ShouldWatch;
-  for (FollowedPrefix &Followed : FollowedPrefixes_)
-    Followed.Follower_->setActive(ShouldWatch);
-}
-
-bool EntryHost::storeConnected() const {
-  if (Watching_)
-    return std::all_of(FollowedPrefixes_.begin(), FollowedPrefixes_.end(),
-                       [](const FollowedPrefix &Followed) {
-                         return Followed.Follower_->connected();
-                       });
-  return !LastStoreFailure_ ||
-         SteadyClock::now() - *LastStoreFailure_ > StoreRetryDelay;
-}
-
-bool EntryHost::readsStore() const {
-  return Watching_ &&
-         std::all_of(FollowedPrefixes_.begin(), FollowedPrefixes_.end(),
-                     [](const FollowedPrefix &Followed) {
-                       return Followed.Follower_->isUpToDate();
-                     });
-}
-
 void EntryHost::announceState() {
   protocol::Pong State{ownState()};
   Peers_.broadcast(FleetMessage(std::move(State)));
@@ -260,11 +144,7 @@
     return;
   // A host that does not watch learns from the watchers whether the store
   // answers.
-  bool Connected = readsStore();
-  Peers_.forEachServing([&](const HostState &Peer) {
-    Connected = Connected || Peer.ReadsStore_;
-  });
-  if (Connected)
+  if (Replica_.isStoreRead())
     Context_.Targets_.onStoreReconnected(SteadyClock::now());
   else
     Context_.Targets_.onStoreDisconnected(SteadyClock::now());
@@ -292,7 +172,8 @@
       Dispatcher_.releaseResult(Result);
   } else if (const auto *Records =
                  std::get_if<protocol::StoreRecords>(&Message)) {
-    applyRecords(*Records);
+    Replica_.merge(*Records);
+    acceptCallersWhenReady();
   } else if (const auto *Suspects =
                  std::get_if<protocol::SuspectRequests>(&Message)) {
     SuspectExchange_.merge(*Suspects);
@@ -358,18 +239,6 @@
   return Elected.empty() ? Context_.Settings_.Host_ : Elected;
 }
 
-bool EntryHost::passesChangesTo(const std::string &Host) const {
-  std::vector<coordination::ElectionCandidate> Watchers;
-  if (Watching_ && storeConnected())
-    Watchers.push_back(
-        {Context_.Settings_.Host_, Context_.Settings_.LinkMegabits_});
-  Peers_.forEachServing([&](const HostState &Peer) {
-    if (Peer.ReadsStore_)
-      Watchers.push_back({Peer.Host_, Peer.LinkMegabits_});
-  });
-  return coordination::electHost(Host, Watchers) == Context_.Settings_.Host_;
-}
-
 bool EntryHost::sendTo(const std::string &Host, const FleetMessage &Message) {
   if (Host != Context_.Settings_.Host_)
     return Peers_.send(Host, Message);
@@ -437,8 +306,8 @@
     Peers_.addOrUpdatePeer(Host, Item.Value_);
 }
 
-void EntryHost::applyChanges(const std::string &Prefix,
-                             const std::vector<StoreItem> &Changes) {
+void EntryHost::onRecordsChanged(const std::string &Prefix,
+                                 const std::vector<StoreItem> &Changes) {
   for (const StoreItem &Item : Changes) {
     if (!Item.Key_.starts_with(Prefix)) {
       LogEvent(LogLevel::Warn, "record_outside_prefix")
@@ -455,32 +324,16 @@
   }
 }
 
-void EntryHost::onStoreRange(const std::string &Prefix,
-                             const std::vector<StoreItem> &Items,
-                             std::uint64_t Revision) {
-  std::vector<StoreItem> Changes =
-      findFollowedPrefix(Prefix)->Mirror_.replace(Items, Revision);
-  applyChanges(Prefix, Changes);
-  relayChanges(Prefix, Changes);
+void EntryHost::onRecordsComplete(const std::string &Prefix) {
   if (Prefix == Codec_.targetPrefix())
     TargetsLoaded_ = true;
   acceptCallersWhenReady();
 }
 
-void EntryHost::onStoreChanges(const std::string &Prefix,
-                               const std::vector<StoreItem> &Items) {
-  std::vector<StoreItem> Changes =
-      findFollowedPrefix(Prefix)->Mirror_.apply(Items);
-  applyChanges(Prefix, Changes);
-  relayChanges(Prefix, Changes);
-}
-
 void EntryHost::onStoreConnected(const std::string &Prefix, bool Connected) {
-  if (!Connected) {
-    LastStoreFailure_ = SteadyClock::now();
-    // Peers then elect other watchers at once.
+  // Peers then elect other watchers at once.
+  if (!Connected)
     announceState();
-  }
   if (Prefix == Codec_.targetPrefix())
     updateStoreState();
 }
@@ -496,7 +349,7 @@
     Stages_.sendUnsentOrders();
     UndeliveredReports_.expire(Now);
     acceptCallersWhenReady();
-    electWatchers();
+    Replica_.electWatchers();
     updateStoreState();
   }
 }
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -5,20 +5,17 @@
 
 #include "Coordination/HostElection.h"
 #include "Coordination/Stages/UndeliveredReports.h"
-#include "Coordination/Store/StoreMirror.h"
-#include "Coordination/Store/WatcherElection.h"
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
 #include "Serving/HostRegistration.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/StageClient.h"
 #include "Serving/StageDispatcher.h"
-#include "Serving/StoreFollower.h"
+#include "Serving/StoreReplica.h"
 #include "Serving/SuspectExchange.h"
 
+#include <cstdint>
 #include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,7 +23,7 @@
 
 /// Serves callers until drain() is called.
 class EntryHost final : public PeerListener,
-                        public StoreListener,
+                        public StoreReplicaListener,
                         public HostStatus,
                         public DispatcherRouter,
                         public PieceReportListener,
@@ -51,12 +48,11 @@
   void onPeerMessage(const std::string &Host,
                      const protocol::FleetMessage &Message) override;
   void onPeerLost(const std::string &Host) override;
-  // StoreListener
-  void onStoreRange(const std::string &Prefix,
-                    const std::vector<protocol::StoreItem> &Items,
-                    std::uint64_t Revision) override;
-  void onStoreChanges(const std::string &Prefix,
-                      const std::vector<protocol::StoreItem> &Items) override;
+  // StoreReplicaListener
+  void
+  onRecordsChanged(const std::string &Prefix,
+                   const std::vector<protocol::StoreItem> &Changes) override;
+  void onRecordsComplete(const std::string &Prefix) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
   // DispatcherRouter
   std::string findDispatcher(const std::string &Service) const override;
@@ -69,46 +65,17 @@
   protocol::QueueState queueState(const std::string &Service) override;
 
 private:
-  /// A local copy of one prefix of the store, kept up to date by watching the
-  /// store or by records from the hosts that watch it (watchers).
-  struct FollowedPrefix {
-    std::string Prefix_;
-    coordination::StoreMirror Mirror_;
-    std::unique_ptr<StoreFollower> Follower_;
-  };
-
-  void follow(protocol::PlatformStore &Store,
-              const StoreFollowerSettings &Settings);
-  FollowedPrefix *findFollowedPrefix(const std::string &Prefix);
-  void applyChanges(const std::string &Prefix,
-                    const std::vector<protocol::StoreItem> &Changes);
   void applyConfiguration(const protocol::StoreItem &Item);
   void applyTarget(const protocol::StoreItem &Item);
   void applyHost(const protocol::StoreItem &Item);
-  void applyRecords(const protocol::StoreRecords &Records);
-  /// Whether this host is the watcher that passes changes on to \p Host.
-  bool passesChangesTo(const std::string &Host) const;
-  /// Sends changes to the hosts that do not watch the store, each of which gets
-  /// them from one watcher.
-  void relayChanges(const std::string &Prefix,
-                    const std::vector<protocol::StoreItem> &Changes);
-  /// Sends the prefixes whose records differ from this host's, unless the other
-  /// host reads the store itself.
-  void sendDifferingRecords(const protocol::HostState &State);
   /// Whether the configuration and the targets are known, so that requests can
   /// be routed.
   bool hasRoutingData() const { return Context_.Table_ && TargetsLoaded_; }
   /// Starts accepting callers when requests can be routed, or after
   /// MaxStartDelay.
   void acceptCallersWhenReady();
-  void electWatchers();
-  /// Whether this host watches the store and its copies are up to date.
-  bool readsStore() const;
   /// Sends this host's state to all peers at once.
   void announceState();
-  /// Whether the store answers this host; on a host that does not watch,
-  /// whether it is expected to answer.
-  bool storeConnected() const;
   void updateStoreState();
   void handleMessage(const std::string &Host,
                      const protocol::FleetMessage &Message);
@@ -133,14 +100,8 @@
   HostRegistration Registration_;
   std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
-  std::vector<FollowedPrefix> FollowedPrefixes_;
-  coordination::WatcherElection WatcherElection_;
-  bool Watching_ = true;
+  StoreReplica Replica_;
   bool TargetsLoaded_ = false;
-  /// Time at which the store last stopped answering.
-  std::optional<SteadyTime> LastStoreFailure_;
-  /// Time since which the records of a host differ from this host's, by host.
-  std::map<std::string, SteadyTime> DiffersSince_;
 };
 
 } // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/StoreReplica.cpp
@@ -0,0 +1,199 @@
+#include "Serving/StoreReplica.h"
+
+#include "Coordination/HostElection.h"
+#include "Support/Log.h"
+
+#include <algorithm>
+
+namespace amaranth::serving {
+
+using protocol::FleetMessage;
+using protocol::HostState;
+using protocol::StoreItem;
+
+namespace {
+
+/// A host whose records differ for this long is sent the whole prefix. Longer
+/// than a change takes to be relayed.
+constexpr Milliseconds ResendDelay{600};
+/// Time after which a host that the store did not answer is a candidate for
+/// watching again.
+constexpr Milliseconds StoreRetryDelay{5000};
+
+} // namespace
+
+StoreReplica::StoreReplica(EntryContext &Context,
+                           protocol::PlatformStore &Store, PeerMesh &Peers,
+                           StoreReplicaListener &Listener,
+                           const std::vector<StoreFollowerSettings> &Prefixes)
+    : Context_(Context), Peers_(Peers), Listener_(Listener) {
+  for (const StoreFollowerSettings &Settings : Prefixes) {
+    FollowedPrefix Followed;
+    Followed.Prefix_ = Settings.Prefix_;
+    Followed.Follower_ =
+        std::make_unique<StoreFollower>(Context_.Loop_, Store, *this, Settings);
+    FollowedPrefixes_.push_back(std::move(Followed));
+  }
+}
+
+void StoreReplica::start() {
+  for (FollowedPrefix &Followed : FollowedPrefixes_)
+    Followed.Follower_->start();
+}
+
+StoreReplica::FollowedPrefix *
+StoreReplica::findFollowedPrefix(const std::string &Prefix) {
+  for (FollowedPrefix &Followed : FollowedPrefixes_)
+    if (Followed.Prefix_ == Prefix)
+      return &Followed;
+  return nullptr;
+}
+
+void StoreReplica::electWatchers() {
+  std::vector<coordination::WatcherCandidate> Candidates;
+  const std::string &OwnHost = Context_.Settings_.Host_;
+  Candidates.push_back({OwnHost, storeConnected(),
+                        Context_.Settings_.LinkMegabits_, readsStore()});
+  Peers_.forEachServing([&](const HostState &Peer) {
+    Candidates.push_back({Peer.Host_, Peer.StoreConnected_, Peer.LinkMegabits_,
+                          Peer.ReadsStore_});
+  });
+  bool ShouldWatch =
+      WatcherElection_.isWatcher(OwnHost, Candidates, SteadyClock::now());
+  if (ShouldWatch != Watching_)
+    LogEvent(LogLevel::Info,
+             ShouldWatch ? "watching_store" : "not_watching_store")
+        .field("hosts", Candidates.size());
+  Watching_ = ShouldWatch;
+  for (FollowedPrefix &Followed : FollowedPrefixes_)
+    Followed.Follower_->setActive(ShouldWatch);
+}
+
+bool StoreReplica::storeConnected() const {
+  if (Watching_)
+    return std::all_of(FollowedPrefixes_.begin(), FollowedPrefixes_.end(),
+                       [](const FollowedPrefix &Followed) {
+                         return Followed.Follower_->connected();
+                       });
+  return !LastStoreFailure_ ||
+         SteadyClock::now() - *LastStoreFailure_ > StoreRetryDelay;
+}
+
+bool StoreReplica::readsStore() const {
+  return Watching_ &&
+         std::all_of(FollowedPrefixes_.begin(), FollowedPrefixes_.end(),
+                     [](const FollowedPrefix &Followed) {
+                       return Followed.Follower_->isUpToDate();
+                     });
+}
+
+bool StoreReplica::isStoreRead() const {
+  bool IsRead = readsStore();
+  Peers_.forEachServing(
+      [&](const HostState &Peer) { IsRead = IsRead || Peer.ReadsStore_; });
+  return IsRead;
+}
+
+std::vector<std::uint64_t> StoreReplica::digests() const {
+  std::vector<std::uint64_t> Digests;
+  for (const FollowedPrefix &Followed : FollowedPrefixes_)
+    Digests.push_back(Followed.Mirror_.digest());
+  return Digests;
+}
+
+void StoreReplica::onPeerState(const HostState &State) {
+  std::vector<const FollowedPrefix *> DifferingPrefixes;
+  for (std::size_t I = 0; I < FollowedPrefixes_.size(); ++I)
+    if (I < State.Digests_.size() &&
+        State.Digests_[I] != FollowedPrefixes_[I].Mirror_.digest())
+      DifferingPrefixes.push_back(&FollowedPrefixes_[I]);
+  if (!readsStore() || State.ReadsStore_ || DifferingPrefixes.empty()) {
+    DiffersSince_.erase(State.Host_);
+    return;
+  }
+  SteadyTime Now = SteadyClock::now();
+  auto [Entry, Inserted] = DiffersSince_.emplace(State.Host_, Now);
+  // Another watcher sends the records if the host's own does not.
+  Milliseconds Delay =
+      passesChangesTo(State.Host_) ? ResendDelay : 2 * ResendDelay;
+  if (Inserted || Now - Entry->second < Delay)
+    return;
+  DiffersSince_.erase(Entry);
+  for (const FollowedPrefix *Followed : DifferingPrefixes) {
+    protocol::StoreRecords Records;
+    Records.Prefix_ = Followed->Prefix_;
+    Records.Items_ = Followed->Mirror_.items();
+    Records.Complete_ = true;
+    Records.Revision_ = Followed->Mirror_.revision();
+    LogEvent(LogLevel::Info, "records_sent")
+        .field("host", State.Host_)
+        .field("prefix", Followed->Prefix_)
+        .field("records", Records.Items_.size());
+    Peers_.send(State.Host_, FleetMessage(std::move(Records)));
+  }
+}
+
+void StoreReplica::relayChanges(const std::string &Prefix,
+                                const std::vector<StoreItem> &Changes) {
+  if (!Watching_ || Changes.empty())
+    return;
+  protocol::StoreRecords Records;
+  Records.Prefix_ = Prefix;
+  Records.Items_ = Changes;
+  FleetMessage Message = std::move(Records);
+  Peers_.forEachServing([&](const HostState &Peer) {
+    if (!Peer.ReadsStore_ && passesChangesTo(Peer.Host_))
+      Peers_.send(Peer.Host_, Message);
+  });
+}
+
+bool StoreReplica::passesChangesTo(const std::string &Host) const {
+  std::vector<coordination::ElectionCandidate> Watchers;
+  if (Watching_ && storeConnected())
+    Watchers.push_back(
+        {Context_.Settings_.Host_, Context_.Settings_.LinkMegabits_});
+  Peers_.forEachServing([&](const HostState &Peer) {
+    if (Peer.ReadsStore_)
+      Watchers.push_back({Peer.Host_, Peer.LinkMegabits_});
+  });
+  return coordination::electHost(Host, Watchers) == Context_.Settings_.Host_;
+}
+
+void StoreReplica::merge(const protocol::StoreRecords &Records) {
+  FollowedPrefix *Followed = findFollowedPrefix(Records.Prefix_);
+  if (!Followed)
+    return;
+  Listener_.onRecordsChanged(
+      Records.Prefix_,
+      Records.Complete_
+          ? Followed->Mirror_.replace(Records.Items_, Records.Revision_)
+          : Followed->Mirror_.apply(Records.Items_));
+  if (Records.Complete_)
+    Listener_.onRecordsComplete(Records.Prefix_);
+}
+
+void StoreReplica::onStoreRange(const std::string &Prefix,
+                                const std::vector<StoreItem> &Items,
+                                std::uint64_t Revision) {
+  std::vector<StoreItem> Changes =
+      findFollowedPrefix(Prefix)->Mirror_.replace(Items, Revision);
+  Listener_.onRecordsChanged(Prefix, Changes);
+  relayChanges(Prefix, Changes);
+  Listener_.onRecordsComplete(Prefix);
+}
+
+void StoreReplica::onStoreChanges(const std::string &Prefix,
+                                  const std::vector<StoreItem> &Items) {
+  std::vector<StoreItem> Changes =
+      findFollowedPrefix(Prefix)->Mirror_.apply(Items);
+  Listener_.onRecordsChanged(Prefix, Changes);
+  relayChanges(Prefix, Changes);
+}
+
+void StoreReplica::onStoreConnected(const std::string &Prefix, bool Connected) {
+  if (!Connected)
+    LastStoreFailure_ = SteadyClock::now();
+  Listener_.onStoreConnected(Prefix, Connected);
+}
+
+} // namespace amaranth::serving
