Record suspect prompt parts in the platform's store

A prompt part that all hosts refused crashed engines again after all hosts had been killed at the same time: more than three requests with it reached engines after the fifth crash (BUDGET).

Cause: the fleet's knowledge of suspect parts was only in the memory of its hosts. Class of fault: state that has to outlast the hosts is kept on them.

SuspectPartRecords writes a part that has reached the crash limit to the store, with its crashes and trials, and again when it changes or an answer clears it. The host that is elected for trials of the part writes; a host reads all records at its start. A record has a lease of ten minutes, as long as a crash counts, so none has to be removed.

Ruled out: the messages between hosts, since no host is left to send them. Weighed: refusing after fewer crashes for some time after a start (refuses more sound parts), and writing every crash (store calls at each broken connection).

--- a/source/Coordination/Engines/SuspectPartRegistry.cpp
+++ b/source/Coordination/Engines/SuspectPartRegistry.cpp
@@ -97,18 +97,19 @@
   }
 }
 
+std::optional<SuspectPart>
+SuspectPartRegistry::findSuspect(const std::string &Id, SteadyTime Now) const {
+  auto Found = Parts_.find(Id);
+  if (Found == Parts_.end() || !isSuspect(Found->second, Now))
+    return std::nullopt;
+  return reportWithCrashes(Id, Found->second, Now);
+}
+
 SuspectParts SuspectPartRegistry::suspects(SteadyTime Now) const {
   SuspectParts Report;
-  for (const auto &[Id, Part] : Parts_) {
-    if (Part.Crashes_.empty())
-      continue;
-    SuspectPart Suspect = report(Id, Part, Now);
-    for (const Crash &Known : Part.Crashes_)
-      Suspect.Crashes_.push_back(
-          {Known.Engine_,
-           std::chrono::duration_cast<Milliseconds>(Now - Known.Time_)});
-    Report.Parts_.push_back(std::move(Suspect));
-  }
+  for (const auto &[Id, Part] : Parts_)
+    if (!Part.Crashes_.empty())
+      Report.Parts_.push_back(reportWithCrashes(Id, Part, Now));
   return Report;
 }
 
@@ -123,6 +124,17 @@
   return Report;
 }
 
+SuspectPart SuspectPartRegistry::reportWithCrashes(const std::string &Id,
+                                                   const Entry &Part,
+                                                   SteadyTime Now) {
+  SuspectPart Report = report(Id, Part, Now);
+  for (const Crash &Known : Part.Crashes_)
+    Report.Crashes_.push_back(
+        {Known.Engine_,
+         std::chrono::duration_cast<Milliseconds>(Now - Known.Time_)});
+  return Report;
+}
+
 bool SuspectPartRegistry::isSameCrash(const Crash &Left,
                                       const Crash &Right) const {
   return Left.Engine_ == Right.Engine_ &&
--- a/source/Coordination/Engines/SuspectPartRegistry.h
+++ b/source/Coordination/Engines/SuspectPartRegistry.h
@@ -7,6 +7,7 @@
 #include "Support/Time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,9 @@
 
   /// Merges a peer's report, without passing it on.
   void merge(const protocol::SuspectParts &FromPeer, SteadyTime Now);
+  /// The part with its crashes if it has reached the crash limit.
+  std::optional<protocol::SuspectPart> findSuspect(const std::string &Id,
+                                                   SteadyTime Now) const;
   /// All suspect parts, for a peer that has just connected.
   protocol::SuspectParts suspects(SteadyTime Now) const;
 
@@ -102,6 +106,8 @@
   /// The part as it is reported to other hosts, without its crashes.
   static protocol::SuspectPart report(const std::string &Id, const Entry &Part,
                                       SteadyTime Now);
+  static protocol::SuspectPart
+  reportWithCrashes(const std::string &Id, const Entry &Part, SteadyTime Now);
   /// Adds a crash. False if it is known.
   bool addCrash(Entry &Part, const Crash &Added, SteadyTime Now);
   Entry &findOrAdd(const std::string &Id, SteadyTime Now);
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -60,7 +60,7 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : SuspectExchange_(Context_, Peers_, *this),
+    : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
                *this),
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
@@ -69,6 +69,7 @@
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
       Incarnation_(std::random_device{}() | 1ULL),
+      SuspectRecords_(Executor, Store, Context_.SuspectParts_),
       Replica_(Context_, Store, Peers_, *this,
                followedPrefixes(Settings, Codec)) {}
 
@@ -78,6 +79,7 @@
   Dispatcher_.start();
   Replica_.start();
   Registration_.start();
+  SuspectRecords_.start();
   StartedAt_ = SteadyClock::now();
   transport::startTask(Context_.Loop_, maintain());
   return true;
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -100,6 +100,7 @@
   HostRegistration Registration_;
   std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
+  SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
   bool TargetsLoaded_ = false;
 };
--- a/source/Serving/SuspectExchange.cpp
+++ b/source/Serving/SuspectExchange.cpp
@@ -14,8 +14,9 @@
 } // namespace
 
 SuspectExchange::SuspectExchange(EntryContext &Context, PeerMesh &Peers,
+                                 SuspectPartRecords &Records,
                                  const DispatcherRouter &Router)
-    : Context_(Context), Peers_(Peers), Router_(Router) {}
+    : Context_(Context), Peers_(Peers), Records_(Records), Router_(Router) {}
 
 void SuspectExchange::onPeerState(const protocol::HostState &State) {
   auto Informed = InformedPeers_.find(State.Host_);
@@ -46,6 +47,12 @@
 
 void SuspectExchange::merge(const protocol::SuspectParts &FromPeer) {
   Context_.SuspectParts_.merge(FromPeer, SteadyClock::now());
+  recordChanges(FromPeer);
+}
+
+void SuspectExchange::recordChanges(const protocol::SuspectParts &Changed) {
+  for (const protocol::SuspectPart &Part : Changed.Parts_)
+    Records_.onPartChanged(Part.Id_, triesPart(Part.Id_));
 }
 
 void SuspectExchange::onSuspectChanged(const protocol::SuspectInput &Suspect) {
@@ -68,6 +75,7 @@
         .field("cleared", Part.Cleared_ ? 1 : 0)
         .field("trials", Part.Trials_);
   Peers_.broadcast(FleetMessage(Report));
+  recordChanges(Report);
 }
 
 bool SuspectExchange::triesPart(const std::string &Part) const {
--- a/source/Serving/SuspectExchange.h
+++ b/source/Serving/SuspectExchange.h
@@ -8,6 +8,7 @@
 #include "Serving/EntryContext.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/StageClient.h"
+#include "Serving/SuspectPartRecords.h"
 
 #include <cstdint>
 #include <map>
@@ -22,7 +23,7 @@
                               public coordination::SuspectPartPeers {
 public:
   SuspectExchange(EntryContext &Context, PeerMesh &Peers,
-                  const DispatcherRouter &Router);
+                  SuspectPartRecords &Records, const DispatcherRouter &Router);
 
   void onPeerState(const protocol::HostState &State);
   void onPeerLost(const std::string &Host);
@@ -36,8 +37,11 @@
   bool triesPart(const std::string &Part) const override;
 
 private:
+  void recordChanges(const protocol::SuspectParts &Changed);
+
   EntryContext &Context_;
   PeerMesh &Peers_;
+  SuspectPartRecords &Records_;
   const DispatcherRouter &Router_;
   /// Incarnations of the peers that have been sent all suspects.
   std::map<std::string, std::uint64_t> InformedPeers_;
--- a/tests/Integration/Platform/DeadlyPromptTest.cpp
+++ b/tests/Integration/Platform/DeadlyPromptTest.cpp
@@ -53,6 +53,11 @@
                          ":50,dead:100,own-" + std::to_string(Number) + ":10");
   }
 
+  static std::string soundPrompt(int Number) {
+    return promptRequest("guide:100,subject-" + std::to_string(Number) +
+                         ":50,sound-" + std::to_string(Number) + ":10");
+  }
+
   StoreDouble Store_;
   std::atomic<int> DeadlyRequests_{0};
   std::vector<std::unique_ptr<TargetDouble>> Engines_;
@@ -68,9 +73,8 @@
   CrashingEngines Setup;
   PlatformFleet Fleet(Setup.Store_, 3);
   auto CallSound = [&](std::size_t Host, int Number) {
-    PlatformAnswer Answer = Fleet.call(
-        Host, promptRequest("guide:100,subject-" + std::to_string(Number) +
-                            ":50,sound-" + std::to_string(Number) + ":10"));
+    PlatformAnswer Answer =
+        Fleet.call(Host, CrashingEngines::soundPrompt(Number));
     CHECK(Answer.Status_ == 200);
     CHECK(Answer.Complete_);
   };
@@ -96,6 +100,32 @@
   CHECK(Setup.DeadlyRequests_ == Before);
 }
 
+// Rule BUDGET. Guards against a part that crashes engines again because all
+// hosts that refused it were killed at the same time.
+TEST_CASE("platform: a prompt part that crashes engines is refused after all "
+          "hosts were killed") {
+  CrashingEngines Setup;
+  {
+    PlatformFleet Fleet(Setup.Store_, 2);
+    PlatformAnswer Deadly;
+    for (int I = 0; I < 6 && Deadly.Status_ != 503; ++I) {
+      std::size_t Host = static_cast<std::size_t>(I) % 2;
+      Deadly = Fleet.call(Host, CrashingEngines::deadlyPrompt(I));
+      std::this_thread::sleep_for(RestartTime);
+    }
+    REQUIRE(Deadly.Status_ == 503);
+  }
+  int Before = Setup.DeadlyRequests_;
+  PlatformFleet Fleet(Setup.Store_, 2);
+  for (int I = 0; I < 4; ++I) {
+    std::size_t Host = static_cast<std::size_t>(I) % 2;
+    CHECK(Fleet.call(Host, CrashingEngines::deadlyPrompt(10 + I)).Status_ ==
+          503);
+    CHECK(Fleet.call(Host, CrashingEngines::soundPrompt(I)).Complete_);
+  }
+  CHECK(Setup.DeadlyRequests_ == Before);
+}
+
 // Rules MIXED, ORDER. Guards against a stream that ends with its connection and
 // is cut or repeated, and against taking one that ends within an event, or is
 // reset, as complete.
