--- a/tests/Serving/SuspectPartRecordsTest.cpp
+++ b/tests/Serving/SuspectPartRecordsTest.cpp
@@ -150,8 +150,9 @@
   Store.Values_["amaranth/suspect-parts/b"] =
       encodeFleetMessage(FleetMessage(SuspectRequests{}));
   RecordingHost Host(Store);
-  for (std::string Part : {std::string("\xff\xfe"), std::string(300, 'a'),
-                           std::string("a/b"), std::string("good")})
+  for (const std::string &Part :
+       {std::string("\xff\xfe"), std::string(300, 'a'), std::string("a/b"),
+        std::string("good")})
     for (std::string Engine : {"e1", "e2", "e3"})
       Host.crash(Part, Engine);
   CHECK(Host.isRefused("a/b"));
