--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -35,6 +35,22 @@
 
 } // namespace
 
+const char *toString(LinkStatus Status) {
+  switch (Status) {
+  case LinkStatus::Ok:
+    return "ok";
+  case LinkStatus::End:
+    return "ended";
+  case LinkStatus::Reset:
+    return "reset";
+  case LinkStatus::TimedOut:
+    return "timed_out";
+  case LinkStatus::Closed:
+    return "closed";
+  }
+  return "unknown";
+}
+
 std::optional<tcp::endpoint> parseEndpoint(const std::string &Address) {
   std::size_t Colon = Address.rfind(':');
   if (Colon == std::string::npos)
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -23,6 +23,8 @@
   Closed,   ///< Closed by this process.
 };
 
+const char *toString(LinkStatus Status);
+
 /// Reads "IP:PORT"; no name look-ups.
 std::optional<boost::asio::ip::tcp::endpoint>
 parseEndpoint(const std::string &Address);
