Test changes while kept connections to the store are silent, failing

All connections that are open go silent, idle ones too; so far the stand-in could silence only calls that were waiting.

--- a/tests/Integration/Platform/RawServer.h
+++ b/tests/Integration/Platform/RawServer.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_TESTS_INTEGRATION_PLATFORM_RAWSERVER_H
 #define AMARANTH_TESTS_INTEGRATION_PLATFORM_RAWSERVER_H
 
+#include "Support/Time.h"
 #include "Transport/HttpReader.h"
 
 #include <functional>
@@ -28,7 +29,8 @@
 /// A connection of a RawServer; used by one thread.
 class RawServerConnection final {
 public:
-  explicit RawServerConnection(int Socket) : Socket_(Socket) {}
+  explicit RawServerConnection(int Socket)
+      : Socket_(Socket), OpenedAt_(SteadyClock::now()) {}
 
   std::optional<RawRequest> read();
   void write(const std::string &Bytes);
@@ -36,9 +38,11 @@
   void resetOnClose();
   /// Waits until the peer closes the connection; false after \p TimeoutMs.
   bool waitForClose(int TimeoutMs);
+  SteadyTime openedAt() const { return OpenedAt_; }
 
 private:
   int Socket_;
+  SteadyTime OpenedAt_;
   std::string Input_;
 };
 
--- a/tests/Integration/Platform/SilentStoreTest.cpp
+++ b/tests/Integration/Platform/SilentStoreTest.cpp
@@ -128,3 +128,20 @@
   for (std::size_t Host = 0; Host < Hosts; ++Host)
     checkFollowsChange(Setup, Fleet, Host);
 }
+
+// Rules CONFIG, DRAIN. Guards against calls to the store that wait, one after
+// the other, on kept connections that have gone silent together with those of
+// the watches. Hosts that do not watch the store have kept the most.
+TEST_CASE("platform: a change reaches hosts whose kept connections to the "
+          "store have gone silent",
+          "[known-red][.]") {
+  ChangingPlatform Setup;
+  constexpr std::size_t Hosts = 6;
+  PlatformFleet Fleet(Setup.Store_, Hosts);
+  REQUIRE(electedWatchers(Setup.Store_).size() == WatcherCount);
+  Setup.Store_.silenceOpenConnections();
+  Setup.change();
+  std::this_thread::sleep_for(RecoveryLimit);
+  for (std::size_t Host = 0; Host < Hosts; ++Host)
+    checkFollowsChange(Setup, Fleet, Host);
+}
--- a/tests/Integration/Platform/StoreDouble.cpp
+++ b/tests/Integration/Platform/StoreDouble.cpp
@@ -46,7 +46,8 @@
     Server = std::make_unique<RawServer>(
         [this, Host](RawServerConnection &Connection,
                      const RawRequest &Request) {
-          std::optional<std::string> Answer = answer(Host, Request);
+          std::optional<std::string> Answer =
+              answer(Host, Connection.openedAt(), Request);
           if (Answer)
             Connection.write(*Answer);
           return true;
@@ -100,6 +101,16 @@
   Changed_.notify_all();
 }
 
+void StoreDouble::silenceOpenConnections() {
+  std::lock_guard Lock(Mutex_);
+  SilentIfOpenedBy_ = SteadyClock::now();
+  Changed_.notify_all();
+}
+
+bool StoreDouble::isSilent(std::size_t Host, SteadyTime OpenedAt) const {
+  return SilentHosts_.contains(Host) || OpenedAt <= SilentIfOpenedBy_;
+}
+
 std::set<std::size_t> StoreDouble::watchingHosts(const std::string &Prefix) {
   std::lock_guard Lock(Mutex_);
   const std::multiset<std::size_t> &Hosts = Watchers_[Prefix];
@@ -125,6 +136,7 @@
 }
 
 std::optional<std::string> StoreDouble::watch(std::size_t Host,
+                                              SteadyTime OpenedAt,
                                               const RawRequest &Request) {
   std::string Prefix = decodePercent(Request.queryParameter("prefix"));
   std::uint64_t After = std::stoull(Request.queryParameter("after"));
@@ -134,7 +146,7 @@
   int SilencesBefore = Silences_[Prefix];
   auto Position = Watchers_[Prefix].insert(Host);
   auto IsSilent = [&] {
-    return Silences_[Prefix] != SilencesBefore || SilentHosts_.contains(Host);
+    return Silences_[Prefix] != SilencesBefore || isSilent(Host, OpenedAt);
   };
   Changed_.wait_for(Lock, Wait, [&] {
     for (const Change &Event : History_)
@@ -158,13 +170,14 @@
 }
 
 std::optional<std::string> StoreDouble::answer(std::size_t Host,
+                                               SteadyTime OpenedAt,
                                                const RawRequest &Request) {
   std::string Call =
       Request.path().substr(std::string("/amaranthcourse/").size());
   if (Call == "kv-watch")
-    return watch(Host, Request);
+    return watch(Host, OpenedAt, Request);
   std::lock_guard Lock(Mutex_);
-  if (SilentHosts_.contains(Host))
+  if (isSilent(Host, OpenedAt))
     return std::nullopt;
   if (IsDown_)
     return rawAnswer(503, "", "");
--- a/tests/Integration/Platform/StoreDouble.h
+++ b/tests/Integration/Platform/StoreDouble.h
@@ -40,6 +40,9 @@
   void silenceWaitingCalls();
   /// The same for the watches of \p Prefix only.
   void silenceWaitingCalls(const std::string &Prefix);
+  /// No call is answered on the connections that are open now, whether it is
+  /// waiting or made later. New connections are not affected.
+  void silenceOpenConnections();
   /// The hosts that watch \p Prefix.
   std::set<std::size_t> watchingHosts(const std::string &Prefix);
 
@@ -52,10 +55,12 @@
   };
 
   /// Returns the answer to \p Request, or nothing if it is not answered.
-  std::optional<std::string> answer(std::size_t Host,
+  std::optional<std::string> answer(std::size_t Host, SteadyTime OpenedAt,
                                     const RawRequest &Request);
   std::string range(const std::string &Prefix);
-  std::optional<std::string> watch(std::size_t Host, const RawRequest &Request);
+  std::optional<std::string> watch(std::size_t Host, SteadyTime OpenedAt,
+                                   const RawRequest &Request);
+  bool isSilent(std::size_t Host, SteadyTime OpenedAt) const;
   std::string transact(const std::string &Body);
   void write(const std::string &Key, const std::string &Value, bool Removed);
   static nlohmann::json toJson(const Change &Item);
@@ -65,6 +70,7 @@
   bool IsDown_ = false;
   bool IsStopping_ = false;
   std::set<std::size_t> SilentHosts_;
+  SteadyTime SilentIfOpenedBy_{};       ///< silenceOpenConnections().
   std::map<std::string, int> Silences_; ///< By prefix: silenceWaitingCalls().
   std::map<std::string, std::multiset<std::size_t>> Watchers_; ///< By prefix.
   std::uint64_t Revision_ = 1;
