Use connections to the store only for a short time after they went idle

What callers saw: 404 on a route that had been added more than 2 s before (CONFIG), after connections had gone silent without a reset.

Cause: a call to the store took the kept connection that was used last, however long it had been idle.

Weighed: closing all kept connections when a call fails, which leaves one wait of 1.5 s to hosts that do not watch.

Why it works: no connection is used that was idle for as long as a silent watch takes to be noticed.

--- a/source/Daemon/PlatformMode.cpp
+++ b/source/Daemon/PlatformMode.cpp
@@ -77,6 +77,7 @@
   platform::StoreClientSettings StoreSettings;
   StoreSettings.Address_ = Settings->StoreAddress_;
   StoreSettings.WatchSlack_ = Settings->watchSlack();
+  StoreSettings.MaxIdleTime_ = Settings->maxStoreIdleTime();
   platform::StoreClient Store(Loop, StoreSettings);
   serving::EntryHost Host(Loop, *Settings, Edge, Codec, Store);
   if (!Host.start()) {
--- a/source/State/HostSettings.h
+++ b/source/State/HostSettings.h
@@ -40,6 +40,10 @@
   /// time for other hosts to take over.
   Milliseconds shortWatchTime() const { return ChangeTimeLimit_ * 2 / 5; }
   Milliseconds watchSlack() const { return ChangeTimeLimit_ / 4; }
+  /// How long an idle connection to the store is kept for another call. Shorter
+  /// than the time in which a silent watch is noticed, so that the read that
+  /// follows does not use a connection that went silent together with it.
+  Milliseconds maxStoreIdleTime() const { return shortWatchTime(); }
   std::size_t MemoryMegabytes_ = 256;
   std::size_t MaxDescriptors_ = 4096;
   double LinkMegabits_ = 0; ///< Bandwidth of the host's link; 0 if unknown.
--- a/tests/Integration/Platform/SilentStoreTest.cpp
+++ b/tests/Integration/Platform/SilentStoreTest.cpp
@@ -133,8 +133,7 @@
 // the other, on kept connections that have gone silent together with those of
 // the watches. Hosts that do not watch the store have kept the most.
 TEST_CASE("platform: a change reaches hosts whose kept connections to the "
-          "store have gone silent",
-          "[known-red][.]") {
+          "store have gone silent") {
   ChangingPlatform Setup;
   constexpr std::size_t Hosts = 6;
   PlatformFleet Fleet(Setup.Store_, Hosts);
