Read the limits that targets state in their answers, and log them

Nothing read Server-Limit, so the logs could not show which targets state a limit, nor when a host learns of it. The limits are recorded and logged, and change nothing yet.

--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -59,13 +59,18 @@
 /// The decoded head of a target's answer.
 struct TargetReply {
   bool NotExecuted_ = false; ///< The target did not run the request.
-  bool Signed_ = false;      ///< The answer carries the target's signature.
+  /// The request was meant for another target, whose address this one has.
+  bool WrongTarget_ = false;
+  bool Signed_ = false; ///< The answer carries the target's signature.
   bool ContentEncoded_ =
       false;              ///< Content-encoded: not the target's own bytes.
   std::string RequestId_; ///< Id of the request that is answered.
   std::optional<TargetLoad> Load_;
   /// How long the target keeps an idle connection open.
   std::optional<Milliseconds> KeepAlive_;
+  /// Requests a second that the target accepts from all hosts together; empty
+  /// if it states no limit.
+  std::optional<double> RequestsPerSecond_;
 };
 
 /// One piece to run; a piece is one unit of a stage's work for a request.
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -9,6 +9,7 @@
 #include "Coordination/Stages/StageAdmission.h"
 #include "Coordination/SuspectRegistry.h"
 #include "Coordination/Targets/TargetHealth.h"
+#include "Coordination/Targets/TargetLimits.h"
 #include "Coordination/Targets/TargetRegistry.h"
 #include "Coordination/Targets/WindowBudget.h"
 #include "Protocol/EdgeProtocol.h"
@@ -51,6 +52,7 @@
   state::RoutingTablePtr Table_;
   coordination::TargetRegistry Targets_;
   coordination::TargetHealth Health_;
+  coordination::TargetLimits Limits_;
   coordination::EngineChooser Engines_;
   transport::ByteBudget MessageBytes_;
   TargetConnections Connections_;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -347,6 +347,7 @@
     Context_.Targets_.expire(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
+    Context_.Limits_.forgetOld(Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
     UndeliveredReports_.expire(Now);
--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -106,6 +106,7 @@
   Context.Health_.begin(Target.Id_);
   std::string Id = Scope_.Request_.Id_;
   co_await Exchange.start(Request, Id, AttemptDeadline);
+  recordLimit(Context, Exchange);
   co_await Exchange.readAll();
   Scope_.Interrupt_ = nullptr;
   auto Elapsed =
--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -73,6 +73,18 @@
   Scope.CloseAfterAnswer_ = Close || Written != LinkStatus::Ok;
 }
 
+void recordLimit(EntryContext &Context, const TargetExchange &Exchange) {
+  if (!Exchange.hasTargetsAnswer())
+    return;
+  const std::string &Id = Exchange.target().Id_;
+  std::optional<double> PerSecond = Exchange.reply().RequestsPerSecond_;
+  if (!Context.Limits_.set(Id, PerSecond, SteadyClock::now()))
+    return;
+  LogEvent(LogLevel::Info, "target_limit")
+      .field("target", Id)
+      .field("per_second", PerSecond ? std::to_string(*PerSecond) : "none");
+}
+
 void reportToSuspects(RequestScope &Scope, const TargetExchange &Exchange,
                       Milliseconds RunTime) {
   coordination::SuspectRegistry &Suspects = Scope.Context_.Suspects_;
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -80,6 +80,10 @@
                                             transport::HttpHead FromTarget,
                                             std::string Body);
 
+/// Records the limit that the target has stated in its answer, or that it has
+/// stated none.
+void recordLimit(EntryContext &Context, const TargetExchange &Exchange);
+
 /// Reports the end of an exchange that ran for \p RunTime to the registry of
 /// suspect inputs (inputs that were running when their target crashed).
 void reportToSuspects(RequestScope &Scope, const TargetExchange &Exchange,
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -1,5 +1,6 @@
 #include "Serving/StageDispatcher.h"
 
+#include "Serving/RequestScope.h"
 #include "Serving/TargetExchange.h"
 #include "Support/Log.h"
 
@@ -273,6 +274,7 @@
                           Context_.MessageBytes_, Running->Target_);
   std::string NoRequestId;
   co_await Exchange.start(Request, NoRequestId, Deadline);
+  recordLimit(Context_, Exchange);
   co_await Exchange.readAll();
   Running->Ended_ = true;
   finishCall(*Running, Exchange);
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -151,6 +151,7 @@
                                 AttemptStart_);
   std::string Id = Scope_.Request_.Id_;
   co_await Exchange.start(Request, Id, Scope_.Deadline_);
+  recordLimit(Context, Exchange);
   Step NextStep = Step::TryAgain;
   bool HasAnswer = Exchange.state() == ExchangeState::Answering ||
                    Exchange.state() == ExchangeState::Complete;
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -152,6 +152,13 @@
   co_return State_;
 }
 
+bool TargetExchange::hasTargetsAnswer() const {
+  bool HasHead = State_ == ExchangeState::Answering ||
+                 State_ == ExchangeState::Complete ||
+                 State_ == ExchangeState::NotExecuted;
+  return HasHead && !Reply_.WrongTarget_;
+}
+
 std::string TargetExchange::takeBody() {
   if (Reader_)
     Body_ += Reader_->takeBody();
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -50,6 +50,9 @@
   void stop();
 
   ExchangeState state() const { return State_; }
+  /// Whether the head of an answer has arrived that is the target's own: not
+  /// that of another target which has taken over its address.
+  bool hasTargetsAnswer() const;
   const transport::HttpHead &head() const { return Reader_->head(); }
   const protocol::TargetReply &reply() const { return Reply_; }
   const state::TargetRecord &target() const { return Target_; }
