Leave the places at limited targets to large prompts

Limits count requests, whatever their size. Small prompts took most of the places, and the engines without a limit had to read the large ones.

--- a/source/Coordination/Engines/EngineChooser.cpp
+++ b/source/Coordination/Engines/EngineChooser.cpp
@@ -38,8 +38,19 @@
   return Prompt.empty() ? nullptr : &Prompt.front();
 }
 
+double totalTokens(const std::vector<PromptPart> &Prompt) {
+  double Tokens = 0;
+  for (const PromptPart &Part : Prompt)
+    Tokens += static_cast<double>(Part.Tokens_);
+  return Tokens;
+}
+
 } // namespace
 
+bool EngineChooser::isLarge(const std::vector<PromptPart> &Prompt) const {
+  return totalTokens(Prompt) >= AverageTokens_;
+}
+
 double EngineChooser::uncachedTokens(const TargetRecord &Engine,
                                      bool IsPreferred,
                                      const std::vector<PromptPart> &Prompt,
@@ -107,6 +118,8 @@
     removeExpiredParts(Now);
   for (const PromptPart &Part : Prompt)
     LastUses_[Part.Id_][EngineId] = Now;
+  double Weight = AverageTokens_ > 0 ? Settings_.SizeWeight_ : 1;
+  AverageTokens_ += Weight * (totalTokens(Prompt) - AverageTokens_);
 }
 
 void EngineChooser::removeExpiredParts(SteadyTime Now) {
--- a/source/Coordination/Engines/EngineChooser.h
+++ b/source/Coordination/Engines/EngineChooser.h
@@ -27,6 +27,8 @@
   /// Cost in prompt tokens of an engine whose recent requests all failed;
   /// multiplied by the share that failed.
   double FailureTokens_ = 20000;
+  /// Weight of a new prompt in the average size of the prompts.
+  double SizeWeight_ = 0.02;
 };
 
 /// Sends prompts to the engine that has most of their parts in its prefix
@@ -49,6 +51,8 @@
   void onPromptSent(const std::string &EngineId,
                     const std::vector<protocol::PromptPart> &Prompt,
                     SteadyTime Now);
+  /// Whether a prompt is at least as large as the average one.
+  bool isLarge(const std::vector<protocol::PromptPart> &Prompt) const;
   /// Forgets the cached parts of an engine that no longer runs.
   void onEngineRemoved(const std::string &EngineId);
 
@@ -62,6 +66,7 @@
   EngineChooserSettings Settings_;
   /// Last use of each part at each engine, by part and engine id.
   std::map<std::string, std::map<std::string, SteadyTime>> LastUses_;
+  double AverageTokens_ = 0; ///< Of all prompts that were sent.
 };
 
 /// Rank of \p Candidate for \p Key by rendezvous hashing; the highest is first.
--- a/source/Serving/PlainRun.h
+++ b/source/Serving/PlainRun.h
@@ -24,6 +24,7 @@
   // TargetChooser
   const state::TargetRecord *chooseFrom(
       const std::vector<const state::TargetRecord *> &Candidates) override;
+  bool mayTakeLimitedPlace() const override { return true; }
 
 private:
   struct TargetAnswer {
--- a/source/Serving/SendPermits.cpp
+++ b/source/Serving/SendPermits.cpp
@@ -60,7 +60,8 @@
                     SteadyTime WaitUntil) {
   std::optional<TargetRecord> Permitted;
   for (int Tries = 0;; ++Tries) {
-    bool WithLimits = Tries < Settings_.MaxImmediateTries_;
+    bool WithLimits =
+        Chooser.mayTakeLimitedPlace() && Tries < Settings_.MaxImmediateTries_;
     const TargetRecord *Chosen =
         Chooser.chooseFrom(openTargets(Service, WithLimits));
     SteadyTime Until = SteadyClock::now();
--- a/source/Serving/SendPermits.h
+++ b/source/Serving/SendPermits.h
@@ -37,6 +37,10 @@
   /// Returns one of \p Candidates, or null if the request can use none.
   virtual const state::TargetRecord *
   chooseFrom(const std::vector<const state::TargetRecord *> &Candidates) = 0;
+  /// Whether the request may take a place at a limited target although others
+  /// have no limit. Limits count requests: one that is more work than most
+  /// relieves the other targets more.
+  virtual bool mayTakeLimitedPlace() const = 0;
 };
 
 /// Gives requests permission to be sent. A target without a limit takes any
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -124,6 +124,10 @@
                                  SteadyClock::now());
 }
 
+bool StreamRun::mayTakeLimitedPlace() const {
+  return Scope_.Context_.Engines_.isLarge(Scope_.Request_.Prompt_);
+}
+
 bool StreamRun::mayTryAgain() const {
   if (PossibleRuns_ > 0 && !Scope_.Route_->IsResumable_)
     return false;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -27,6 +27,7 @@
   // TargetChooser
   const state::TargetRecord *chooseFrom(
       const std::vector<const state::TargetRecord *> &Candidates) override;
+  bool mayTakeLimitedPlace() const override;
 
 private:
   /// What follows an attempt.
