Keep the requests for targets within the limits that these state

Cause: nothing read the limits. Class of fault: a limit of the fleet without state of the fleet. A share for each host does not work: the limits are 1 to 2 a second, so that a share is far below one request in the time that counts.

One host, elected like a dispatcher, keeps the schedule of a target and gives places in it; the others ask before each request. If all targets are at their limits, requests wait for a place, or are refused with the time to come back. Places are reserved one second ahead at most, and a new keeper starts without a burst: so a change of the keeper stays within the rule.

Ruled out: bursts within the limit, and repeats (the average was above the limit). Weighed: only the keeper sends to the target (on large fleets most hosts keep none of a small service), shares by demand in the pings.

--- a/source/Coordination/Targets/SendSchedule.cpp
+++ b/source/Coordination/Targets/SendSchedule.cpp
@@ -11,8 +11,9 @@
                                           double PerSecond,
                                           SteadyClock::duration MaxDelay,
                                           SteadyTime Now) {
-  std::chrono::duration<double> Seconds(
-      1 / std::max(PerSecond, Settings_.MinPerSecond_));
+  double Rate =
+      PerSecond > Settings_.MinPerSecond_ ? PerSecond : Settings_.MinPerSecond_;
+  std::chrono::duration<double> Seconds(1 / Rate);
   auto Interval = std::chrono::ceil<SteadyClock::duration>(Seconds);
   // Another host may have given places until now: the first one here is an
   // interval later.
--- a/source/Serving/PlainRun.h
+++ b/source/Serving/PlainRun.h
@@ -25,6 +25,7 @@
   const state::TargetRecord *chooseFrom(
       const std::vector<const state::TargetRecord *> &Candidates) override;
   bool mayTakeLimitedPlace() const override { return true; }
+  bool hasCallerLeft() override { return Scope_.hasCallerLeft(); }
 
 private:
   struct TargetAnswer {
--- a/source/Serving/SendPermits.cpp
+++ b/source/Serving/SendPermits.cpp
@@ -59,62 +59,87 @@
 SendPermits::choose(std::string Service, TargetChooser &Chooser,
                     SteadyTime WaitUntil) {
   std::optional<TargetRecord> Permitted;
-  for (int Tries = 0;; ++Tries) {
+  for (int Tries = 0; !Permitted; ++Tries) {
     bool WithLimits =
         Chooser.mayTakeLimitedPlace() && Tries < Settings_.MaxImmediateTries_;
     const TargetRecord *Chosen =
         Chooser.chooseFrom(openTargets(Service, WithLimits));
-    SteadyTime Until = SteadyClock::now();
-    bool IsLastTry = !Chosen;
-    if (IsLastTry) {
-      Chosen = firstToOpen(Service, Chooser);
-      Until = WaitUntil;
-    }
     if (!Chosen)
-      co_return Permitted;
+      break;
     std::string Id = Chosen->Id_;
-    bool MaySend = co_await acquire(Id, Until);
-    // The target may have left meanwhile.
-    const TargetRecord *Target = MaySend ? Context_.Targets_.find(Id) : nullptr;
-    if (Target)
-      Permitted = *Target;
-    if (Target || IsLastTry)
-      co_return Permitted;
+    SteadyTime Now = SteadyClock::now();
+    Permitted = co_await acquire(Id, Now);
   }
+  if (!Permitted)
+    Permitted = co_await waitForPlace(Service, Chooser, WaitUntil);
+  co_return Permitted;
 }
 
-Awaitable<bool> SendPermits::acquire(std::string Target, SteadyTime Until) {
-  std::optional<double> PerSecond = Context_.Limits_.find(Target);
-  if (!PerSecond)
-    co_return true;
-  PermitRequest Request;
-  Request.Id_ = ++LastRequestId_;
-  Request.Target_ = Target;
-  Request.PerSecond_ = *PerSecond;
-  Request.MaxDelay_ = std::max(Milliseconds(0), remaining(Until));
-  std::string Host = Router_.findDispatcher(Target);
-  std::optional<PermitReply> Reply;
-  if (Host == Context_.Settings_.Host_)
-    Reply = reserve(Request);
-  else
-    Reply = co_await ask(Host, Request);
-  SteadyTime Now = SteadyClock::now();
-  if (!Reply) {
-    LogEvent(LogLevel::Warn, "permit_unanswered")
-        .field("target", Target)
-        .field("host", Host);
-    Context_.Limits_.setFullUntil(Target, Now + Settings_.UnansweredPause_);
-    co_return false;
+Awaitable<std::optional<TargetRecord>>
+SendPermits::waitForPlace(std::string Service, TargetChooser &Chooser,
+                          SteadyTime WaitUntil) {
+  std::optional<TargetRecord> Permitted;
+  while (const TargetRecord *Chosen = firstToOpen(Service, Chooser)) {
+    std::string Id = Chosen->Id_;
+    SteadyTime Until =
+        std::min(WaitUntil, SteadyClock::now() + Settings_.MaxReservation_);
+    Permitted = co_await acquire(Id, Until);
+    // By the answer, the place is out of reach until the reservation that is
+    // allowed then reaches it.
+    SteadyTime TryAgainAt =
+        std::max(Context_.Limits_.opensAt(Id) - Settings_.MaxReservation_,
+                 SteadyClock::now() + Settings_.MinRetryDelay_);
+    if (Permitted || TryAgainAt >= WaitUntil || Chooser.hasCallerLeft())
+      break;
+    auto Delay =
+        std::chrono::ceil<Milliseconds>(TryAgainAt - SteadyClock::now());
+    co_await transport::pause(Context_.Loop_, Delay);
+  }
+  co_return Permitted;
+}
+
+Awaitable<std::optional<TargetRecord>> SendPermits::acquire(std::string Target,
+                                                            SteadyTime Until) {
+  std::optional<TargetRecord> Permitted;
+  PermitReply Place{0, true, Microseconds(0)};
+  if (std::optional<double> PerSecond = Context_.Limits_.find(Target)) {
+    PermitRequest Request;
+    Request.Id_ = ++LastRequestId_;
+    Request.Target_ = Target;
+    Request.PerSecond_ = *PerSecond;
+    Request.MaxDelay_ = std::max(Milliseconds(0), remaining(Until));
+    Place = co_await requestPlace(Request);
   }
-  if (!Reply->Granted_) {
-    Context_.Limits_.setFullUntil(Target, Now + Reply->Delay_);
-    co_return false;
+  if (!Place.Granted_) {
+    Context_.Limits_.setFullUntil(Target, SteadyClock::now() + Place.Delay_);
+    co_return Permitted;
   }
-  if (Reply->Delay_ > Microseconds(0)) {
-    auto Delay = std::chrono::ceil<Milliseconds>(Reply->Delay_);
+  if (Place.Delay_ > Microseconds(0)) {
+    auto Delay = std::chrono::ceil<Milliseconds>(Place.Delay_);
     co_await transport::pause(Context_.Loop_, Delay);
   }
-  co_return true;
+  if (const TargetRecord *Record = Context_.Targets_.find(Target))
+    Permitted = *Record;
+  co_return Permitted;
+}
+
+Awaitable<PermitReply> SendPermits::requestPlace(PermitRequest Request) {
+  PermitReply Place;
+  std::string Host = Router_.findDispatcher(Request.Target_);
+  if (Host == Context_.Settings_.Host_) {
+    Place = reserve(Request);
+    co_return Place;
+  }
+  std::optional<PermitReply> Reply = co_await ask(Host, Request);
+  if (Reply) {
+    Place = *Reply;
+    co_return Place;
+  }
+  LogEvent(LogLevel::Warn, "permit_unanswered")
+      .field("target", Request.Target_)
+      .field("host", Host);
+  Place.Delay_ = Settings_.UnansweredPause_;
+  co_return Place;
 }
 
 Awaitable<std::optional<PermitReply>> SendPermits::ask(std::string Host,
--- a/source/Serving/SendPermits.h
+++ b/source/Serving/SendPermits.h
@@ -28,6 +28,11 @@
   /// Limited targets that a request tries at once, before it takes one without
   /// a limit.
   int MaxImmediateTries_ = 3;
+  /// Places are reserved at most this long ahead: if the host that keeps the
+  /// schedule is lost, its successor gives the same places again.
+  Milliseconds MaxReservation_{1000};
+  /// Shortest pause between two attempts to reserve a place.
+  Milliseconds MinRetryDelay_{50};
 };
 
 /// Chooses a target for a request.
@@ -41,6 +46,7 @@
   /// have no limit. Limits count requests: one that is more work than most
   /// relieves the other targets more.
   virtual bool mayTakeLimitedPlace() const = 0;
+  virtual bool hasCallerLeft() = 0;
 };
 
 /// Gives requests permission to be sent. A target without a limit takes any
@@ -77,8 +83,17 @@
     std::optional<protocol::PermitReply> Reply_;
   };
 
-  /// Waits for a place at \p Target. False if there is none before \p Until.
-  transport::Awaitable<bool> acquire(std::string Target, SteadyTime Until);
+  /// The same when all targets that \p Chooser can use are at their limits.
+  transport::Awaitable<std::optional<state::TargetRecord>>
+  waitForPlace(std::string Service, TargetChooser &Chooser,
+               SteadyTime WaitUntil);
+  /// Waits for a place at a target. Returns the target, or nothing if there is
+  /// no place before \p Until or the target has left.
+  transport::Awaitable<std::optional<state::TargetRecord>>
+  acquire(std::string Target, SteadyTime Until);
+  /// Asks the host that keeps the target's schedule.
+  transport::Awaitable<protocol::PermitReply>
+  requestPlace(protocol::PermitRequest Request);
   protocol::PermitReply reserve(const protocol::PermitRequest &Request);
   transport::Awaitable<std::optional<protocol::PermitReply>>
   ask(std::string Host, protocol::PermitRequest Request);
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -28,6 +28,7 @@
   const state::TargetRecord *chooseFrom(
       const std::vector<const state::TargetRecord *> &Candidates) override;
   bool mayTakeLimitedPlace() const override;
+  bool hasCallerLeft() override { return Scope_.hasCallerLeft(); }
 
 private:
   /// What follows an attempt.
--- a/tests/Coordination/Engines/EngineChooserTest.cpp
+++ b/tests/Coordination/Engines/EngineChooserTest.cpp
@@ -93,3 +93,13 @@
   Fixture WithoutEngines(0);
   CHECK(WithoutEngines.choose(Chooser, prompt("c", "x")).empty());
 }
+
+// Guards against taking every prompt, or none, for a large one.
+TEST_CASE("engine chooser: large prompts are those above the average") {
+  EngineChooser Chooser;
+  CHECK(Chooser.isLarge({{"a", 10}}));
+  for (int I = 0; I < 400; ++I)
+    Chooser.onPromptSent("e0", {{"a", I % 4 == 0 ? 12000U : 800U}}, Now);
+  CHECK(Chooser.isLarge({{"a", 7000}, {"b", 5000}}));
+  CHECK_FALSE(Chooser.isLarge({{"a", 800}}));
+}
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -258,8 +258,27 @@
   Head.Fields_ = {{"Server-Load", "3,x"}};
   CHECK_FALSE(Edge.readReply(Head).Load_);
   CHECK_FALSE(Edge.readReply(Head).NotExecuted_);
+  CHECK_FALSE(Edge.readReply(Head).WrongTarget_);
   Head.Status_ = 421;
   CHECK(Edge.readReply(Head).NotExecuted_);
+  CHECK(Edge.readReply(Head).WrongTarget_);
+}
+
+// Guards against a limit that is misread, so that a target gets nothing or
+// everything.
+TEST_CASE("edge codec: the limit that a target states") {
+  platform::EdgeCodec Edge;
+  HttpHead Head;
+  Head.Status_ = 200;
+  CHECK_FALSE(Edge.readReply(Head).RequestsPerSecond_);
+  for (const char *Valid : {"0", "1.2", "13"}) {
+    Head.Fields_ = {{"Server-Limit", Valid}};
+    CHECK(Edge.readReply(Head).RequestsPerSecond_ == std::stod(Valid));
+  }
+  for (const char *Invalid : {"", "x", "1.2x", "-1", "nan", "inf", "1e300"}) {
+    Head.Fields_ = {{"Server-Limit", Invalid}};
+    CHECK_FALSE(Edge.readReply(Head).RequestsPerSecond_);
+  }
 }
 
 // Guards against passing on fields that are for the system only, and framing
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -42,6 +42,21 @@
   CHECK(Order.Priority_ == -1);
   CHECK(Order.Repeat_);
 
+  TargetLimit Limit = roundTrip(TargetLimit{"t", 1.5});
+  CHECK(Limit.Target_ == "t");
+  CHECK(Limit.PerSecond_ == 1.5);
+  CHECK_FALSE(roundTrip(TargetLimit{"t", std::nullopt}).PerSecond_);
+  PermitRequest Permit =
+      roundTrip(PermitRequest{~0ULL, "t", 0.5, Milliseconds{700}});
+  CHECK(Permit.Id_ == ~0ULL);
+  CHECK(Permit.Target_ == "t");
+  CHECK(Permit.PerSecond_ == 0.5);
+  CHECK(Permit.MaxDelay_ == Milliseconds{700});
+  PermitReply Reply = roundTrip(PermitReply{7, true, Microseconds{1250}});
+  CHECK(Reply.Id_ == 7);
+  CHECK(Reply.Granted_);
+  CHECK(Reply.Delay_ == Microseconds{1250});
+
   HostState State;
   State.Host_ = "h";
   State.Incarnation_ = 77;
