Close connections on which a target refused a request

The new test fails before (4 of 8 assertions) and passes.

Cause: the connection was kept after a refusal. Why the fix works: a second copy of a refusal can only arrive on the connection of the first one. Weighed: an id in every refusal, which does not cover the repeated request.

--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -173,8 +173,11 @@
   Body_ += Reader_->takeBody();
   State_ = Reply_.NotExecuted_ ? ExchangeState::NotExecuted
                                : ExchangeState::Complete;
+  // A second copy of a refusal would be taken for the answer to the next
+  // request, which may run meanwhile.
   bool Reusable = Reader_->keepAlive() && Reader_->hasDelimitedBody() &&
-                  !SkippedForeign_ && Link_->input().empty() && Link_->isOpen();
+                  !Reply_.NotExecuted_ && !SkippedForeign_ &&
+                  Link_->input().empty() && Link_->isOpen();
   if (Reusable)
     Connections_.release(Target_.Id_, std::move(Link_), Reply_.KeepAlive_);
   else
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -23,6 +23,7 @@
     protocol::TargetReply Reply;
     if (const std::string *Id = Head.find("Request-Id"))
       Reply.RequestId_ = *Id;
+    Reply.NotExecuted_ = Head.find("Not-Executed") != nullptr;
     return Reply;
   }
   protocol::HostCall hostCall(const transport::HttpHead &) const override {
@@ -151,6 +152,32 @@
   CHECK(End == boost::asio::error::connection_reset);
 }
 
+// Rules REFUSED, TWICE. Pattern: a target writes an earlier refusal once more,
+// with the id of its request or without one, before it runs the next request.
+// Guards against taking a request that runs for one that was refused.
+TEST_CASE("target exchange: an earlier refusal does not refuse the next "
+          "request") {
+  std::string RefusalId = GENERATE("", "Request-Id: r1\r\n");
+  std::string Refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n" + RefusalId +
+                        "Content-Length: 0\r\n\r\n";
+  std::atomic<int> Requests = 0;
+  Fixture F([&](PeerConnection &Connection) {
+    for (bool IsFirst = true; Requests < 2 && !Connection.readHead().empty();
+         IsFirst = false) {
+      ++Requests;
+      std::string Next = Requests == 1 ? Refusal : answer("r1", "done");
+      Connection.write((IsFirst ? "" : Refusal) + Next);
+    }
+  });
+  F.exchange("r1");
+  CHECK(F.State_ == ExchangeState::NotExecuted);
+  // The same request may be sent to the same target again.
+  F.exchange("r1");
+  CHECK(F.State_ == ExchangeState::Complete);
+  CHECK(F.Body_ == "done");
+  CHECK(Requests == 2);
+}
+
 // Pattern: a target sends a second copy of an answer, late, on a connection
 // that is in use again. Guards against a caller that gets an answer to another
 // request.
