--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -178,6 +178,67 @@
   CHECK(Breaking.requests() == 1);
 }
 
+// Rules ORDER, MIXED. Guards against the text or the head of an error in the
+// middle of a stream, and against a stream that looks complete, when the engine
+// that should continue it answers with an error.
+TEST_CASE("platform: an error instead of the rest of a stream truncates it") {
+  int Status = GENERATE(404, 500, 503);
+  Platform Setup;
+  auto BreakOrFail = [Status](RawServerConnection &Connection,
+                              const RawRequest &Request) {
+    if (Request.field("Last-Event-Id").empty())
+      return breakMidEvent(Connection, Request);
+    Connection.write(
+        rawAnswer(Status, validResponseFields(Request), "error text"));
+    return true;
+  };
+  TargetDouble First(Setup.Store_, "i-1", "engine", BreakOrFail);
+  TargetDouble Second(Setup.Store_, "i-2", "engine", BreakOrFail);
+  PlatformFleet Fleet(Setup.Store_, 1);
+  PlatformAnswer Broken = Fleet.call(0, platformRequest("POST", "/draft/1"));
+  CHECK(Broken.Status_ == 200);
+  CHECK_FALSE(Broken.Complete_);
+  CHECK(Broken.Body_ == streamEvent(1) + streamEvent(2));
+  CHECK(First.requests() + Second.requests() == 2);
+}
+
+// Rule LOST. Guards against a record of another writer that ends the hosts that
+// read it, or makes them stop following the targets.
+TEST_CASE("platform: odd records among those of the targets stop no host") {
+  Platform Setup;
+  auto Record = [](const std::string &Address, const std::string &Slots) {
+    return R"({"service":"desk","address":")" + Address +
+           R"(","zone":"a","state":"ready","born":1,"sequence":1,"slots":)" +
+           Slots + "}";
+  };
+  std::size_t Depth = 300000;
+  const std::vector<std::string> OddValues = {
+      std::string(Depth, '['),
+      std::string(Depth, '[') + std::string(Depth, ']'),
+      R"({"service":)" + std::string(Depth, '[') + std::string(Depth, ']') +
+          "}",
+      Record("127.0.0.1:99999", "8"),
+      Record("127.0.0.1:-1", "8"),
+      Record("[::1", "8"),
+      Record("", "8"),
+      Record("127.0.0.1:1", "1e400"),
+      Record("127.0.0.1:1", "99999999999999999999999999"),
+      Record("127.0.0.1:1", "-7"),
+      "\xff\xfe",
+      ""};
+  PlatformFleet Fleet(Setup.Store_, 3);
+  for (std::size_t I = 0; I < OddValues.size(); ++I)
+    Setup.Store_.putBytes("servers/odd-" + std::to_string(I), OddValues[I]);
+  TargetDouble Sound(Setup.Store_, "i-1", "desk", answerDone);
+  for (std::size_t Host = 0; Host < 3; ++Host) {
+    INFO("host " << Host);
+    CHECK(eventually([&] {
+      return Fleet.call(Host, platformRequest("GET", "/look/1")).Status_ == 200;
+    }));
+    CHECK_FALSE(Fleet.process(Host).waitExit(Milliseconds{0}));
+  }
+}
+
 // Guards against one malformed message that ends a process: a piece whose id or
 // key is no text was passed on from host to host and ended each dispatcher.
 TEST_CASE("platform: bytes that are no text stop no host") {
--- a/tests/Integration/Platform/StoreDouble.cpp
+++ b/tests/Integration/Platform/StoreDouble.cpp
@@ -67,8 +67,12 @@
 }
 
 void StoreDouble::put(const std::string &Key, const json &Value) {
+  putBytes(Key, Value.dump());
+}
+
+void StoreDouble::putBytes(const std::string &Key, const std::string &Value) {
   std::lock_guard Lock(Mutex_);
-  write(Key, base64Encode(Value.dump()), false);
+  write(Key, base64Encode(Value), false);
 }
 
 void StoreDouble::remove(const std::string &Key) {
--- a/tests/Integration/Platform/StoreDouble.h
+++ b/tests/Integration/Platform/StoreDouble.h
@@ -30,6 +30,8 @@
   /// Address for the host with number \p Host.
   std::string address(std::size_t Host);
   void put(const std::string &Key, const nlohmann::json &Value);
+  /// The same with any bytes as the value.
+  void putBytes(const std::string &Key, const std::string &Value);
   void remove(const std::string &Key);
   /// While down, calls are answered with 503 and open watches end with 503.
   void setDown(bool Down);
