--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -4,7 +4,6 @@
 #include "../common/Deployment.h"
 
 #include <atomic>
-#include <csignal>
 #include <vector>
 
 using namespace review;
@@ -149,7 +148,7 @@
 } // namespace
 
 int main() {
-  std::signal(SIGPIPE, SIG_IGN);
+  handleSignals();
   StoreDouble Store;
   json Guide =
       makeRoute("guide-draft", "streaming", "taller-llm", 12000, 1900, 1, 1);
@@ -201,8 +200,7 @@
   long End = record().now() + RunMs;
   while (record().now() < End) {
     for (auto &One : Hosts) {
-      std::optional<ExitStatus> Exit =
-          One->process().waitExit(Milliseconds(20));
+      std::optional<ExitStatus> Exit = One->hasEnded(Milliseconds(20));
       if (!Exit)
         continue;
       ++Seen.Ended_;
--- a/review/common/Deployment.h
+++ b/review/common/Deployment.h
@@ -14,7 +14,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <csignal>
 #include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
@@ -165,6 +167,28 @@
   return json{{"items", Results}}.dump();
 }
 
+/// Process ids of the hosts that run, for endHosts().
+inline std::array<std::atomic<pid_t>, 16> &hostProcesses() {
+  static std::array<std::atomic<pid_t>, 16> Ids{};
+  return Ids;
+}
+
+/// Ends all hosts when the case itself is told to end.
+inline void endHosts(int) {
+  for (std::atomic<pid_t> &Id : hostProcesses())
+    if (Id > 0)
+      kill(Id, SIGKILL);
+  _exit(CannotRun);
+}
+
+/// Call before anything is started.
+inline void handleSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  hostProcesses();
+  std::signal(SIGTERM, endHosts);
+  std::signal(SIGINT, endHosts);
+}
+
 /// A process of the system with its settings file. The platform starts it again
 /// when it has ended.
 class Host final {
@@ -210,9 +234,18 @@
     Settings.Program_ = "target/amaranthd";
     Settings.Arguments_ = {"--platform"};
     Settings.StandardErrorFile_ = LogPath_;
+    hostProcesses().at(Index_) = 0;
     Process_ = std::make_unique<ChildProcess>(Settings);
+    hostProcesses().at(Index_) = Process_->id();
     record().line("host %zu process started", Index_);
   }
+  /// How the process ended; nothing while it runs.
+  std::optional<ExitStatus> hasEnded(Milliseconds Limit) {
+    std::optional<ExitStatus> Exit = Process_->waitExit(Limit);
+    if (Exit)
+      hostProcesses().at(Index_) = 0;
+    return Exit;
+  }
   std::size_t index() const { return Index_; }
   int callerPort() const { return CallerPort_; }
   int readinessPort() const { return ReadinessPort_; }
