--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -13,6 +13,8 @@
 constexpr long RunMs = 45000;
 constexpr long TroubleFromMs = 5000;
 constexpr int OrderClients = 16;
+/// A client then opens a new connection, at the next host.
+constexpr int OrdersPerConnection = 20;
 constexpr int GuideClients = 8;
 /// Of the answers of the server in trouble, one in this many is spoiled.
 constexpr int SpoiledEvery = 50;
@@ -23,6 +25,12 @@
 std::atomic<int> StageAnswers{0};
 std::atomic<bool> Stopping{false};
 
+/// Keeps clients and servers out of step with each other.
+long randomBetween(long Least, long Most) {
+  static thread_local std::mt19937_64 Random{std::random_device{}()};
+  return std::uniform_int_distribution<long>(Least, Most)(Random);
+}
+
 bool hasRun(const std::string &Id) {
   std::lock_guard Lock(Mutex);
   return OrdersRun.contains(Id);
@@ -35,7 +43,7 @@
     OrdersRun.insert(Id);
   }
   record().line("tienda runs order %s", Id.c_str());
-  sleepMs(200);
+  sleepMs(randomBetween(150, 250));
   Link.write(rawAnswer(200, answerFields(Request), "placed " + Id));
   return true;
 }
@@ -92,18 +100,19 @@
                  std::size_t First) {
   std::unique_ptr<Connection> Link;
   std::size_t Next = First;
-  bool Kept = false;
+  int OrdersSent = 0; ///< On this connection.
   while (!Stopping) {
-    if (!Link || !Link->isOpen()) {
+    if (!Link || !Link->isOpen() || OrdersSent >= OrdersPerConnection) {
       Link = std::make_unique<Connection>(
           Hosts[Next++ % Hosts.size()]->callerPort());
-      Kept = false;
+      OrdersSent = 0;
       if (!Link->isOpen()) {
         sleepMs(100);
         continue;
       }
     }
     std::string Id = newId();
+    bool Kept = OrdersSent++ > 0;
     record().line("order %s sent%s", Id.c_str(), Kept ? " (kept)" : "");
     Answer Got = Link->exchange(
         clientRequest("POST", "/order-place/1", Id, 1500, "", "{\"cradle\":1}"),
@@ -119,8 +128,7 @@
     } else {
       record().line("order %s ended without an answer", Id.c_str());
     }
-    Kept = true;
-    sleepMs(40);
+    sleepMs(randomBetween(20, 60));
   }
 }
 
@@ -206,7 +214,7 @@
       ++Seen.Ended_;
       record().line("host %zu process ENDED BY ITSELF: exit code %d, signal %d",
                     One->index(), Exit->Code_, Exit->Signal_);
-      sleepMs(200);
+      sleepMs(randomBetween(150, 250));
       One->start();
     }
   }
