--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,4 +1,4 @@
-/// Case 2: one of four stage servers sends, instead of a few of its answers,
+/// Case 2: one of four stage servers sends, instead of one of its answers,
 /// bytes that are no answer: a head that states an enormous length and a body
 /// without end. Orders go to sound servers all the while.
 #include "../common/Deployment.h"
@@ -12,12 +12,15 @@
 
 constexpr long RunMs = 45000;
 constexpr long TroubleFromMs = 5000;
-constexpr int OrderClients = 16;
+constexpr int OrderClients = 24;
 /// A client then opens a new connection, at the next host.
 constexpr int OrdersPerConnection = 20;
 constexpr int GuideClients = 8;
-/// Of the answers of the server in trouble, one in this many is spoiled.
-constexpr int SpoiledEvery = 50;
+/// The trouble comes for five seconds, and again after one second of calm.
+constexpr long TroubleMs = 5000;
+constexpr long TroubleEveryMs = 6000;
+/// The only one of the answers of the server in trouble that is spoiled.
+constexpr int SpoiledAnswer = 20;
 
 std::mutex Mutex;
 std::set<std::string> OrdersRun; ///< Ids of orders that a sound server ran.
@@ -58,8 +61,10 @@
   std::string Body = stageAnswer(Request, Address);
   std::size_t Pieces = json::parse(Request.Body_).at("items").size();
   sleepMs(240 + static_cast<long>(26 * Pieces));
-  if (InTrouble && withTrouble() && record().now() >= TroubleFromMs &&
-      ++StageAnswers % SpoiledEvery == 20) {
+  long InPeriod = (record().now() - TroubleFromMs) % TroubleEveryMs;
+  bool IsTrouble =
+      InTrouble && record().now() >= TroubleFromMs && InPeriod < TroubleMs;
+  if (IsTrouble && ++StageAnswers == SpoiledAnswer && withTrouble()) {
     record().line("bodega in trouble: bytes without end instead of answer %d",
                   ++Spoiled);
     Link.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
