Reserve no memory for the length that an answer states

Cause: http::string_body of Boost.Beast reserves the stated Content-Length as soon as the head has been read. HttpReader sets no limit for the whole body of an answer, because streams may be long, so the reservation can be of any size. For 10^18 bytes std::bad_alloc leaves HttpReader::feed(). The tasks of stage calls are started with startTask(), where an exception that escapes ends the process; those of callers' connections only end that connection, without an answer.

Ruled out: the limit for the bytes of a body. It is checked for bytes that have arrived, and works.

The parser now grows the body with the bytes that arrive, for requests too (their length was limited before). Such an answer is then given up by the limit for a body that is held, or at the deadline of its call.

LoopbackPeer ends its connections when a test fails with an exception; it hung before.

--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -21,9 +21,24 @@
 
 } // namespace
 
+/// A string that grows with the bytes that arrive. http::string_body reserves
+/// the length that the peer states, which may be any number.
+struct HttpReader::GrowingBody : http::string_body {
+  struct GrowingReader : http::string_body::reader {
+    using http::string_body::reader::reader;
+
+    void init(const boost::optional<std::uint64_t> &,
+              boost::system::error_code &Failure) {
+      http::string_body::reader::init(boost::none, Failure);
+    }
+  };
+  /// The name by which the library finds it.
+  using reader = GrowingReader;
+};
+
 struct HttpReader::Parser {
-  std::variant<http::request_parser<http::string_body>,
-               http::response_parser<http::string_body>>
+  std::variant<http::request_parser<GrowingBody>,
+               http::response_parser<GrowingBody>>
       Variant_;
 
   template <typename F> auto visit(F &&Function) {
--- a/source/Transport/HttpReader.h
+++ b/source/Transport/HttpReader.h
@@ -14,8 +14,8 @@
 /// Parses one message as its bytes arrive, with the parser of Boost.Beast. What
 /// it holds is bounded, whatever the peer sends: a head, a chunk's line or a
 /// trailer by the limit for heads, body bytes that have not been taken by the
-/// limit for bodies. The whole body of a response may be longer, so that a long
-/// stream is read to its end.
+/// limit for bodies; a stated length reserves nothing. The whole body of a
+/// response may be longer, so that a long stream is read to its end.
 class HttpReader final {
 public:
   enum class Kind { Request, Response };
@@ -56,6 +56,7 @@
   bool started() const { return Started_; }
 
 private:
+  struct GrowingBody;
   struct Parser;
 
   void readHead();
--- a/tests/Serving/LoopbackPeer.h
+++ b/tests/Serving/LoopbackPeer.h
@@ -8,8 +8,10 @@
 #include <boost/asio/write.hpp>
 
 #include <atomic>
+#include <exception>
 #include <functional>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -40,6 +42,18 @@
     return !Failure;
   }
 
+  /// Ends reads and writes in progress; may be called by another thread.
+  void interrupt() {
+    boost::system::error_code Ignored;
+    std::lock_guard Lock(Mutex_);
+    Socket_.shutdown(boost::asio::socket_base::shutdown_both, Ignored);
+  }
+  void close() {
+    boost::system::error_code Ignored;
+    std::lock_guard Lock(Mutex_);
+    Socket_.close(Ignored);
+  }
+
   /// Reads until the connection ends and returns how it ended.
   boost::system::error_code readToEnd() {
     boost::system::error_code Failure;
@@ -50,6 +64,7 @@
   }
 
 private:
+  std::mutex Mutex_; ///< For the end of the connection.
   boost::asio::ip::tcp::socket Socket_;
   std::string Input_;
 };
@@ -70,8 +85,13 @@
     boost::asio::ip::tcp::socket Last(Executor_);
     Last.connect(Acceptor_.local_endpoint(), Ignored);
     Thread_.join();
-    for (std::thread &Connection : Connections_)
-      Connection.join();
+    // An exception leaves the other side of the connections suspended, so that
+    // handlers would wait for it without end.
+    if (std::uncaught_exceptions() > 0)
+      for (PeerConnection &Connection : Connections_)
+        Connection.interrupt();
+    for (std::thread &Running : Handlers_)
+      Running.join();
   }
   LoopbackPeer(const LoopbackPeer &) = delete;
   LoopbackPeer &operator=(const LoopbackPeer &) = delete;
@@ -88,10 +108,12 @@
       Acceptor_.accept(Accepted, Failure);
       if (Failure || Stopping_)
         return;
-      Connections_.emplace_back(
-          [this, Connection = PeerConnection(std::move(Accepted))]() mutable {
-            Handle_(Connection);
-          });
+      PeerConnection &Connection =
+          Connections_.emplace_back(std::move(Accepted));
+      Handlers_.emplace_back([this, &Connection] {
+        Handle_(Connection);
+        Connection.close();
+      });
     }
   }
 
@@ -99,7 +121,8 @@
   boost::asio::io_context Executor_;
   boost::asio::ip::tcp::acceptor Acceptor_;
   std::atomic<bool> Stopping_ = false;
-  std::list<std::thread> Connections_;
+  std::list<PeerConnection> Connections_;
+  std::list<std::thread> Handlers_;
   std::thread Thread_;
 };
 
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -235,6 +235,7 @@
       Endless{Own + "X: ", "x"}, Endless{Own, "X: x\r\n"},
       Endless{Chunked + "3;x=", "x"}, Endless{Chunked + "0\r\nX: ", "x"},
       Endless{Own + "\r\n", "x"},
+      Endless{Own + "Content-Length: 1000000000000000000\r\n\r\n", "x"},
       Endless{Chunked, "400\r\n" + std::string(1024, 'x') + "\r\n"},
       Endless{"HTTP/1.1 200 OK\r\nRequest-Id: r9\r\n\r\n", "x"});
   CAPTURE(Part.Begin_);
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -143,6 +143,8 @@
       {"trailer", Chunked + "0\r\n", "X: x\r\n"},
       {"body until close", Head + "\r\n", "x"},
       {"body with a length", Head + "Content-Length: 999999999\r\n\r\n", "x"},
+      {"body with an enormous length",
+       Head + "Content-Length: 1000000000000000000\r\n\r\n", "x"},
       {"chunk", Chunked + "fffffff\r\n", "x"},
       {"chunks", Chunked, "1\r\nx\r\n"}};
 }
@@ -190,6 +192,24 @@
     checkGivenUp(requestReader(), Part, 1024 + 64);
 }
 
+// Pattern: a server in trouble states an enormous length. Guards against memory
+// that is reserved for bytes that have not arrived, and against a process that
+// ends because there is not enough of it.
+TEST_CASE("http reader: a stated length reserves no memory") {
+  for (const char *Length : {"100000000", "1000000000000000000",
+                             "9223372036854775807", "18446744073709551615"}) {
+    INFO(Length);
+    HttpReader Reader = responseReader();
+    State Result = State::Head;
+    REQUIRE_NOTHROW(Result = feedAll(Reader, "HTTP/1.1 200 OK\r\n"
+                                             "Content-Length: " +
+                                                 std::string(Length) +
+                                                 "\r\n\r\nabc"));
+    CHECK((Result == State::Body || Result == State::Malformed));
+    CHECK(Reader.takeBody().capacity() < 4096);
+  }
+}
+
 // Guards against a bound on the total length of a stream, which cuts sound long
 // streams.
 TEST_CASE("http reader: a long response is read if its body is taken") {
