Bound the answers to stage calls by the pieces of their call

Cause: an answer to a stage call is decoded whole, and was accepted up to 16 MB like any answer. Decoded JSON can take 80 times its text: 15 MB of "[" took the host to 1.21 GB (test below, before). The budget for messages counts text only.

The answers to calls with pieces may now have 16 KB and 1 KB a piece; the protocol's example has 40 bytes a piece. An answer that is read whole and states a length over its limit is given up at its head, instead of at the deadline of its call.

Tests, failing before: "platform: a stage answer of nested lists does not fill the memory" (1.21 GB, 260 MB allowed), "target exchange: a stated length over the limit is refused at once" (ended at its deadline).

--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -25,6 +25,11 @@
 /// the time in which results of other calls are read and freed.
 constexpr Milliseconds FullTargetPause{120};
 
+/// Limits for the answers to calls, far above what sound targets send: decoding
+/// an answer can take a hundred times its memory.
+constexpr std::size_t MaxAnswerBytes = 16 * 1024;
+constexpr std::size_t MaxAnswerBytesPerPiece = 1024;
+
 Milliseconds expectedCallTime(const StageCapacity &Capacity,
                               std::size_t Pieces) {
   auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Pieces);
@@ -271,7 +276,9 @@
   std::string Request = encodeCall(*Running);
   Context_.Health_.begin(Running->Target_.Id_);
   TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
-                          Context_.MessageBytes_, Running->Target_);
+                          Context_.MessageBytes_, Running->Target_,
+                          MaxAnswerBytes +
+                              MaxAnswerBytesPerPiece * Running->Pieces_.size());
   std::string NoRequestId;
   co_await Exchange.start(Request, NoRequestId, Deadline);
   recordLimit(Context_, Exchange);
@@ -474,7 +481,7 @@
     State.HandlesToFree_.clear();
     std::string Request = Context_.Edge_.freeResultsCall(Handles, Target.Id_);
     TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
-                            Context_.MessageBytes_, Target);
+                            Context_.MessageBytes_, Target, MaxAnswerBytes);
     SteadyTime Deadline = SteadyClock::now() + Settings_.TimeoutBase_;
     std::string NoRequestId;
     co_await Exchange.start(Request, NoRequestId, Deadline);
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -11,14 +11,12 @@
 namespace {
 
 constexpr std::size_t MaxAnswerHead = 32 * 1024;
-/// Limit for the part of an answer's body that is held at once.
-constexpr std::size_t MaxAnswerBody = 16 * 1024 * 1024;
 /// A connection is closed after this many foreign answers.
 constexpr int MaxForeignAnswers = 4;
 
-std::unique_ptr<HttpReader> newReader() {
+std::unique_ptr<HttpReader> newReader(std::size_t MaxBody) {
   return std::make_unique<HttpReader>(HttpReader::Kind::Response, MaxAnswerHead,
-                                      MaxAnswerBody);
+                                      MaxBody);
 }
 
 } // namespace
@@ -26,9 +24,9 @@
 TargetExchange::TargetExchange(TargetConnections &Connections,
                                const protocol::EdgeProtocol &Edge,
                                transport::ByteBudget &Budget,
-                               state::TargetRecord Target)
+                               state::TargetRecord Target, std::size_t MaxBody)
     : Connections_(Connections), Edge_(Edge), Target_(std::move(Target)),
-      Held_(Budget) {}
+      Held_(Budget), MaxBody_(MaxBody) {}
 
 TargetExchange::~TargetExchange() {
   if (Link_)
@@ -48,7 +46,7 @@
     co_return State_;
   }
   State_ = ExchangeState::Broken;
-  Reader_ = newReader();
+  Reader_ = newReader(MaxBody_);
   LinkStatus Status = co_await Link_->write(Request);
   // After a reset or an end there may still be an answer: a target may answer
   // and close before it has read the whole request.
@@ -102,7 +100,7 @@
       co_return fail(Skipped);
     if (Reader_->state() != HttpReader::State::Complete)
       co_return reject();
-    Reader_ = newReader();
+    Reader_ = newReader(MaxBody_);
   }
   co_return reject();
 }
@@ -112,7 +110,7 @@
   std::size_t SkippedBytes = 0;
   while (Status == LinkStatus::Ok &&
          Reader_->state() == HttpReader::State::Body &&
-         SkippedBytes <= MaxAnswerBody) {
+         SkippedBytes <= MaxBody_) {
     SkippedBytes += Reader_->takeBody().size();
     Status = co_await Link_->readSome();
     Reader_->feed(Link_->input());
@@ -147,6 +145,9 @@
 }
 
 Awaitable<ExchangeState> TargetExchange::readAll() {
+  if (State_ == ExchangeState::Answering &&
+      Reader_->statedLength().value_or(0) > MaxBody_)
+    co_return reject();
   while (State_ == ExchangeState::Answering)
     co_await readMore();
   co_return State_;
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -30,10 +30,16 @@
 /// to other requests that arrive on the same connection.
 class TargetExchange final {
 public:
-  /// Bytes of the answer count against \p Budget while they are held.
+  /// Limit for the part of an answer's body that is held at once.
+  static constexpr std::size_t DefaultMaxBody = 16 * 1024 * 1024;
+
+  /// Bytes of the answer count against \p Budget while they are held. An
+  /// answer of which more than \p MaxBody bytes would have to be held at once
+  /// is unusable.
   TargetExchange(TargetConnections &Connections,
                  const protocol::EdgeProtocol &Edge,
-                 transport::ByteBudget &Budget, state::TargetRecord Target);
+                 transport::ByteBudget &Budget, state::TargetRecord Target,
+                 std::size_t MaxBody = DefaultMaxBody);
   ~TargetExchange();
 
   /// Sends \p Request and reads the head of the answer, which must name
@@ -42,7 +48,8 @@
   start(std::string Request, std::string RequestId, SteadyTime Deadline);
   /// Reads more of the body; call while the state is Answering.
   transport::Awaitable<ExchangeState> readMore();
-  /// Reads the whole body, up to a bound.
+  /// Reads the whole body. An answer that states a length over the limit is
+  /// given up at once.
   transport::Awaitable<ExchangeState> readAll();
 
   /// Resets the connection, so that the target does not get the part of the
@@ -77,6 +84,7 @@
   const protocol::EdgeProtocol &Edge_;
   state::TargetRecord Target_;
   transport::ByteReservation Held_;
+  std::size_t MaxBody_;
   std::string RequestId_;
   std::shared_ptr<transport::TcpLink> Link_;
   std::unique_ptr<transport::HttpReader> Reader_;
--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -140,6 +140,15 @@
       [](auto &MessageParser) { return MessageParser.get().body().size(); });
 }
 
+std::optional<std::uint64_t> HttpReader::statedLength() const {
+  return Parser_->visit(
+      [](auto &MessageParser) -> std::optional<std::uint64_t> {
+        if (auto Length = MessageParser.content_length())
+          return *Length;
+        return std::nullopt;
+      });
+}
+
 bool HttpReader::keepAlive() const {
   return Parser_->visit(
       [](auto &MessageParser) { return MessageParser.keep_alive(); });
--- a/source/Transport/HttpReader.h
+++ b/source/Transport/HttpReader.h
@@ -6,7 +6,9 @@
 #include "Transport/HttpHead.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace amaranth::transport {
@@ -50,6 +52,9 @@
   std::size_t bodyBytes() const;
   /// Whether the connection may carry another message after this one.
   bool keepAlive() const;
+  /// The length of the body that the head states, if it does. Valid when
+  /// hasHead().
+  std::optional<std::uint64_t> statedLength() const;
   /// Whether the body's end is marked by a length or a last chunk.
   bool hasDelimitedBody() const;
   /// Whether any byte of the message has been consumed.
--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <fstream>
 #include <thread>
 
 using namespace amaranth;
@@ -26,6 +27,17 @@
          "Content-Length: 1000000000000000000\r\n\r\n";
 }
 
+/// Largest memory that \p Process has used, as the kernel reports it.
+std::size_t peakMemoryBytes(const ChildProcess &Process) {
+  std::ifstream File("/proc/" + std::to_string(Process.id()) + "/status");
+  std::string Word;
+  std::size_t Kilobytes = 0;
+  while (File >> Word)
+    if (Word == "VmHWM:")
+      File >> Kilobytes;
+  return Kilobytes * 1024;
+}
+
 } // namespace
 
 // Rule LOST. Guards against a process that ends, with all requests in progress,
@@ -81,3 +93,28 @@
   CHECK((Status == 502 || Status == 504));
   CHECK(Desk.requests() == 1);
 }
+
+// Rule LOST. Guards against a process that exceeds the memory of its machine
+// because an answer to a stage call is long and costly to decode.
+TEST_CASE("platform: a stage answer of nested lists does not fill the memory") {
+  constexpr std::size_t MachineMemory = 260ULL * 1024 * 1024;
+  constexpr std::size_t AnswerBytes = 15ULL * 1024 * 1024;
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  TargetDouble Faulty(
+      Store, "i-1", "stage",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        Connection.write(rawAnswer(200, validResponseFields(Request),
+                                   std::string(AnswerBytes, '[')));
+        return true;
+      });
+  PlatformFleet Fleet(Store, 1);
+  CHECK(Fleet
+            .call(0, platformRequest("POST", "/guide/1",
+                                     "Pieces: 1,1\r\nPiece-Key: k\r\n"))
+            .Status_ == 503);
+  CHECK(Faulty.requests() > 0);
+  std::size_t Peak = peakMemoryBytes(Fleet.process(0));
+  CHECK(Peak > 0);
+  CHECK(Peak < MachineMemory);
+}
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -264,6 +264,22 @@
   CHECK(MostBytes < BytesBefore + 4 * BudgetBytes);
 }
 
+// Guards against waiting until the deadline for an answer that will be too
+// large to be used.
+TEST_CASE(
+    "target exchange: a stated length over the limit is refused at once") {
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+                     "Content-Length: 100000000\r\n\r\nx");
+    Connection.readToEnd();
+  });
+  SteadyTime StartTime = SteadyClock::now();
+  F.exchange("r1");
+  CHECK(F.State_ == ExchangeState::Unusable);
+  CHECK(SteadyClock::now() - StartTime < Seconds{3});
+}
+
 // Pattern: a target answers slowly but soundly, some bytes at a time. Guards
 // against a stall limit that cuts it before its deadline.
 TEST_CASE("target exchange: a slow answer is read to its end") {
