Test answers that are cut within their head

Report of other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body.

They cut a head with a length, with chunks and without framing after each of its bytes, for the exchanges of the platform and for the client of the product's own interface, and once for a whole host. A head that is not whole ends as a broken exchange, which is answered 502 or tried again.

LoopbackPeer moves to the tests of the transport layer, which now use it as well.

--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -121,6 +121,10 @@
           Connection.write(Whole.substr(0, Whole.size() - 2));
           return false;
         }
+        if (Mode == "cut within the head") {
+          Connection.write(Whole.substr(0, Whole.find("\r\n\r\n")));
+          return false;
+        }
         if (Mode == "unsigned")
           Whole = rawAnswer(
               200, "Request-Id: " + Request.field("Request-Id") + "\r\n", "x");
@@ -137,7 +141,7 @@
     CHECK(Answer.Status_ == 200);
     CHECK(Answer.Body_ == "done");
   }
-  for (const char *InvalidMode : {"cut", "unsigned"}) {
+  for (const char *InvalidMode : {"cut", "cut within the head", "unsigned"}) {
     Mode = InvalidMode;
     INFO(Mode);
     CHECK(Fleet.call(0, platformRequest("POST", "/order/1")).Status_ == 502);
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -1,5 +1,5 @@
 #include "Serving/TargetExchange.h"
-#include "Serving/LoopbackPeer.h"
+#include "Transport/LoopbackPeer.h"
 
 #include <catch2/catch.hpp>
 
@@ -11,6 +11,8 @@
 
 using namespace amaranth;
 using namespace amaranth::serving;
+using testing::LoopbackPeer;
+using testing::PeerConnection;
 using transport::Awaitable;
 
 namespace {
@@ -220,6 +222,26 @@
   CHECK(F.State_ == ExchangeState::Unusable);
 }
 
+// Rules MIXED, ORDER. Pattern: a target stops in the middle of its answer's
+// head and closes the connection. Guards against a caller that gets an answer
+// with an empty or short body that looks whole.
+TEST_CASE("target exchange: an answer cut within its head is broken") {
+  const std::string Framing =
+      GENERATE("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "");
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n" + Framing +
+                           "Response-Signature: s\r\n\r\n";
+  for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+    CAPTURE(Head.substr(0, Length));
+    Fixture F([&](PeerConnection &Connection) {
+      Connection.readHead();
+      Connection.write(Head.substr(0, Length));
+    });
+    F.exchange("r1");
+    CHECK(F.State_ == ExchangeState::Broken);
+    CHECK(F.Body_.empty());
+  }
+}
+
 // Pattern: servers in trouble send bytes without end, until the caller closes.
 // Guards against exchanges that read on for ever and against memory that grows
 // with what they read, also for many at once.
--- a/tests/Transport/HttpTest.cpp
+++ b/tests/Transport/HttpTest.cpp
@@ -1,5 +1,6 @@
 #include "Transport/HttpClient.h"
 #include "Transport/HttpServer.h"
+#include "Transport/LoopbackPeer.h"
 
 #include <catch2/catch.hpp>
 
@@ -147,3 +148,28 @@
   Server.stop();
   CHECK(SteadyClock::now() - StopStarted < Seconds{5});
 }
+
+// Pattern: a target stops in the middle of its answer's head and closes the
+// connection. Guards against a reply with an empty or short body that looks
+// whole.
+TEST_CASE("a reply cut within its head is a failure") {
+  const std::string Framing =
+      GENERATE("Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n", "");
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\n" + Framing + "Content-Type: text/plain\r\n\r\n";
+  for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+    CAPTURE(Head.substr(0, Length));
+    testing::LoopbackPeer Peer([&](testing::PeerConnection &Connection) {
+      Connection.readHead();
+      Connection.write(Head.substr(0, Length));
+    });
+    HttpClient Client({});
+    HttpCall Call;
+    Call.Address_ = Peer.address();
+    Call.Path_ = "/";
+    Call.Deadline_ = SteadyClock::now() + Seconds{5};
+    HttpOutcome Outcome = Client.call(Call);
+    CHECK_FALSE(Outcome.Ok_);
+    CHECK(Outcome.Failure_ == CallFailure::Reset);
+  }
+}
--- a/tests/Serving/LoopbackPeer.h
+++ b/tests/Transport/LoopbackPeer.h
@@ -1,7 +1,7 @@
 /// \file
 /// A target on a loopback port whose bytes a test determines.
-#ifndef AMARANTH_TESTS_SERVING_LOOPBACKPEER_H
-#define AMARANTH_TESTS_SERVING_LOOPBACKPEER_H
+#ifndef AMARANTH_TESTS_TRANSPORT_LOOPBACKPEER_H
+#define AMARANTH_TESTS_TRANSPORT_LOOPBACKPEER_H
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -15,7 +15,7 @@
 #include <string>
 #include <thread>
 
-namespace amaranth::serving {
+namespace amaranth::testing {
 
 /// A connection of a LoopbackPeer; used by one thread.
 class PeerConnection final {
@@ -126,6 +126,6 @@
   std::thread Thread_;
 };
 
-} // namespace amaranth::serving
+} // namespace amaranth::testing
 
 #endif
