Reuse the connection of a stage call only after its own answer

Cause: answers to stage calls name no request. The copy was recognised by its results, which had been reported before, but by then the exchange had given the connection back, although the answer to the call was still due on it. Each later call on that connection got the answer to the call before it, with new results, which nothing tells apart when both calls have as many pieces.

The exchange of a stage call now keeps its connection until the results of its answer are known to be new. After a copy, after an answer that cannot be read and after one without any result the connection is closed. A copy fails all pieces of its call: before, only those whose results were recognised.

Ruled out: an id on stage calls.

Test: "platform: a second copy of a stage answer mixes up no inputs".

--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -274,11 +274,13 @@
                         Running->ExpectedTime_ * Settings_.TimeoutFactor_ +
                         Settings_.TimeoutBase_;
   std::string Request = encodeCall(*Running);
+  TargetExchangeSettings Settings;
+  Settings.MaxBody_ =
+      MaxAnswerBytes + MaxAnswerBytesPerPiece * Running->Pieces_.size();
+  Settings.HoldsConnection_ = true;
   Context_.Health_.begin(Running->Target_.Id_);
   TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
-                          Context_.MessageBytes_, Running->Target_,
-                          MaxAnswerBytes +
-                              MaxAnswerBytesPerPiece * Running->Pieces_.size());
+                          Context_.MessageBytes_, Running->Target_, Settings);
   std::string NoRequestId;
   co_await Exchange.start(Request, NoRequestId, Deadline);
   recordLimit(Context_, Exchange);
@@ -307,6 +309,12 @@
     else
       Result = TargetResult::TargetFault;
   }
+  // After a copy, the answer to this call is still due on the connection, and
+  // an answer without results does not show whose it is.
+  if (isEarlierAnswer(Call, Outcomes))
+    Outcomes.clear();
+  else if (countOutcomes(Outcomes, PieceStatus::Completed) > 0)
+    Exchange.releaseConnection();
   Context_.Health_.end(Id, Result, NormalizedTime, Now);
   ServiceState &Service = Services_[Call.Service_];
   TargetState &State = Service.Targets_[Id];
@@ -335,6 +343,20 @@
   postStartCalls(Call.Service_);
 }
 
+bool StageDispatcher::isEarlierAnswer(
+    const RunningCall &Call, const std::vector<PieceOutcome> &Outcomes) {
+  const std::string &Target = Call.Target_.Id_;
+  const coordination::ResultLedger &Ledger = Services_[Call.Service_].Ledger_;
+  for (std::size_t I = 0; I < Outcomes.size(); ++I)
+    if (Outcomes[I].Status_ == PieceStatus::Completed &&
+        Ledger.wasReportedForOther(Target, Outcomes[I].Handle_,
+                                   pieceName(Call.Pieces_[I]))) {
+      LogEvent(LogLevel::Warn, "stage_answer_repeated").field("target", Target);
+      return true;
+    }
+  return false;
+}
+
 void StageDispatcher::recordYield(const RunningCall &Call,
                                   std::size_t Completed, Milliseconds Elapsed) {
   if (!Call.Saturated_ || Elapsed <= Milliseconds(0))
@@ -399,16 +421,6 @@
     const PieceOutcome &Outcome = Outcomes[I];
     switch (Outcome.Status_) {
     case PieceStatus::Completed:
-      // The answer to a call names no request, so that a late copy of an
-      // earlier answer shows only by its handles.
-      if (Service.Ledger_.wasReportedForOther(Target.Id_, Outcome.Handle_,
-                                              pieceName(CallPieces[I]))) {
-        LogEvent(LogLevel::Warn, "stage_answer_repeated")
-            .field("target", Target.Id_);
-        retryOrReport(Service, std::move(CallPieces[I]), PieceStatus::Failed,
-                      Reports);
-        break;
-      }
       Service.Ledger_.add(Target.Id_, Outcome.Handle_, pieceName(CallPieces[I]),
                           CallPieces[I].ResultBytes_,
                           Now + Call.Capacity_.ResultLifetime_);
@@ -480,8 +492,10 @@
     std::vector<std::string> Handles = std::move(State.HandlesToFree_);
     State.HandlesToFree_.clear();
     std::string Request = Context_.Edge_.freeResultsCall(Handles, Target.Id_);
+    TargetExchangeSettings Settings;
+    Settings.MaxBody_ = MaxAnswerBytes;
     TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
-                            Context_.MessageBytes_, Target, MaxAnswerBytes);
+                            Context_.MessageBytes_, Target, Settings);
     SteadyTime Deadline = SteadyClock::now() + Settings_.TimeoutBase_;
     std::string NoRequestId;
     co_await Exchange.start(Request, NoRequestId, Deadline);
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -118,6 +118,11 @@
   std::string encodeCall(const RunningCall &Call) const;
   /// Updates health, ledger and pieces from the answer or failure of a call.
   void finishCall(RunningCall &Call, TargetExchange &Exchange);
+  /// The answer to a call names no request, so that a copy of an earlier answer
+  /// shows only by its results. True if one of \p Outcomes has a result that
+  /// the target reported for another piece.
+  bool isEarlierAnswer(const RunningCall &Call,
+                       const std::vector<protocol::PieceOutcome> &Outcomes);
   /// Updates the yield of the service from a call that succeeded.
   void recordYield(const RunningCall &Call, std::size_t Completed,
                    Milliseconds Elapsed);
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -24,9 +24,10 @@
 TargetExchange::TargetExchange(TargetConnections &Connections,
                                const protocol::EdgeProtocol &Edge,
                                transport::ByteBudget &Budget,
-                               state::TargetRecord Target, std::size_t MaxBody)
+                               state::TargetRecord Target,
+                               TargetExchangeSettings Settings)
     : Connections_(Connections), Edge_(Edge), Target_(std::move(Target)),
-      Held_(Budget), MaxBody_(MaxBody) {}
+      Held_(Budget), Settings_(Settings) {}
 
 TargetExchange::~TargetExchange() {
   if (Link_)
@@ -46,7 +47,7 @@
     co_return State_;
   }
   State_ = ExchangeState::Broken;
-  Reader_ = newReader(MaxBody_);
+  Reader_ = newReader(Settings_.MaxBody_);
   LinkStatus Status = co_await Link_->write(Request);
   // After a reset or an end there may still be an answer: a target may answer
   // and close before it has read the whole request.
@@ -100,7 +101,7 @@
       co_return fail(Skipped);
     if (Reader_->state() != HttpReader::State::Complete)
       co_return reject();
-    Reader_ = newReader(MaxBody_);
+    Reader_ = newReader(Settings_.MaxBody_);
   }
   co_return reject();
 }
@@ -110,7 +111,7 @@
   std::size_t SkippedBytes = 0;
   while (Status == LinkStatus::Ok &&
          Reader_->state() == HttpReader::State::Body &&
-         SkippedBytes <= MaxBody_) {
+         SkippedBytes <= Settings_.MaxBody_) {
     SkippedBytes += Reader_->takeBody().size();
     Status = co_await Link_->readSome();
     Reader_->feed(Link_->input());
@@ -146,7 +147,7 @@
 
 Awaitable<ExchangeState> TargetExchange::readAll() {
   if (State_ == ExchangeState::Answering &&
-      Reader_->statedLength().value_or(0) > MaxBody_)
+      Reader_->statedLength().value_or(0) > Settings_.MaxBody_)
     co_return reject();
   while (State_ == ExchangeState::Answering)
     co_await readMore();
@@ -176,13 +177,20 @@
                                : ExchangeState::Complete;
   // A second copy of a refusal would be taken for the answer to the next
   // request, which may run meanwhile.
-  bool Reusable = Reader_->keepAlive() && Reader_->hasDelimitedBody() &&
-                  !Reply_.NotExecuted_ && !SkippedForeign_ &&
-                  Link_->input().empty() && Link_->isOpen();
-  if (Reusable)
-    Connections_.release(Target_.Id_, std::move(Link_), Reply_.KeepAlive_);
-  else
+  IsReusable_ = Reader_->keepAlive() && Reader_->hasDelimitedBody() &&
+                !Reply_.NotExecuted_ && !SkippedForeign_ &&
+                Link_->input().empty() && Link_->isOpen();
+  if (!IsReusable_) {
     Link_->close();
+    Link_ = nullptr;
+  } else if (!Settings_.HoldsConnection_) {
+    releaseConnection();
+  }
+}
+
+void TargetExchange::releaseConnection() {
+  if (IsReusable_ && Link_)
+    Connections_.release(Target_.Id_, std::move(Link_), Reply_.KeepAlive_);
   Link_ = nullptr;
 }
 
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -26,20 +26,25 @@
   TimedOut, ///< Like Broken, because the deadline passed.
 };
 
+/// How an exchange treats the answer.
+struct TargetExchangeSettings {
+  /// Limit for the part of the body that is held at once. An answer that would
+  /// exceed it is unusable.
+  std::size_t MaxBody_ = 16 * 1024 * 1024;
+  /// Keep the connection from other requests until releaseConnection(), because
+  /// only the body shows whether the answer is that of this request.
+  bool HoldsConnection_ = false;
+};
+
 /// Sends one request and reads its answer. Skips foreign answers: late answers
 /// to other requests that arrive on the same connection.
 class TargetExchange final {
 public:
-  /// Limit for the part of an answer's body that is held at once.
-  static constexpr std::size_t DefaultMaxBody = 16 * 1024 * 1024;
-
-  /// Bytes of the answer count against \p Budget while they are held. An
-  /// answer of which more than \p MaxBody bytes would have to be held at once
-  /// is unusable.
+  /// Bytes of the answer count against \p Budget while they are held.
   TargetExchange(TargetConnections &Connections,
                  const protocol::EdgeProtocol &Edge,
                  transport::ByteBudget &Budget, state::TargetRecord Target,
-                 std::size_t MaxBody = DefaultMaxBody);
+                 TargetExchangeSettings Settings = {});
   ~TargetExchange();
 
   /// Sends \p Request and reads the head of the answer, which must name
@@ -52,6 +57,9 @@
   /// given up at once.
   transport::Awaitable<ExchangeState> readAll();
 
+  /// Gives a held connection to later requests, if it can carry any.
+  void releaseConnection();
+
   /// Resets the connection, so that the target does not get the part of the
   /// request that is still on its way; operations in progress end as Broken.
   void stop();
@@ -84,7 +92,7 @@
   const protocol::EdgeProtocol &Edge_;
   state::TargetRecord Target_;
   transport::ByteReservation Held_;
-  std::size_t MaxBody_;
+  TargetExchangeSettings Settings_;
   std::string RequestId_;
   std::shared_ptr<transport::TcpLink> Link_;
   std::unique_ptr<transport::HttpReader> Reader_;
@@ -92,6 +100,7 @@
   std::string Body_;
   ExchangeState State_ = ExchangeState::NotSent;
   bool SkippedForeign_ = false; ///< A foreign answer arrived on the connection.
+  bool IsReusable_ = false;     ///< The connection can carry another request.
   bool Stopped_ = false;
 };
 
--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <fstream>
+#include <mutex>
 #include <thread>
 
 using namespace amaranth;
@@ -118,3 +119,68 @@
   CHECK(Peak > 0);
   CHECK(Peak < MachineMemory);
 }
+
+// Rule MIXED. Pattern: a stage target sends one answer a second time, late,
+// when its connection is in use again. Guards against an engine that is given
+// the results of other requests, by this call or by later ones on the
+// connection.
+TEST_CASE("platform: a second copy of a stage answer mixes up no inputs") {
+  constexpr int CopiedAnswer = 10;
+  constexpr int CallerCount = 8;
+  StoreDouble Store;
+  nlohmann::json Configuration = platformConfiguration();
+  // Calls with equal numbers of pieces cannot be told apart by their answers.
+  Configuration["services"][2]["pieces"]["batch"] = 1;
+  Store.put("op/config", Configuration);
+  std::mutex Mutex;
+  int StageCalls = 0;
+  int Copies = 0;
+  std::string Copy;
+  std::unique_ptr<TargetDouble> Stage;
+  Stage = std::make_unique<TargetDouble>(
+      Store, "i-1", "stage",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        if (Request.path() != "/amaranthcourse/stage-run") {
+          // Keeps calls that free results on a connection of their own.
+          std::this_thread::sleep_for(Milliseconds{500});
+          return answerStageCall(Connection, Request, Stage->address());
+        }
+        std::string Answer = stageAnswer(Request, Stage->address());
+        std::string Repeated;
+        {
+          std::lock_guard Lock(Mutex);
+          std::swap(Repeated, Copy);
+          if (++StageCalls == CopiedAnswer)
+            Copy = Answer;
+        }
+        Copies += !Repeated.empty();
+        Connection.write(Repeated);
+        std::this_thread::sleep_for(Milliseconds{20});
+        Connection.write(Answer);
+        return true;
+      });
+  std::atomic<int> Prompts{0};
+  std::atomic<int> MixedInputs{0};
+  TargetDouble Engine(
+      Store, "i-2", "engine",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        ++Prompts;
+        if (Request.field("Inputs").find(Request.field("Request-Id")) ==
+            std::string::npos)
+          ++MixedInputs;
+        return streamAll(Connection, Request);
+      });
+  PlatformFleet Fleet(Store, 1);
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < CallerCount; ++I)
+    Callers.emplace_back([&] {
+      for (int Calls = 0; Calls < 6; ++Calls)
+        Fleet.call(0, platformRequest("POST", "/guide/1",
+                                      "Pieces: 1,1\r\nPiece-Key: k\r\n"));
+    });
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(Copies == 1);
+  CHECK(Prompts > CallerCount);
+  CHECK(MixedInputs == 0);
+}
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -144,8 +144,9 @@
   return true;
 }
 
-bool answerStageCall(RawServerConnection &Connection, const RawRequest &Request,
-                     const std::string &Address) {
+std::string stageAnswer(const RawRequest &Request, const std::string &Address) {
+  // A result that is made again has another handle.
+  static std::atomic<int> LastResult{0};
   json Results = json::array();
   if (Request.path() == "/amaranthcourse/stage-run") {
     json Call = json::parse(Request.Body_);
@@ -153,9 +154,15 @@
       Results.push_back(
           {{"handle", Address + "/" + Item.at("id").get<std::string>() + "-" +
                           Item.at("stage").dump() + "-" +
-                          Item.at("piece").dump()}});
+                          Item.at("piece").dump() + "-" +
+                          std::to_string(++LastResult)}});
   }
-  Connection.write(rawAnswer(200, "", json{{"items", Results}}.dump()));
+  return rawAnswer(200, "", json{{"items", Results}}.dump());
+}
+
+bool answerStageCall(RawServerConnection &Connection, const RawRequest &Request,
+                     const std::string &Address) {
+  Connection.write(stageAnswer(Request, Address));
   return true;
 }
 
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -56,6 +56,8 @@
 bool streamAll(RawServerConnection &Connection, const RawRequest &Request);
 /// Resets the connection without an answer.
 bool resetWithoutAnswer(RawServerConnection &Connection, const RawRequest &);
+/// The answer to a stage call that answerStageCall() sends.
+std::string stageAnswer(const RawRequest &Request, const std::string &Address);
 /// Answers a stage call with a result handle for every piece, which is one unit
 /// of a stage's work for a request.
 bool answerStageCall(RawServerConnection &Connection, const RawRequest &Request,
