--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -26,7 +26,7 @@
 constexpr Milliseconds FullTargetPause{120};
 
 /// Limits for the answers to calls, far above what sound targets send: decoding
-/// an answer can take a hundred times its memory.
+/// an answer can take eighty times its size in memory.
 constexpr std::size_t MaxAnswerBytes = 16 * 1024;
 constexpr std::size_t MaxAnswerBytesPerPiece = 1024;
 
