Remember that an input was refused when its crashes are forgotten

Cause: a reset that no host has confirmed as a crash counts for 30 s. While the input is refused there is no new evidence, so that its count falls to zero and three more targets crash before it is refused again.

An input that was refused before is now refused by its next crash, and each time for twice as long. A completion, also on a target of its trial, clears it.

Weighed: keeping the three resets for as long as confirmed crashes. A sound input that is asked for often would stay refused for ten minutes after the connections of three targets were reset.

--- a/source/Coordination/SuspectRegistry.cpp
+++ b/source/Coordination/SuspectRegistry.cpp
@@ -10,6 +10,8 @@
 
 /// Minimum time between two removals of all expired crashes.
 constexpr Seconds ExpiryCheckPeriod{1};
+/// Bounds how often the time for which an input is refused is doubled.
+constexpr int MaxDoublings = 16;
 
 } // namespace
 
@@ -23,11 +25,26 @@
   const Entry *Suspect = find(Digest, Now);
   if (!Suspect || isExplainedByRefused(*Suspect, Now))
     return InputStatus::Clear;
-  if (Suspect->Crashes_.size() < Settings_.CrashLimit_)
+  if (!isAtCrashLimit(*Suspect))
     return InputStatus::Suspect;
   return isInnocent(*Suspect, Now) ? InputStatus::Clear : InputStatus::Refused;
 }
 
+bool SuspectRegistry::isAtCrashLimit(const Entry &Suspect) const {
+  std::size_t Limit = Suspect.Refusals_ > 0 ? 1 : Settings_.CrashLimit_;
+  return Suspect.Crashes_.size() >= Limit;
+}
+
+void SuspectRegistry::refuse(Entry &Suspect, SteadyTime Now) {
+  Milliseconds Lifetime =
+      std::min(Settings_.ConfirmedLifetime_,
+               Settings_.UnconfirmedLifetime_ * (1 << Suspect.Refusals_));
+  Suspect.Refusals_ = std::min(Suspect.Refusals_ + 1, MaxDoublings);
+  for (auto &[Target, Details] : Suspect.Crashes_)
+    Details.Expiry_ = std::max(Details.Expiry_, Now + Lifetime);
+  Suspect.RefusalsExpiry_ = Now + Lifetime + Settings_.ConfirmedLifetime_;
+}
+
 bool SuspectRegistry::sharesAllCrashes(const Entry &Subject, const Entry &Other,
                                        SteadyTime Now) {
   return std::all_of(
@@ -41,7 +58,7 @@
                                            SteadyTime Now) const {
   return std::any_of(Inputs_.begin(), Inputs_.end(), [&](const auto &Item) {
     const Entry &Other = Item.second;
-    return Other.Crashes_.size() >= Settings_.CrashLimit_ &&
+    return isAtCrashLimit(Other) &&
            Other.Crashes_.size() > Subject.Crashes_.size() &&
            sharesAllCrashes(Subject, Other, Now);
   });
@@ -122,15 +139,18 @@
   SuspectInput Message;
   {
     std::lock_guard Lock(Mutex_);
-    Entry *Suspect = find(Digest, Settings_.Now_());
-    if (!Suspect)
+    find(Digest, Settings_.Now_());
+    auto Found = Inputs_.find(Digest);
+    if (Found == Inputs_.end())
       return;
+    Entry *Suspect = &Found->second;
     const auto &Crashes = Suspect->Crashes_;
+    bool IsTrial = Crashes.empty();
     bool CrashedOtherTargets = Crashes.size() > Crashes.count(Target);
     auto CrashOfTarget = Crashes.find(Target);
     bool OnlyReset =
         CrashOfTarget != Crashes.end() && !CrashOfTarget->second.Confirmed_;
-    if (!CrashedOtherTargets && !OnlyReset)
+    if (!CrashedOtherTargets && !OnlyReset && !IsTrial)
       return;
     Message = toMessage(Digest, *Suspect);
     Message.Cleared_ = true;
@@ -189,7 +209,8 @@
                 [Now](const auto &Item) { return Item.second.Expiry_ <= Now; });
   if (!Found->second.Crashes_.empty())
     return &Found->second;
-  Inputs_.erase(Found);
+  if (Found->second.RefusalsExpiry_ <= Now)
+    Inputs_.erase(Found);
   return nullptr;
 }
 
@@ -201,8 +222,9 @@
     std::erase_if(Suspect.Crashes_, [Now](const auto &Item) {
       return Item.second.Expiry_ <= Now;
     });
-  std::erase_if(Inputs_,
-                [](const auto &Item) { return Item.second.Crashes_.empty(); });
+  std::erase_if(Inputs_, [Now](const auto &Item) {
+    return Item.second.Crashes_.empty() && Item.second.RefusalsExpiry_ <= Now;
+  });
 }
 
 void SuspectRegistry::addCrash(const std::string &Digest,
@@ -223,6 +245,7 @@
     Inputs_.erase(NextToExpire);
   }
   Entry &Suspect = Inputs_[Digest];
+  bool WasAtCrashLimit = isAtCrashLimit(Suspect);
   Suspect.LongestRun_ = std::max(Suspect.LongestRun_, RunTime);
   Crash &Details = Suspect.Crashes_[Target];
   Details.Time_ = Settings_.Now_();
@@ -230,6 +253,9 @@
   auto Lifetime = Details.Confirmed_ ? Settings_.ConfirmedLifetime_
                                      : Settings_.UnconfirmedLifetime_;
   Details.Expiry_ = std::max(Details.Expiry_, Details.Time_ + Lifetime);
+  if (!WasAtCrashLimit && isAtCrashLimit(Suspect) &&
+      !isInnocent(Suspect, Details.Time_))
+    refuse(Suspect, Details.Time_);
 }
 
 SuspectInput SuspectRegistry::toMessage(const std::string &Digest,
--- a/source/Coordination/SuspectRegistry.h
+++ b/source/Coordination/SuspectRegistry.h
@@ -19,14 +19,16 @@
   /// Time source; a simulation replaces it.
   std::function<SteadyTime()> Now_ = [] { return SteadyClock::now(); };
   /// How long a reset connection counts while the target is not known to have
-  /// crashed.
+  /// crashed. Doubled each time that the input is refused again.
   Milliseconds UnconfirmedLifetime_{30000};
   /// How long a confirmed crash counts: one after which the target refused
   /// connections.
   Milliseconds ConfirmedLifetime_{600000};
   /// Bound on remembered inputs; the input nearest to expiry is evicted first.
   std::size_t MaxInputs_ = 4096;
-  std::size_t CrashLimit_ = 2; ///< Crashes after which an input is refused.
+  /// Crashes after which an input is refused. One is enough for an input that
+  /// was refused before and has not completed since.
+  std::size_t CrashLimit_ = 2;
   /// An input is taken as innocent if, when the targets that it shared with
   /// another input crashed, it had run for more than this factor times the run
   /// of the other, plus the margin. The margin covers the time between the
@@ -72,6 +74,9 @@
 /// They therefore only save an input from waiting and from being refused; until
 /// it has reached the crash limit it stays at its two candidates, on which all
 /// hosts agree.
+/// Resets that no host has confirmed as crashes are forgotten after a while, so
+/// that a sound input is not refused for long. An input that was refused is
+/// then tried again: it is refused by its next crash, for twice as long.
 /// Thread-safe.
 class SuspectRegistry final {
 public:
@@ -116,10 +121,16 @@
   struct Entry {
     std::map<std::string, Crash> Crashes_; ///< By target name.
     Milliseconds LongestRun_{0};           ///< Longest run time at a crash.
+    int Refusals_ = 0; ///< How often it reached the crash limit.
+    /// When the refusals are forgotten.
+    SteadyTime RefusalsExpiry_{};
   };
 
   /// The entry of \p Digest without its expired crashes, or null.
   Entry *find(const std::string &Digest, SteadyTime Now);
+  bool isAtCrashLimit(const Entry &Suspect) const;
+  /// Refuses \p Suspect once more, for longer than before.
+  void refuse(Entry &Suspect, SteadyTime Now);
   /// True if another input is the likelier cause of all crashes of \p Subject.
   bool isInnocent(const Entry &Subject, SteadyTime Now) const;
   /// True if an input that is refused explains all crashes of \p Subject.
--- a/tests/Coordination/SuspectRegistryTest.cpp
+++ b/tests/Coordination/SuspectRegistryTest.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace amaranth;
 using namespace amaranth::coordination;
 
@@ -24,8 +28,76 @@
   SuspectRegistry Registry_{settings()};
 };
 
+/// Hosts that report every change of their registries to each other.
+class ReportingHosts final : public SuspectListener {
+public:
+  explicit ReportingHosts(std::size_t Count) {
+    SuspectRegistrySettings Settings;
+    Settings.Now_ = [this] { return Now_; };
+    Settings.CrashLimit_ = 3;
+    for (std::size_t I = 0; I < Count; ++I)
+      Registries_.push_back(std::make_unique<SuspectRegistry>(Settings, this));
+  }
+
+  SuspectRegistry &host(std::size_t Index) {
+    Sender_ = Registries_[Index % Registries_.size()].get();
+    return *Sender_;
+  }
+
+  SteadyTime Now_{Seconds{1000}};
+
+private:
+  void onSuspectChanged(const protocol::SuspectInput &Suspect) override {
+    for (auto &Registry : Registries_)
+      if (Registry.get() != Sender_)
+        Registry->merge(Suspect);
+  }
+
+  std::vector<std::unique_ptr<SuspectRegistry>> Registries_;
+  SuspectRegistry *Sender_ = nullptr; ///< Calls the listener.
+};
+
 } // namespace
 
+// Rule BUDGET. Pattern: an input that crashes every target that runs it comes
+// every 1.5 s, at three hosts in turn; no host finds a crashed target to refuse
+// connections. Guards against sending it out to the crash limit again each time
+// that the resets are forgotten.
+TEST_CASE("an input that was refused is tried again rarely, once at a time") {
+  ReportingHosts Hosts(3);
+  const SteadyTime Start = Hosts.Now_;
+  int Crashes = 0;
+  int CrashesWithin100s = 0;
+  for (std::size_t Arrival = 0; Hosts.Now_ < Start + Seconds{600}; ++Arrival) {
+    SuspectRegistry &Host = Hosts.host(Arrival);
+    if (Host.inputStatus("x") != InputStatus::Refused)
+      Host.onConnectionReset("x", "target-" + std::to_string(++Crashes), Short);
+    if (Hosts.Now_ < Start + Seconds{100})
+      CrashesWithin100s = Crashes;
+    Hosts.Now_ += Milliseconds{1500};
+  }
+  // Three crashes refuse it; three more may follow.
+  CHECK(CrashesWithin100s <= 3 + 3);
+  CHECK(Crashes <= 3 + 5);
+}
+
+// Guards against a sound input that one reset refuses for ever longer, because
+// resets of other causes had refused it before.
+TEST_CASE("an input that completes after it was refused is cleared") {
+  ReportingHosts Hosts(2);
+  for (const char *Target : {"a", "b", "c"})
+    Hosts.host(0).onConnectionReset("x", Target, Short);
+  CHECK(Hosts.host(0).inputStatus("x") == InputStatus::Refused);
+  CHECK(Hosts.host(1).inputStatus("x") == InputStatus::Refused);
+  Hosts.Now_ += Seconds{31};
+  CHECK(Hosts.host(0).inputStatus("x") == InputStatus::Clear);
+  Hosts.host(0).onCompleted("x", "d");
+  for (std::size_t Host : {0U, 1U}) {
+    Hosts.host(Host).onConnectionReset("x", "e", Short);
+    CHECK(Hosts.host(Host).inputStatus("x") != InputStatus::Refused);
+  }
+}
+
 // Guards against an input that stays refused because of resets by targets that
 // did not crash, and against forgetting a crash as early as a mere reset.
 TEST_CASE("a reset counts for a bounded time and a crash for longer") {
