Count the requests of a test before they are answered

The target's thread counted a request after it had written the answer, so that the test could compare the count before. With a pause of 50 ms between the two it fails each time (trial); nothing in the product takes part. The count is now atomic and precedes the answer; the check is the same. A counter of the new test of stage answers is made atomic too.

--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -134,7 +134,7 @@
   Store.put("op/config", Configuration);
   std::mutex Mutex;
   int StageCalls = 0;
-  int Copies = 0;
+  std::atomic<int> Copies{0};
   std::string Copy;
   std::unique_ptr<TargetDouble> Stage;
   Stage = std::make_unique<TargetDouble>(
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <atomic>
 #include <fstream>
 #include <optional>
 #include <unistd.h>
@@ -184,16 +185,16 @@
 // that is in use again. Guards against a caller that gets an answer to another
 // request.
 TEST_CASE("target exchange: a late copy is not the next request's answer") {
-  int Requests = 0;
+  std::atomic<int> Requests = 0;
   Fixture F([&](PeerConnection &Connection) {
     std::string Copy;
     for (std::string Head = Connection.readHead(); !Head.empty();
          Head = Connection.readHead()) {
       std::string Id = Head.substr(Head.find("Request-Id: ") + 12, 2);
       std::string Own = answer(Id, "body of " + Id);
+      ++Requests;
       Connection.write(Copy + Own);
       Copy = Own;
-      ++Requests;
     }
   });
   for (const char *Id : {"r1", "r2", "r3"}) {
