Make fewer calls to the store at a start and while it is away

A count by kind showed 632 watches at the start of the fleet, because every host elects itself before its peers have connected, and some 1,700 reads while the store is down and when it returns: up to 32 hosts take turns to look for it, and each host that has looked goes on to retry, also when it is no watcher any more.

A host takes part in the election 0.4 s after its start. An inactive follower that has read its prefix once makes no calls. The number of watchers grows only while there are hosts that the store is expected to answer; when it answers none of them, four look for it. A host that finds it tells its peers at once.

Ruled out: registration and leases (87 x 2 calls and 957 renewals at a tenth of the price). A delay of 1 s before the first election left a target that leaves right after the start unseen for longer than "platform: a leaving target gets no new request" allows.

The tests fail without the change: the inactive follower reads on, 32 hosts watch, an activated follower counts as cut off.

--- a/source/Coordination/Store/WatcherElection.cpp
+++ b/source/Coordination/Store/WatcherElection.cpp
@@ -35,12 +35,20 @@
   }
   if (!UnreadSince_)
     UnreadSince_ = Now;
+  // Only hosts that the store is expected to answer can find it. If it answered
+  // none of them lately, a few watchers notice its return.
+  auto Expected = static_cast<std::size_t>(
+      std::count_if(Candidates.begin(), Candidates.end(),
+                    [](const WatcherCandidate &Candidate) {
+                      return Candidate.StoreConnected_;
+                    }));
+  std::size_t MaxCount =
+      std::clamp(Expected, Settings_.Watchers_, Settings_.MaxWatchers_);
   std::size_t Count = Settings_.Watchers_;
   for (SteadyTime At = *UnreadSince_ + Settings_.DoublingPeriod_;
-       At <= Now && Count < Settings_.MaxWatchers_;
-       At += Settings_.DoublingPeriod_)
+       At <= Now && Count < MaxCount; At += Settings_.DoublingPeriod_)
     Count *= 2;
-  return std::min(Count, Settings_.MaxWatchers_);
+  return std::min(Count, MaxCount);
 }
 
 bool WatcherElection::isWatcher(const std::string &Host,
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -335,10 +335,10 @@
   acceptCallersWhenReady();
 }
 
-void EntryHost::onStoreConnected(const std::string &Prefix, bool Connected) {
-  // Peers then elect other watchers at once.
-  if (!Connected)
-    announceState();
+void EntryHost::onStoreConnected(const std::string &Prefix,
+                                 bool /*Connected*/) {
+  // Peers then elect other watchers, or stop looking for one, at once.
+  announceState();
   if (Prefix == Codec_.targetPrefix())
     updateStoreState();
 }
--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -20,8 +20,11 @@
 void StoreFollower::start() { transport::startTask(Loop_, follow()); }
 
 void StoreFollower::setActive(bool Active) {
-  if (Active && !Active_)
+  if (Active && !Active_) {
+    // Until its first call ends, so that its host stays elected meanwhile.
+    Connected_ = true;
     Activated_.notify();
+  }
   Active_ = Active;
   UpToDate_ = UpToDate_ && Active;
 }
@@ -43,20 +46,24 @@
     StoreItems Current = co_await Store_.range(Prefix);
     if (Current.Status_ != StoreStatus::Ok) {
       setConnected(false);
+      if (HasItems_ && !Active_) {
+        co_await waitUntilActive();
+        RetryDelay = Settings_.MinRetryDelay_;
+        continue;
+      }
       co_await transport::pause(Loop_, RetryDelay);
       RetryDelay = std::min(RetryDelay * 2, Settings_.MaxRetryDelay_);
       continue;
     }
     RetryDelay = Settings_.MinRetryDelay_;
+    HasItems_ = true;
     setConnected(true);
     Listener_.onStoreRange(Settings_.Prefix_, Current.Items_,
                            Current.Revision_);
     UpToDate_ = Active_;
     StoreStatus WatchEnd = co_await watch(Current.Revision_);
     if (WatchEnd == StoreStatus::Ok) {
-      // Other hosts watch and relay the changes to this one.
-      SteadyTime NoDeadline = SteadyTime::max();
-      co_await Activated_.wait(NoDeadline);
+      co_await waitUntilActive();
       continue;
     }
     if (WatchEnd != StoreStatus::Compacted)
@@ -67,6 +74,11 @@
   }
 }
 
+Awaitable<void> StoreFollower::waitUntilActive() {
+  SteadyTime NoDeadline = SteadyTime::max();
+  co_await Activated_.wait(NoDeadline);
+}
+
 Awaitable<StoreStatus> StoreFollower::watch(std::uint64_t Revision) {
   while (Active_) {
     std::string Prefix = Settings_.Prefix_;
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -46,9 +46,11 @@
                 StoreListener &Listener, StoreFollowerSettings Settings);
 
   void start();
-  /// Whether to watch. The prefix is read once even when inactive.
+  /// Whether to watch. The prefix is read once even when inactive. After that,
+  /// an inactive follower makes no calls, also while the store does not answer:
+  /// other hosts watch and relay the changes.
   void setActive(bool Active);
-  /// Whether the store answered the last call.
+  /// Whether the store answered the last call since the activation.
   bool connected() const { return Connected_; }
   /// Whether the listener has all items and gets their changes.
   bool isUpToDate() const { return UpToDate_; }
@@ -58,6 +60,7 @@
   /// Watches for changes after a revision. Returns why the watch cannot
   /// continue, or Ok when this follower was made inactive.
   transport::Awaitable<protocol::StoreStatus> watch(std::uint64_t Revision);
+  transport::Awaitable<void> waitUntilActive();
   void setConnected(bool Connected);
 
   transport::Loop &Loop_;
@@ -65,9 +68,10 @@
   StoreListener &Listener_;
   StoreFollowerSettings Settings_;
   transport::Wakeup Activated_;
-  bool Active_ = true;
+  bool Active_ = false;
   bool Connected_ = false;
   bool UpToDate_ = false;
+  bool HasItems_ = false; ///< The prefix has been read once.
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/StoreReplica.cpp
+++ b/source/Serving/StoreReplica.cpp
@@ -19,6 +19,10 @@
 /// Time after which a host that the store did not answer is a candidate for
 /// watching again.
 constexpr Milliseconds StoreRetryDelay{5000};
+/// A host that starts has read the store, and takes part in the election once
+/// its peers have had this time to connect. Without the delay, all hosts of a
+/// fleet that starts would elect themselves.
+constexpr Milliseconds FirstElectionDelay{400};
 
 } // namespace
 
@@ -37,6 +41,7 @@
 }
 
 void StoreReplica::start() {
+  StartedAt_ = SteadyClock::now();
   for (FollowedPrefix &Followed : FollowedPrefixes_)
     Followed.Follower_->start();
 }
@@ -50,6 +55,8 @@
 }
 
 void StoreReplica::electWatchers() {
+  if (SteadyClock::now() - StartedAt_ < FirstElectionDelay)
+    return;
   std::vector<coordination::WatcherCandidate> Candidates;
   const std::string &OwnHost = Context_.Settings_.Host_;
   Candidates.push_back({OwnHost, storeConnected(),
--- a/source/Serving/StoreReplica.h
+++ b/source/Serving/StoreReplica.h
@@ -86,7 +86,8 @@
   StoreReplicaListener &Listener_;
   std::vector<FollowedPrefix> FollowedPrefixes_;
   coordination::WatcherElection WatcherElection_;
-  bool Watching_ = true;
+  SteadyTime StartedAt_{};
+  bool Watching_ = false;
   /// Time at which the store last stopped answering.
   std::optional<SteadyTime> LastStoreFailure_;
   /// Time since which the records of a host differ from this host's, by host.
--- a/tests/Coordination/Store/WatcherElectionTest.cpp
+++ b/tests/Coordination/Store/WatcherElectionTest.cpp
@@ -151,3 +151,18 @@
   Fleet[0].ReadsStore_ = true;
   CHECK(CountWatchers(Start + Seconds{61}) == 4);
 }
+
+// Guards against retries by many hosts during an outage of the store: they cost
+// calls and find nothing.
+TEST_CASE("watcher election: few hosts watch a store that answers none") {
+  std::vector<WatcherCandidate> Fleet = fleet(87);
+  for (WatcherCandidate &Candidate : Fleet)
+    Candidate.StoreConnected_ = false;
+  std::size_t Watchers = 0;
+  for (const WatcherCandidate &Candidate : Fleet) {
+    WatcherElection Election;
+    Election.isWatcher(Candidate.Host_, Fleet, Start);
+    Watchers += Election.isWatcher(Candidate.Host_, Fleet, Start + Seconds{6});
+  }
+  CHECK(Watchers == 4);
+}
--- /dev/null
+++ b/tests/Serving/StoreFollowerTest.cpp
@@ -0,0 +1,115 @@
+#include "Serving/StoreFollower.h"
+
+#include <catch2/catch.hpp>
+
+using namespace amaranth;
+using namespace amaranth::protocol;
+using namespace amaranth::serving;
+using transport::Awaitable;
+
+namespace {
+
+/// A store that counts its calls and can be unavailable.
+struct CountingStore final : PlatformStore {
+  explicit CountingStore(transport::Loop &Executor) : Loop_(Executor) {}
+
+  Awaitable<StoreItems> range(std::string) override {
+    ++Ranges_;
+    StoreItems Items;
+    Items.Status_ = Status_;
+    co_return Items;
+  }
+  Awaitable<StoreItems> watch(std::string, std::uint64_t,
+                              Milliseconds) override {
+    ++Watches_;
+    Milliseconds WatchTime{2};
+    co_await transport::pause(Loop_, WatchTime);
+    StoreItems Changes;
+    Changes.Status_ = Status_;
+    co_return Changes;
+  }
+  Awaitable<StoreLease> grantLease(Milliseconds) override {
+    co_return StoreLease{};
+  }
+  Awaitable<StoreStatus> keepLease(std::uint64_t) override {
+    co_return StoreStatus::Ok;
+  }
+  Awaitable<StoreStatus> endLease(std::uint64_t) override {
+    co_return StoreStatus::Ok;
+  }
+  Awaitable<StoreStatus> put(std::string, std::string, std::uint64_t) override {
+    co_return StoreStatus::Ok;
+  }
+
+  transport::Loop &Loop_;
+  StoreStatus Status_ = StoreStatus::Ok;
+  int Ranges_ = 0;
+  int Watches_ = 0;
+};
+
+struct FollowingHost final : StoreListener {
+  explicit FollowingHost(StoreStatus Status = StoreStatus::Ok) {
+    Store_.Status_ = Status;
+    Follower_.start();
+    run();
+  }
+  static StoreFollowerSettings testSettings() {
+    StoreFollowerSettings Settings;
+    Settings.Prefix_ = "op/";
+    Settings.MinRetryDelay_ = Milliseconds{2};
+    Settings.MaxRetryDelay_ = Milliseconds{2};
+    return Settings;
+  }
+  void onStoreRange(const std::string &, const std::vector<StoreItem> &,
+                    std::uint64_t) override {}
+  void onStoreChanges(const std::string &,
+                      const std::vector<StoreItem> &) override {}
+  void onStoreConnected(const std::string &, bool) override {}
+  void run() { Loop_.run_for(Milliseconds{30}); }
+
+  transport::Loop Loop_;
+  CountingStore Store_{Loop_};
+  StoreFollower Follower_{Loop_, Store_, *this, testSettings()};
+};
+
+} // namespace
+
+// Guards against calls by all hosts of a fleet at its start and while the store
+// is away; those of the watchers are enough.
+TEST_CASE("store follower: an inactive follower reads once") {
+  FollowingHost Host;
+  CHECK(Host.Store_.Ranges_ == 1);
+  CHECK(Host.Store_.Watches_ == 0);
+
+  Host.Follower_.setActive(true);
+  Host.run();
+  CHECK(Host.Store_.Ranges_ == 2);
+  CHECK(Host.Store_.Watches_ > 1);
+
+  Host.Store_.Status_ = StoreStatus::Unavailable;
+  Host.run();
+  CHECK_FALSE(Host.Follower_.connected());
+  Host.Follower_.setActive(false);
+  Host.run();
+  int RangesBefore = Host.Store_.Ranges_;
+  Host.run();
+  CHECK(Host.Store_.Ranges_ == RangesBefore);
+}
+
+// Guards against a host that is left without records because the store did not
+// answer its first call.
+TEST_CASE("store follower: the first read is repeated until it is answered") {
+  FollowingHost Host(StoreStatus::Unavailable);
+  CHECK(Host.Store_.Ranges_ > 3);
+}
+
+// Guards against a flapping election: a host whose call has not ended yet would
+// count as one that the store does not answer.
+TEST_CASE("store follower: an activated follower counts as connected") {
+  FollowingHost Host;
+  Host.Store_.Status_ = StoreStatus::Unavailable;
+  Host.Follower_.setActive(true);
+  CHECK(Host.Follower_.connected());
+  Host.run();
+  CHECK_FALSE(Host.Follower_.connected());
+}
