Send nothing to targets that leave or want no requests

Cause: the hosts read neither Server-Leaving nor the Retry-After of a target's refusal, so that requests, stage calls and calls that free results still reached such targets.

The codec reads both, and Cold-Ms; TargetNotices keeps them by incarnation. A request whose targets all want nothing waits for the first if that is in time, and is refused at once with the time to come back otherwise. Results at such a target are freed afterwards, those at leaving or evacuated ones expire. A target without an incarnation whose record was removed and returns counts as a new registration. Invalid statements, in answers and in records, are logged once for each target, counted and ignored: an invalid limit no longer ends the known one. A huge wait is bounded.

Tests: "target notices: ..." (4), "edge codec: what a target states about new requests", "platform: a target that states that it leaves gets no request", "platform: a target that wants nothing gets no request meanwhile", "platform: requests wait for the only target".

--- a/source/Coordination/Targets/TargetNotices.cpp
+++ b/source/Coordination/Targets/TargetNotices.cpp
@@ -126,14 +126,23 @@
 void TargetNotices::onRecord(const TargetRecord &Record, SteadyTime Now) {
   Entry &Known = Entries_[Record.Id_];
   // Another incarnation may have a lower number, if a clock was set back.
-  if (Known.Incarnation_ != Record.Incarnation_)
+  bool IsNew = Known.Incarnation_ != Record.Incarnation_ ||
+               (Known.IsMissing_ && Record.Incarnation_ == 0);
+  if (IsNew)
     Known = Entry();
+  Known.IsMissing_ = false;
   Known.Incarnation_ = Record.Incarnation_;
   Known.IsRegistered_ = true;
   if (Record.WarmUpRemaining_ > Milliseconds(0) || Known.Cold_)
     setCold(Known, Record.WarmUpRemaining_, Source::Record, Now);
 }
 
+void TargetNotices::onMissing(const std::string &Id) {
+  auto Found = Entries_.find(Id);
+  if (Found != Entries_.end())
+    Found->second.IsMissing_ = true;
+}
+
 void TargetNotices::onRemoved(const std::string &Id) { Entries_.erase(Id); }
 
 bool TargetNotices::setEvacuated(const std::string &DataCentre,
--- a/source/Coordination/Targets/TargetNotices.h
+++ b/source/Coordination/Targets/TargetNotices.h
@@ -78,6 +78,10 @@
   void onPeer(const protocol::TargetNotice &Notice, SteadyTime Now);
   /// Records that the store holds \p Record, new or changed.
   void onRecord(const state::TargetRecord &Record, SteadyTime Now);
+  /// Records that the store has lost the record of a target that remains in
+  /// use, because the store was unreachable. If the incarnation is unknown, a
+  /// record that returns counts as a new registration.
+  void onMissing(const std::string &Id);
   /// Ends all notices of a target whose record has been removed.
   void onRemoved(const std::string &Id);
 
@@ -121,7 +125,8 @@
   /// The notices of one incarnation of a target.
   struct Entry {
     std::int64_t Incarnation_ = 0;
-    bool IsRegistered_ = false; ///< The store holds a record of it.
+    bool IsRegistered_ = false; ///< A record of it is in use.
+    bool IsMissing_ = false;    ///< The store has lost the record.
     SteadyTime ReceivedAt_{};   ///< Time of the last statement.
     bool IsLeaving_ = false;
     std::optional<SteadyTime> WantsNothingUntil_;
--- a/source/Coordination/Targets/TargetRegistry.cpp
+++ b/source/Coordination/Targets/TargetRegistry.cpp
@@ -19,8 +19,12 @@
     remove(Target, Change.Revision_, Now);
     return;
   }
+  // If the incarnation is unknown, a record that was removed and returns counts
+  // as a new registration.
+  bool IsRegisteredAgain =
+      Target.RemoveAt_ && Change.Record_->Incarnation_ == 0;
   bool WasLeaving =
-      Target.Record_ && Target.Record_->IsDraining_ &&
+      Target.Record_ && Target.Record_->IsDraining_ && !IsRegisteredAgain &&
       Target.Record_->Incarnation_ == Change.Record_->Incarnation_;
   if (Target.Record_)
     ByService_[Target.Record_->Service_].erase(Change.Id_);
--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -71,6 +71,15 @@
   /// Requests a second that the target accepts from all hosts together; empty
   /// if it states no limit.
   std::optional<double> RequestsPerSecond_;
+  /// It states a limit that is no valid number.
+  bool IsLimitInvalid_ = false;
+  bool IsLeaving_ = false; ///< The target states that it is leaving.
+  /// How long the target wants no requests from this host; in refusals (503).
+  std::optional<Milliseconds> RetryAfter_;
+  /// How long the target remains cold; 0 if it is not. Empty if not stated.
+  std::optional<Milliseconds> ColdFor_;
+  /// Names of the fields above with invalid values, for the log.
+  std::vector<std::string> InvalidFields_;
 };
 
 /// One piece to run; a piece is one unit of a stage's work for a request.
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -335,11 +335,19 @@
   }
   SteadyTime Now = SteadyClock::now();
   Context_.Targets_.apply(Change, Now);
-  if (const state::TargetRecord *Record =
-          Context_.Targets_.findRecord(Change.Id_))
-    Context_.Notices_.onRecord(*Record, Now);
+  coordination::TargetNotices &Notices = Context_.Notices_;
+  if (Change.Record_)
+    Notices.onRecord(*Change.Record_, Now);
+  else if (Context_.Targets_.findRecord(Change.Id_))
+    Notices.onMissing(Change.Id_);
   else
-    Context_.Notices_.onRemoved(Change.Id_);
+    Notices.onRemoved(Change.Id_);
+  if (Change.Record_ && !Change.Record_->InvalidField_.empty() &&
+      Notices.noteIrregular(Item.Key_))
+    LogEvent(LogLevel::Warn, "target_field_ignored")
+        .field("target", Change.Id_)
+        .field("field", Change.Record_->InvalidField_)
+        .field("irregular", Notices.irregularCount());
   if (!Context_.Targets_.find(Change.Id_)) {
     Context_.Connections_.closeIdle(Change.Id_);
     LogEvent(LogLevel::Info, "target_leaving").field("target", Change.Id_);
--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -97,7 +97,19 @@
   if (!Exchange.hasTargetsAnswer())
     return;
   coordination::TargetStatement Statement;
-  Statement.PerSecond_ = Exchange.reply().RequestsPerSecond_;
+  const protocol::TargetReply &Reply = Exchange.reply();
+  Statement.IsLeaving_ = Reply.IsLeaving_;
+  Statement.WantsNothingFor_ = Reply.RetryAfter_;
+  Statement.PerSecond_ = Reply.RequestsPerSecond_;
+  Statement.IsLimitInvalid_ = Reply.IsLimitInvalid_;
+  Statement.ColdFor_ = Reply.ColdFor_;
+  coordination::TargetNotices &Notices = Context.Notices_;
+  for (const std::string &Field : Reply.InvalidFields_)
+    if (Notices.noteIrregular(Exchange.target().Id_ + " " + Field))
+      LogEvent(LogLevel::Warn, "target_statement_ignored")
+          .field("target", Exchange.target().Id_)
+          .field("statement", Field)
+          .field("irregular", Notices.irregularCount());
   Context.Permits_.onAnswer(Exchange.target(), Statement);
 }
 
--- a/source/Serving/SendPermits.cpp
+++ b/source/Serving/SendPermits.cpp
@@ -6,6 +6,7 @@
 
 namespace amaranth::serving {
 
+using coordination::Withheld;
 using protocol::FleetMessage;
 using protocol::PermitReply;
 using protocol::PermitRequest;
@@ -56,6 +57,22 @@
   return nullptr;
 }
 
+std::optional<SteadyTime>
+SendPermits::firstWantedAgain(const std::string &Service,
+                              TargetChooser &Chooser) const {
+  SteadyTime Now = SteadyClock::now();
+  std::optional<SteadyTime> First;
+  for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
+    if (Context_.Notices_.check(*Target, Now) != Withheld::WantsNothing ||
+        !Chooser.chooseFrom({Target}))
+      continue;
+    SteadyTime Until =
+        Context_.Notices_.wantsNothingUntil(Target->Id_).value_or(Now);
+    First = std::min(First.value_or(Until), Until);
+  }
+  return First;
+}
+
 Awaitable<std::optional<TargetRecord>>
 SendPermits::choose(std::string Service, TargetChooser &Chooser,
                     SteadyTime WaitUntil) {
@@ -80,10 +97,23 @@
 SendPermits::waitForPlace(std::string Service, TargetChooser &Chooser,
                           SteadyTime WaitUntil) {
   std::optional<TargetRecord> Permitted;
-  while (const TargetRecord *Chosen = firstToOpen(Service, Chooser)) {
-    std::string Id = Chosen->Id_;
+  for (;;) {
     SteadyTime LastPlaceAt =
         std::min(WaitUntil, Context_.Drain_.endRequestsAt());
+    const TargetRecord *Chosen = firstToOpen(Service, Chooser);
+    if (!Chosen) {
+      std::optional<SteadyTime> WantedAgain =
+          firstWantedAgain(Service, Chooser);
+      if (!WantedAgain || *WantedAgain >= LastPlaceAt ||
+          Chooser.hasCallerLeft())
+        break;
+      auto Pause =
+          std::chrono::ceil<Milliseconds>(*WantedAgain - SteadyClock::now());
+      Pause = std::min(Pause, Settings_.WantedCheckPeriod_);
+      co_await transport::pause(Context_.Loop_, Pause);
+      continue;
+    }
+    std::string Id = Chosen->Id_;
     SteadyTime Until =
         std::min(LastPlaceAt, SteadyClock::now() + Settings_.MaxReservation_);
     Permitted = co_await acquire(Id, Until);
@@ -182,8 +212,14 @@
 
 Milliseconds SendPermits::timeToNextPlace(const std::string &Service) const {
   std::optional<SteadyTime> First;
+  SteadyTime Now = SteadyClock::now();
   for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
-    SteadyTime OpensAt = Context_.Notices_.opensAt(Target->Id_);
+    Withheld Reason = Context_.Notices_.check(*Target, Now);
+    if (Reason == Withheld::Leaving || Reason == Withheld::Evacuated)
+      continue;
+    SteadyTime OpensAt = std::max(
+        Context_.Notices_.opensAt(Target->Id_),
+        Context_.Notices_.wantsNothingUntil(Target->Id_).value_or(Now));
     First = std::min(First.value_or(OpensAt), OpensAt);
   }
   return First ? std::max(Milliseconds(0), remaining(*First)) : Milliseconds(0);
--- a/source/Serving/SendPermits.h
+++ b/source/Serving/SendPermits.h
@@ -33,6 +33,9 @@
   Milliseconds MaxReservation_{1000};
   /// Shortest pause between two attempts to reserve a place.
   Milliseconds MinRetryDelay_{50};
+  /// A request that waits until targets want requests again checks this often
+  /// whether its caller has left or another target has become usable.
+  Milliseconds WantedCheckPeriod_{250};
 };
 
 /// Chooses a target for a request.
@@ -99,6 +102,10 @@
   ask(std::string Host, protocol::PermitRequest Request);
   /// Targets of \p Service that are not known to be at their limits.
   Targets openTargets(const std::string &Service, bool WithLimits) const;
+  /// Earliest end of the time for which a target that \p Chooser can use wants
+  /// no requests from this host; nothing if there is no such target.
+  std::optional<SteadyTime> firstWantedAgain(const std::string &Service,
+                                             TargetChooser &Chooser) const;
   /// The target that \p Chooser can use and that accepts a request first.
   const state::TargetRecord *firstToOpen(const std::string &Service,
                                          TargetChooser &Chooser) const;
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -512,6 +512,15 @@
   ServiceState &Service = Services_[ServiceName];
   TargetState &State = Service.Targets_[Target.Id_];
   while (!State.HandlesToFree_.empty()) {
+    SteadyTime Now = SteadyClock::now();
+    if (Context_.Notices_.check(Target, Now) ==
+        coordination::Withheld::WantsNothing) {
+      SteadyTime Until =
+          Context_.Notices_.wantsNothingUntil(Target.Id_).value_or(Now);
+      auto Delay = std::chrono::ceil<Milliseconds>(Until - Now);
+      co_await transport::pause(Context_.Loop_, Delay);
+      continue;
+    }
     if (!Context_.findEligible(Target.Id_)) {
       // The results expire on the target.
       State.HandlesToFree_.clear();
--- a/source/State/TargetRecord.h
+++ b/source/State/TargetRecord.h
@@ -22,6 +22,8 @@
   Milliseconds WarmUpRemaining_{
       0}; ///< Remaining time of slow operation after start.
   std::int64_t Incarnation_ = 0; ///< Start time of the process; 0 if unknown.
+  /// Name of a field whose value is invalid and ignored; empty if none is.
+  std::string InvalidField_;
 };
 
 } // namespace amaranth::state
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -278,6 +278,40 @@
   for (const char *Invalid : {"", "x", "1.2x", "-1", "nan", "inf", "1e300"}) {
     Head.Fields_ = {{"Server-Limit", Invalid}};
     CHECK_FALSE(Edge.readReply(Head).RequestsPerSecond_);
+    CHECK(Edge.readReply(Head).IsLimitInvalid_);
+  }
+}
+
+// Guards against statements of targets that are missed or misread, and against
+// invalid ones that are taken for a time.
+TEST_CASE("edge codec: what a target states about new requests") {
+  platform::EdgeCodec Edge;
+  HttpHead Head;
+  Head.Status_ = 503;
+  Head.Fields_ = {
+      {"Server-Leaving", "1"}, {"Retry-After", "1.5"}, {"Cold-Ms", "2500"}};
+  protocol::TargetReply Reply = Edge.readReply(Head);
+  CHECK(Reply.IsLeaving_);
+  CHECK(Reply.RetryAfter_ == Milliseconds{1500});
+  CHECK(Reply.ColdFor_ == Milliseconds{2500});
+  CHECK(Reply.InvalidFields_.empty());
+  Head.Status_ = 200;
+  CHECK_FALSE(Edge.readReply(Head).RetryAfter_);
+  Head.Status_ = 503;
+  Head.Fields_ = {{"Server-Leaving", "0"}, {"Retry-After", "1e11"}};
+  CHECK_FALSE(Edge.readReply(Head).IsLeaving_);
+  CHECK(Edge.readReply(Head).RetryAfter_ > std::chrono::hours{24});
+  CHECK(Edge.readReply(Head).InvalidFields_.size() == 1);
+  for (const char *Invalid :
+       {"", "x", "-1", "nan", "inf", "1e999", "1e300", "\xff"}) {
+    Head.Fields_ = {{"Server-Leaving", Invalid},
+                    {"Retry-After", Invalid},
+                    {"Cold-Ms", Invalid}};
+    Reply = Edge.readReply(Head);
+    CHECK_FALSE(Reply.IsLeaving_);
+    CHECK_FALSE(Reply.RetryAfter_);
+    CHECK_FALSE(Reply.ColdFor_);
+    CHECK(Reply.InvalidFields_.size() == 3);
   }
 }
 
@@ -359,8 +393,8 @@
     for (auto &[Name, Value] : Head.Fields_)
       if (Random() % 8 == 0)
         Value = randomText(Random);
-    for (const char *Name :
-         {"Server-Load", "Keep-Alive", "Last-Event-Id", "Connection"})
+    for (const char *Name : {"Server-Load", "Cold-Ms", "Retry-After",
+                             "Keep-Alive", "Last-Event-Id", "Connection"})
       if (Random() % 4 == 0)
         Head.Fields_.emplace_back(Name, randomText(Random));
     CHECK_NOTHROW(Edge.readReply(Head));
