Return freed message buffers to the system at once

Cause: the allocator raises its limit for blocks that it maps one by one when the first large block is freed. The buffers of 24 connections that grow by doubling then come from the heap, and the freed ones leave holes that stay resident. How many depends on how the connections take turns.

The limit is fixed at 128 KB in the daemon and in the tests, which run with the daemon's settings. Ruled out: the merge of the target notices, and the tests that run before it in the program (single runs failed as well).

--- a/source/Daemon/Main.cpp
+++ b/source/Daemon/Main.cpp
@@ -5,6 +5,7 @@
 #include "Daemon/PlatformMode.h"
 #include "Daemon/Runtime.h"
 #include "State/DaemonSettings.h"
+#include "Support/Allocator.h"
 #include "Support/Log.h"
 
 #include <csignal>
@@ -74,6 +75,7 @@
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
+  releaseFreedBlocks();
   daemon::OptionsResult Parsed =
       daemon::parseOptions(ArgumentCount, const_cast<const char **>(Arguments));
   if (!Parsed.Options_)
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -1,5 +1,6 @@
 # One Catch2 program per library, and one that tests the real processes together.
 add_library(amaranth_test_main STATIC tests/Main.cpp)
+target_link_libraries(amaranth_test_main PUBLIC amaranth_support)
 
 function(amaranth_test Name Folder Timeout)
   file(GLOB_RECURSE Sources CONFIGURE_DEPENDS tests/${Folder}/*.cpp)
