Choose the hosts that the directory names by data centre

Directory answers listed all hosts in one order, regardless of the caller's data centre and of the size of the hosts. CallerPlacement now chooses them from the states of the hosts: those of the caller's data centre that are large enough, and hosts assigned from other data centres while these are too busy.

--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -101,12 +101,21 @@
 /// Calls that a host answers itself; None for requests to targets.
 enum class HostCall { None, Directory, Readiness };
 
+/// What a caller states when it asks for entry hosts; empty if not stated.
+struct DirectoryQuery {
+  std::string DataCentre_;
+  std::string Region_;
+};
+
 /// Encodes and decodes messages; makes no decisions on them.
 class EdgeProtocol {
 public:
   virtual ~EdgeProtocol() = default;
 
   virtual HostCall hostCall(const transport::HttpHead &Head) const = 0;
+  /// Reads the query of a directory call.
+  virtual DirectoryQuery
+  directoryQuery(const transport::HttpHead &Head) const = 0;
   virtual Result<CallerRequest>
   readRequest(const transport::HttpHead &Head) const = 0;
 
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -35,6 +35,14 @@
   queues @9 :List(QueueState);       # of services that the host dispatches
   outstanding @10 :List(QueueState); # what the host's own requests still need
   linkMegabits @11 :Float64;
+  processorShare @12 :Float64;  # in cores
+  busyShare @13 :Float64;       # of processorShare, used over the last second
+  callerNeeds @14 :List(CallerNeed); # that the host decides
+}
+
+struct CallerNeed {
+  dataCentre @0 :Text;
+  hosts @1 :UInt32;  # that the callers of the data centre need
 }
 
 struct QueueState {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -21,6 +21,7 @@
 
 CAPNP_DECLARE_SCHEMA(fb5beb1f8b0da057);
 CAPNP_DECLARE_SCHEMA(db49741e3fd10766);
+CAPNP_DECLARE_SCHEMA(8847d727eefc82a6);
 CAPNP_DECLARE_SCHEMA(e214b82b18fb5fed);
 CAPNP_DECLARE_SCHEMA(adb4b7e9911aa29d);
 CAPNP_DECLARE_SCHEMA(c23d965bc8868669);
@@ -78,7 +79,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(db49741e3fd10766, 5, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CallerNeed {
+  CallerNeed() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8847d727eefc82a6, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -532,6 +548,13 @@
 
   inline double getLinkMegabits() const;
 
+  inline double getProcessorShare() const;
+
+  inline double getBusyShare() const;
+
+  inline bool hasCallerNeeds() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Reader getCallerNeeds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -625,6 +648,19 @@
   inline double getLinkMegabits();
   inline void setLinkMegabits(double value);
 
+  inline double getProcessorShare();
+  inline void setProcessorShare(double value);
+
+  inline double getBusyShare();
+  inline void setBusyShare(double value);
+
+  inline bool hasCallerNeeds();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Builder getCallerNeeds();
+  inline void setCallerNeeds( ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Builder initCallerNeeds(unsigned int size);
+  inline void adoptCallerNeeds(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>> disownCallerNeeds();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -651,6 +687,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class CallerNeed::Reader {
+public:
+  typedef CallerNeed Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline  ::uint32_t getHosts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CallerNeed::Builder {
+public:
+  typedef CallerNeed Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CallerNeed::Pipeline {
+public:
+  typedef CallerNeed Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QueueState::Reader {
 public:
   typedef QueueState Reads;
@@ -2869,6 +2991,116 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline double HostState::Reader::getProcessorShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double HostState::Builder::getProcessorShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HostState::Builder::setProcessorShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double HostState::Reader::getBusyShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double HostState::Builder::getBusyShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HostState::Builder::setBusyShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostState::Reader::hasCallerNeeds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostState::Builder::hasCallerNeeds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Reader HostState::Reader::getCallerNeeds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::getCallerNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void HostState::Builder::setCallerNeeds( ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>::Builder HostState::Builder::initCallerNeeds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void HostState::Builder::adoptCallerNeeds(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>> HostState::Builder::disownCallerNeeds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::CallerNeed,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool CallerNeed::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallerNeed::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallerNeed::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallerNeed::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CallerNeed::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallerNeed::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CallerNeed::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallerNeed::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t CallerNeed::Reader::getHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CallerNeed::Builder::getHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallerNeed::Builder::setHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QueueState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -70,6 +70,13 @@
   auto Outstanding = Builder.initOutstanding(Source.Outstanding_.size());
   for (unsigned I = 0; I < Source.Outstanding_.size(); ++I)
     write(Source.Outstanding_[I], Outstanding[I]);
+  Builder.setProcessorShare(Source.ProcessorShare_);
+  Builder.setBusyShare(Source.BusyShare_);
+  auto Needs = Builder.initCallerNeeds(Source.CallerNeeds_.size());
+  for (unsigned I = 0; I < Source.CallerNeeds_.size(); ++I) {
+    Needs[I].setDataCentre(Source.CallerNeeds_[I].DataCentre_);
+    Needs[I].setHosts(Source.CallerNeeds_[I].Hosts_);
+  }
 }
 
 HostState read(fleet::HostState::Reader Source) {
@@ -89,6 +96,11 @@
     Decoded.Queues_.push_back(read(Queue));
   for (auto Queue : Source.getOutstanding())
     Decoded.Outstanding_.push_back(read(Queue));
+  Decoded.ProcessorShare_ = Source.getProcessorShare();
+  Decoded.BusyShare_ = Source.getBusyShare();
+  for (auto Need : Source.getCallerNeeds())
+    Decoded.CallerNeeds_.push_back(
+        {text(Need.getDataCentre()), Need.getHosts()});
   return Decoded;
 }
 
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -30,6 +30,12 @@
   double PiecesPerSecond_ = 0;
 };
 
+/// How many entry hosts the callers of a data centre need.
+struct CallerNeed {
+  std::string DataCentre_;
+  std::uint32_t Hosts_ = 0;
+};
+
 /// State that a host reports about itself.
 struct HostState {
   std::string Host_;
@@ -50,6 +56,12 @@
   /// What the host's own requests still need.
   std::vector<QueueState> Outstanding_;
   double LinkMegabits_ = 0; ///< Bandwidth of its network link; 0 if unknown.
+  /// Processor time that the host may use, in cores; 0 if unknown.
+  double ProcessorShare_ = 0;
+  /// Share of its processor time used over the last second, from 0 to 1.
+  double BusyShare_ = 0;
+  /// For the data centres for which this host was elected to decide.
+  std::vector<CallerNeed> CallerNeeds_;
 };
 
 struct Ping {
--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -236,10 +236,13 @@
   std::string NoRequestId;
   std::string Answer;
   switch (Context_.Edge_.hostCall(Head)) {
-  case protocol::HostCall::Directory:
+  case protocol::HostCall::Directory: {
+    protocol::DirectoryQuery Query = Context_.Edge_.directoryQuery(Head);
     Answer = Context_.Edge_.directoryAnswer(
-        Status_.callerAddresses(), Context_.Settings_.MaxDirectoryCacheTime_);
+        Status_.callerAddresses(Query),
+        Context_.Settings_.MaxDirectoryCacheTime_);
     break;
+  }
   case protocol::HostCall::Readiness: {
     int Status = Status_.ready() ? 200 : 503;
     std::string Reason = Status == 200 ? "ready" : "not ready";
--- a/source/Serving/CallerServer.h
+++ b/source/Serving/CallerServer.h
@@ -19,8 +19,9 @@
 public:
   virtual ~HostStatus() = default;
   virtual bool ready() const = 0;
-  /// Entry hosts that callers should use.
-  virtual std::vector<std::string> callerAddresses() const = 0;
+  /// Entry hosts that the asking caller should use.
+  virtual std::vector<std::string>
+  callerAddresses(const protocol::DirectoryQuery &Query) = 0;
 };
 
 /// Settings of CallerServer.
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -3,6 +3,7 @@
 #include "Serving/RequestScope.h"
 #include "Support/Log.h"
 
+#include <ctime>
 #include <random>
 
 namespace amaranth::serving {
@@ -22,6 +23,9 @@
 /// latest after this time; it then answers with a time to retry.
 constexpr Milliseconds MaxStartDelay{1000};
 constexpr Milliseconds DrainCheckPeriod{50};
+/// Peers send their states this often. Peers that are lost or drain are left
+/// out of the directory at once.
+constexpr Milliseconds PlacementPeriod{250};
 
 /// File descriptors kept for targets, peers, the store and files.
 constexpr std::size_t ReservedDescriptors = 700;
@@ -41,6 +45,13 @@
           {HostPrefix, Settings.ChangeTimeLimit_}};
 }
 
+/// Processor time of this process since its start.
+Microseconds processorTimeUsed() {
+  std::chrono::duration<double> Used(static_cast<double>(std::clock()) /
+                                     CLOCKS_PER_SEC);
+  return std::chrono::duration_cast<Microseconds>(Used);
+}
+
 PeerMeshSettings meshSettings(const state::HostSettings &Settings) {
   PeerMeshSettings MeshSettings;
   MeshSettings.ListenAddress_ = Settings.PeerAddress_;
@@ -61,6 +72,7 @@
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
+      Processor_(Settings.ProcessorShare_), Placement_(Settings.Host_),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
       Incarnation_(std::random_device{}() | 1ULL),
@@ -85,18 +97,29 @@
          !Context_.Drain_.hasBegun();
 }
 
-std::vector<std::string> EntryHost::callerAddresses() const {
-  std::vector<std::string> Addresses;
-  if (!Context_.Drain_.hasBegun())
-    Addresses.push_back(Context_.Settings_.CallerAddress_);
-  for (const HostState &Peer : Peers_.servingPeers())
-    Addresses.push_back(Peer.CallerAddress_);
-  // If no other host is known, callers still get this one.
+std::vector<std::string>
+EntryHost::callerAddresses(const protocol::DirectoryQuery &Query) {
+  updatePlacement(SteadyClock::now());
+  std::vector<std::string> Addresses = Placement_.addresses(Query.DataCentre_);
+  // If no host is known to serve, callers still get this one.
   if (Addresses.empty())
     Addresses.push_back(Context_.Settings_.CallerAddress_);
   return Addresses;
 }
 
+void EntryHost::updatePlacement(SteadyTime Now) {
+  if (Now - PlacementAt_ < PlacementPeriod)
+    return;
+  PlacementAt_ = Now;
+  HostState Own = ownState();
+  std::vector<const HostState *> Serving;
+  if (Own.Serving_)
+    Serving.push_back(&Own);
+  Peers_.forEachServing(
+      [&](const HostState &Peer) { Serving.push_back(&Peer); });
+  Placement_.update(std::move(Serving), Now);
+}
+
 HostState EntryHost::ownState() {
   HostState State;
   State.Host_ = Context_.Settings_.Host_;
@@ -111,12 +134,17 @@
   State.Digests_ = Replica_.digests();
   State.Queues_ = Dispatcher_.queueStates();
   State.Outstanding_ = Context_.OutstandingWork_.states(SteadyClock::now());
+  State.ProcessorShare_ = Context_.Settings_.ProcessorShare_;
+  State.BusyShare_ = Processor_.busyShare();
+  State.CallerNeeds_ = Placement_.decisions();
   return State;
 }
 
 void EntryHost::onPeerState(const HostState &State) {
   Replica_.onPeerState(State);
   SuspectExchange_.onPeerState(State);
+  if (!State.Serving_)
+    PlacementAt_ = {};
   if (UndeliveredReports_.empty())
     return;
   protocol::PieceReports Reports =
@@ -192,6 +220,7 @@
   Dispatcher_.dropEntryHost(Host);
   Stages_.onDispatcherLost(Host);
   SuspectExchange_.onPeerLost(Host);
+  PlacementAt_ = {};
 }
 
 protocol::QueueState EntryHost::queueState(const std::string &Service) {
@@ -354,6 +383,8 @@
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
     UndeliveredReports_.expire(Now);
+    Processor_.sample(processorTimeUsed(), Now);
+    updatePlacement(Now);
     acceptCallersWhenReady();
     Replica_.electWatchers();
     updateStoreState();
@@ -366,7 +397,8 @@
   Context_.Drain_.begin(SteadyClock::now());
   LogEvent(LogLevel::Info, "draining")
       .field("requests", Context_.RequestsInProgress_.size());
-  // Peers then leave this host out of their directory answers at once.
+  // This host and its peers then leave it out of directory answers at once.
+  PlacementAt_ = {};
   protocol::Ping State{ownState()};
   Peers_.broadcast(FleetMessage(std::move(State)));
   transport::startTask(Context_.Loop_, finishDrain());
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -3,7 +3,9 @@
 #ifndef AMARANTH_SERVING_ENTRYHOST_H
 #define AMARANTH_SERVING_ENTRYHOST_H
 
+#include "Coordination/CallerPlacement.h"
 #include "Coordination/HostElection.h"
+#include "Coordination/ProcessorMeter.h"
 #include "Coordination/Stages/UndeliveredReports.h"
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
@@ -42,7 +44,8 @@
 
   // HostStatus
   bool ready() const override;
-  std::vector<std::string> callerAddresses() const override;
+  std::vector<std::string>
+  callerAddresses(const protocol::DirectoryQuery &Query) override;
   // PeerListener
   protocol::HostState ownState() override;
   void onPeerState(const protocol::HostState &State) override;
@@ -75,6 +78,8 @@
   /// Starts accepting callers when requests can be routed, or after
   /// MaxStartDelay.
   void acceptCallersWhenReady();
+  /// Passes the states of the serving hosts to Placement_.
+  void updatePlacement(SteadyTime Now);
   /// Sends this host's state to all peers at once.
   void announceState();
   void updateStoreState();
@@ -99,6 +104,9 @@
                                        ///< entries.
   PeerMesh Peers_;
   CallerServer Callers_;
+  coordination::ProcessorMeter Processor_;
+  coordination::CallerPlacement Placement_;
+  SteadyTime PlacementAt_{}; ///< When Placement_ was updated.
   HostRegistration Registration_;
   std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
--- a/source/State/HostSettings.h
+++ b/source/State/HostSettings.h
@@ -47,6 +47,8 @@
   std::size_t MemoryMegabytes_ = 256;
   std::size_t MaxDescriptors_ = 4096;
   double LinkMegabits_ = 0; ///< Bandwidth of the host's link; 0 if unknown.
+  /// Processor time that the host may use, in cores; 0 if unknown.
+  double ProcessorShare_ = 0;
 };
 
 } // namespace amaranth::state
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -166,7 +166,9 @@
   return true;
 }
 
-PlatformFleet::PlatformFleet(StoreDouble &Store, std::size_t Hosts) {
+PlatformFleet::PlatformFleet(StoreDouble &Store, std::size_t Hosts,
+                             std::size_t DataCentres)
+    : DataCentres_(DataCentres) {
   Hosts_.resize(Hosts);
   for (std::size_t I = 0; I < Hosts; ++I)
     start(Store, I);
@@ -182,7 +184,7 @@
 void PlatformFleet::waitUntilServing() {
   auto AllServe = [&] {
     for (std::size_t I = 0; I < Hosts_.size(); ++I)
-      if (!isReady(I) || resolveEntryHosts(I).size() != Hosts_.size())
+      if (!isReady(I) || resolveEntryHosts(I, "").size() != Hosts_.size())
         return false;
     return true;
   };
@@ -206,7 +208,9 @@
     return "127.0.0.1:" + std::to_string(Port) + "\n";
   };
   std::ofstream File(SettingsPath);
-  File << "node=host-" << Index << "\nzone=a\nregion=r\nip=127.0.0.1\n"
+  File << "node=host-" << Index
+       << "\nzone=" << static_cast<char>('a' + Index % DataCentres_)
+       << "\nregion=r\nip=127.0.0.1\n"
        << "listen.front=" << AddressLine(Host.CallerPort_)
        << "listen.ready=" << AddressLine(Host.ReadinessPort_)
        << "listen.directory=" << AddressLine(Host.DirectoryPort_)
@@ -252,11 +256,17 @@
   close(Socket);
 }
 
-std::vector<std::string> PlatformFleet::resolveEntryHosts(std::size_t Host) {
-  PlatformAnswer Answer = exchange(
-      Hosts_.at(Host).DirectoryPort_,
-      "GET /amaranthcourse/resolve?name=h.example&region=r&zone=a HTTP/1.1\r\n"
-      "Host: d\r\n\r\n");
+std::string PlatformFleet::callerAddress(std::size_t Host) const {
+  return "127.0.0.1:" + std::to_string(Hosts_.at(Host).CallerPort_);
+}
+
+std::vector<std::string>
+PlatformFleet::resolveEntryHosts(std::size_t Host,
+                                 const std::string &DataCentre) {
+  const std::string Request =
+      "GET /amaranthcourse/resolve?name=h.example&region=r&zone=" + DataCentre +
+      " HTTP/1.1\r\nHost: d\r\n\r\n";
+  PlatformAnswer Answer = exchange(Hosts_.at(Host).DirectoryPort_, Request);
   if (Answer.Status_ != 200)
     return {};
   return json::parse(Answer.Body_).at("addresses");
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -67,7 +67,9 @@
 /// listed in the directory.
 class PlatformFleet final {
 public:
-  PlatformFleet(StoreDouble &Store, std::size_t Hosts);
+  /// The hosts are in turn in the data centres "a", "b" and so on.
+  PlatformFleet(StoreDouble &Store, std::size_t Hosts,
+                std::size_t DataCentres = 1);
 
   /// Starts one more host and waits until it is ready and listed.
   void addHost(StoreDouble &Store);
@@ -81,8 +83,10 @@
   void sendAndDisconnect(std::size_t Host, const std::string &Request,
                          Milliseconds Delay);
   /// Returns the entry-host addresses that the directory of a host answers
-  /// with.
-  std::vector<std::string> resolveEntryHosts(std::size_t Host);
+  /// with, to a caller in \p DataCentre.
+  std::vector<std::string>
+  resolveEntryHosts(std::size_t Host, const std::string &DataCentre = "a");
+  std::string callerAddress(std::size_t Host) const;
   bool isReady(std::size_t Host);
 
 private:
@@ -96,6 +100,7 @@
   void start(StoreDouble &Store, std::size_t Index);
   void waitUntilServing();
 
+  std::size_t DataCentres_;
   std::vector<HostProcess> Hosts_;
 };
 
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -21,6 +21,7 @@
                        "bounds.grace_s=8\nbounds.ttl_max_s=5\n"
                        "bounds.retry_budget_ratio=0.25\n"
                        "limits.memory_mb=260\nlimits.link_mbps=24.5\n"
+                       "limits.cpu_share=0.25\nlimits.cores=2\n"
                        "some.new.field=1\n";
 
 const char *Configuration = R"({"version":7,"routes":[
@@ -68,6 +69,7 @@
   CHECK(Valid.Settings_->RetryRatio_ == 0.25);
   CHECK(Valid.Settings_->MemoryMegabytes_ == 260);
   CHECK(Valid.Settings_->LinkMegabits_ == 24.5);
+  CHECK(Valid.Settings_->ProcessorShare_ == 0.5);
 
   std::string Text = Settings;
   auto ChangeTimeLimit = [&](const std::string &Bounds) {
@@ -380,3 +382,23 @@
   }
   CHECK(Accepted > 1000);
 }
+
+// Guards against callers that get hosts for another data centre or none because
+// their query is not understood.
+TEST_CASE("edge codec: queries of the directory") {
+  platform::EdgeCodec Codec;
+  auto Read = [&](const std::string &Query) {
+    HttpHead Head;
+    Head.Method_ = "GET";
+    Head.Target_ = "/amaranthcourse/resolve" + Query;
+    REQUIRE(Codec.hostCall(Head) == protocol::HostCall::Directory);
+    return Codec.directoryQuery(Head);
+  };
+  protocol::DirectoryQuery Query = Read("?zone=a%2D1&name=h&region=r");
+  CHECK(Query.DataCentre_ == "a-1");
+  CHECK(Query.Region_ == "r");
+  for (const char *Unstated : {"", "?", "?zone", "?zone=", "?name=h&other"})
+    CHECK(Read(Unstated).DataCentre_.empty());
+  // An invalid query counts as one that states nothing.
+  CHECK(Read("?zone=%zz").DataCentre_.empty());
+}
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -65,6 +65,9 @@
   State.Digests_ = {1, ~0ULL};
   State.Queues_ = {{"s", {0, 12}, {7}, {}, 30.5}};
   State.LinkMegabits_ = 24.5;
+  State.ProcessorShare_ = 0.09;
+  State.BusyShare_ = 0.75;
+  State.CallerNeeds_ = {{"a", 3}, {"b", 64}};
   State.Outstanding_ = {{"t", {1}, {2}, {0, 3}, 0}};
   HostState Read = roundTrip(Ping{State}).State_;
   CHECK(Read.Incarnation_ == 77);
@@ -74,6 +77,10 @@
   CHECK(Read.Queues_.at(0).Late_ == std::vector<std::uint32_t>{7});
   CHECK(Read.Queues_.at(0).PiecesPerSecond_ == 30.5);
   CHECK(Read.LinkMegabits_ == 24.5);
+  CHECK(Read.ProcessorShare_ == 0.09);
+  CHECK(Read.BusyShare_ == 0.75);
+  CHECK(Read.CallerNeeds_.at(1).DataCentre_ == "b");
+  CHECK(Read.CallerNeeds_.at(1).Hosts_ == 64);
   CHECK(Read.Outstanding_.at(0).Service_ == "t");
   CHECK(Read.Outstanding_.at(0).InTime_ == std::vector<std::uint32_t>{1});
   CHECK(Read.Outstanding_.at(0).Waiting_ == std::vector<std::uint32_t>{0, 3});
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -32,6 +32,10 @@
   protocol::HostCall hostCall(const transport::HttpHead &) const override {
     return protocol::HostCall::None;
   }
+  protocol::DirectoryQuery
+  directoryQuery(const transport::HttpHead &) const override {
+    return {};
+  }
   Result<protocol::CallerRequest>
   readRequest(const transport::HttpHead &) const override {
     return protocol::CallerRequest{};
