Keep the number of hosts for callers when deciders restart

A host that restarted and was elected to decide published the number that it derived from the few peers it knew, and all hosts took it over: callers of a busy data centre lost its added hosts for some seconds. A host now decides only after it has served for 1 s, and the former decider publishes its number until then. The test restarts each of 25 hosts in turn; without the delay, or without the former decider, its answers change.

--- a/source/Coordination/CallerPlacement.cpp
+++ b/source/Coordination/CallerPlacement.cpp
@@ -109,37 +109,33 @@
     Needs_.try_emplace(DataCentre);
   for (const auto &[DataCentre, Count] : OwnCounts_)
     Needs_.try_emplace(DataCentre);
+  bool Serves =
+      std::any_of(Serving.begin(), Serving.end(), [&](const HostState *State) {
+        return State->Host_ == Self_;
+      });
+  if (!Serves)
+    ServingSince_.reset();
+  else if (!ServingSince_)
+    ServingSince_ = Now;
   Decisions_.clear();
   for (auto &[DataCentre, Wanted] : Needs_) {
     std::size_t Before = Wanted.Hosts_;
     const std::string &Decider = decider(DataCentre, Serving);
-    if (Decider == Self_) {
-      // A former decider publishes its number until it sees this one's state.
+    auto Decided = ByHost.find({DataCentre, Decider});
+    if (Decided != ByHost.end()) {
+      Wanted = {Decided->second, false, Wanted.AddedAt_, Now, 0};
+    } else if (Decider == Self_) {
+      // The former decider publishes its number until this host does.
       if (Published[DataCentre] > Wanted.Hosts_)
-        Wanted = {Published[DataCentre], Wanted.AddedAt_, Now, 0};
-      const Answer &Current = answer(DataCentre);
-      double BusySum = 0;
-      std::size_t Own = 0;
-      for (const Host *Entry : Current.Hosts_) {
-        if (Entry->DataCentre_ != DataCentre)
-          continue;
-        const HostState *State =
-            Serving[static_cast<std::size_t>(Entry - Hosts_.data())];
-        BusySum += std::clamp(State->BusyShare_, 0.0, 1.0);
-        ++Own;
+        Wanted = {Published[DataCentre], false, Wanted.AddedAt_, Now, 0};
+      if (Now - *ServingSince_ >= Settings_.JoinDelay_) {
+        decideFor(DataCentre, Wanted, Serving, Now);
+        Wanted.Publishes_ = true;
       }
-      // While a data centre has no hosts, nothing is learned of its callers.
-      if (Own > 0)
-        decide(Wanted, Own, Current.Hosts_.size(),
-               BusySum / static_cast<double>(Own), Now);
-      else
-        Wanted.NeededAt_ = Now;
+    }
+    if (Wanted.Publishes_)
       Decisions_.push_back(
           {DataCentre, static_cast<std::uint32_t>(Wanted.Hosts_)});
-    } else if (auto Found = ByHost.find({DataCentre, Decider});
-               Found != ByHost.end()) {
-      Wanted = {Found->second, Wanted.AddedAt_, Now, 0};
-    }
     if (Wanted.Hosts_ != Before)
       assign();
   }
@@ -147,6 +143,27 @@
     answer(DataCentre); // Logs changes also while no caller asks.
 }
 
+void CallerPlacement::decideFor(const std::string &DataCentre, Need &Wanted,
+                                const States &Serving, SteadyTime Now) {
+  const Answer &Current = answer(DataCentre);
+  double BusySum = 0;
+  std::size_t Own = 0;
+  for (const Host *Entry : Current.Hosts_) {
+    if (Entry->DataCentre_ != DataCentre)
+      continue;
+    const HostState *State =
+        Serving[static_cast<std::size_t>(Entry - Hosts_.data())];
+    BusySum += std::clamp(State->BusyShare_, 0.0, 1.0);
+    ++Own;
+  }
+  // While a data centre has no hosts, nothing is learned of its callers.
+  if (Own > 0)
+    decide(Wanted, ownCount(DataCentre), Current.Hosts_.size(),
+           BusySum / static_cast<double>(Own), Now);
+  else
+    Wanted.NeededAt_ = Now;
+}
+
 void CallerPlacement::decide(Need &Wanted, std::size_t Own, std::size_t Named,
                              double BusyShare, SteadyTime Now) const {
   // All named hosts get the same number of callers, so with twice as many hosts
--- a/source/Coordination/CallerPlacement.h
+++ b/source/Coordination/CallerPlacement.h
@@ -7,6 +7,7 @@
 #include "Support/Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -33,6 +34,9 @@
   /// Added hosts are removed when fewer were needed for this long: two periods
   /// of load that varies as a wave of 15 s, so that they stay between crests.
   Milliseconds RemoveDelay_{30000};
+  /// A host that has begun to serve decides nothing for this long, because it
+  /// does not know yet what its peers have decided.
+  Milliseconds JoinDelay_{1000};
   /// Link bandwidth that goes with one core. The narrowest links of the known
   /// fleets have 80 to 110 Mbit/s for each core beside them.
   double MegabitsPerCore_ = 100;
@@ -65,6 +69,11 @@
   /// \p Self is the name of this host.
   explicit CallerPlacement(std::string Self,
                            CallerPlacementSettings Settings = {});
+  // The lists of usable and named hosts point into Hosts_.
+  CallerPlacement(const CallerPlacement &) = delete;
+  CallerPlacement &operator=(const CallerPlacement &) = delete;
+  CallerPlacement(CallerPlacement &&) = default;
+  CallerPlacement &operator=(CallerPlacement &&) = default;
 
   /// Takes over the states of the hosts that serve callers now, including this
   /// host's if it does.
@@ -88,7 +97,8 @@
   };
   /// What is known of the callers of a data centre.
   struct Need {
-    std::size_t Hosts_ = 0; ///< Hosts that they need, of any data centre.
+    std::size_t Hosts_ = 0;  ///< Hosts that they need, of any data centre.
+    bool Publishes_ = false; ///< This host was the last to decide.
     SteadyTime AddedAt_{};
     /// The last time at which all hosts were needed, and the most that were
     /// needed since.
@@ -109,6 +119,9 @@
   /// Chooses the hosts that are large enough for callers.
   void selectUsable();
   void updateNeeds(const States &Serving, SteadyTime Now);
+  /// Adapts the number for a data centre to the load of its hosts.
+  void decideFor(const std::string &DataCentre, Need &Wanted,
+                 const States &Serving, SteadyTime Now);
   /// Adapts a number that this host decides. \p BusyShare is the mean of the
   /// data centre's \p Own hosts, out of \p Named ones.
   void decide(Need &Wanted, std::size_t Own, std::size_t Named,
@@ -129,6 +142,7 @@
                    const std::string &DataCentre);
 
   std::string Self_;
+  std::optional<SteadyTime> ServingSince_; ///< This host, if it serves.
   CallerPlacementSettings Settings_;
   std::vector<Host> Hosts_;                      ///< By name.
   std::vector<const Host *> Usable_;             ///< Large enough for callers.
