Add hosts when the smaller hosts of a data centre are busy

All named hosts get the same number of callers, so the smaller ones are full while the mean busy share is still low: with loads of 0.24 cores on hosts of 0.23 to 0.5 cores the mean is about 0.7. The mean of the busier half decides now; a test in which three of seven hosts are 30 % busy fails with the mean of all.

--- a/source/Coordination/CallerPlacement.cpp
+++ b/source/Coordination/CallerPlacement.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <numeric>
 
 namespace amaranth::coordination {
 
@@ -146,22 +148,24 @@
 void CallerPlacement::decideFor(const std::string &DataCentre, Need &Wanted,
                                 const States &Serving, SteadyTime Now) {
   const Answer &Current = answer(DataCentre);
-  double BusySum = 0;
-  std::size_t Own = 0;
+  std::vector<double> BusyShares;
   for (const Host *Entry : Current.Hosts_) {
     if (Entry->DataCentre_ != DataCentre)
       continue;
     const HostState *State =
         Serving[static_cast<std::size_t>(Entry - Hosts_.data())];
-    BusySum += std::clamp(State->BusyShare_, 0.0, 1.0);
-    ++Own;
+    BusyShares.push_back(std::clamp(State->BusyShare_, 0.0, 1.0));
   }
   // While a data centre has no hosts, nothing is learned of its callers.
-  if (Own > 0)
-    decide(Wanted, ownCount(DataCentre), Current.Hosts_.size(),
-           BusySum / static_cast<double>(Own), Now);
-  else
+  if (BusyShares.empty()) {
     Wanted.NeededAt_ = Now;
+    return;
+  }
+  std::sort(BusyShares.begin(), BusyShares.end(), std::greater<>());
+  BusyShares.resize((BusyShares.size() + 1) / 2);
+  double Sum = std::accumulate(BusyShares.begin(), BusyShares.end(), 0.0);
+  decide(Wanted, ownCount(DataCentre), Current.Hosts_.size(),
+         Sum / static_cast<double>(BusyShares.size()), Now);
 }
 
 void CallerPlacement::decide(Need &Wanted, std::size_t Own, std::size_t Named,
--- a/source/Coordination/CallerPlacement.h
+++ b/source/Coordination/CallerPlacement.h
@@ -22,9 +22,9 @@
   std::size_t MinHosts_ = 3;
   /// In a fleet of at most this many hosts, all are named to all callers.
   std::size_t SmallFleet_ = 8;
-  /// Hosts are added for the callers of a data centre when its hosts use more
-  /// than this share of their processors. The rest is for the time until
-  /// callers use the added hosts.
+  /// Hosts are added for the callers of a data centre when the busier half of
+  /// its hosts uses more than this share of their processors: the smaller ones
+  /// are full first. The rest is for the time until callers use the added ones.
   double HelpAbove_ = 0.7;
   /// Number of hosts to add: as many as bring the busy share down to this.
   double TargetShare_ = 0.55;
@@ -122,7 +122,7 @@
   /// Adapts the number for a data centre to the load of its hosts.
   void decideFor(const std::string &DataCentre, Need &Wanted,
                  const States &Serving, SteadyTime Now);
-  /// Adapts a number that this host decides. \p BusyShare is the mean of the
+  /// Adapts a number that this host decides. \p BusyShare is that of the
   /// data centre's \p Own hosts, out of \p Named ones.
   void decide(Need &Wanted, std::size_t Own, std::size_t Named,
               double BusyShare, SteadyTime Now) const;
--- a/tests/Coordination/CallerPlacementTest.cpp
+++ b/tests/Coordination/CallerPlacementTest.cpp
@@ -113,6 +113,8 @@
   CHECK(Middle.named("a") == Counts{{"a", 7}});
   CHECK(Middle.named("unknown").size() == 4);
   Middle.set("a", 0.75);
+  for (int Larger : {0, 4, 8})
+    Middle.States_[Larger].BusyShare_ = 0.3;
   Middle.set("b", 0.72);
   Middle.settle();
   // 7 * 0.75 / 0.55 = 9.5 hosts, 6 * 0.72 / 0.55 = 7.9, and none from each
