Add the pacing of new and recovered targets

Cause: a target that has just started or returned is sent its full share at once, and crashes if it is cold. Change: TargetPacer gives places at such targets at a rate that follows how they respond; PacedTargets decides which targets need places and holds this host's share. Services read cold_start_s and cold_per_s. Not wired up yet. Each check of the unit tests failed with its rule disabled: no limit while cold 23 > 17 at a change of hosts, no share of the reach 12 > 8, no spread of the shares 25 > 9, targets of the first read paced, failing targets not paced.

--- a/source/State/RoutingTable.h
+++ b/source/State/RoutingTable.h
@@ -78,6 +78,10 @@
   std::size_t MaxConnections_ = 0; ///< To one target, from all hosts together.
   std::optional<StageCapacity> Stage_;
   std::optional<EngineCapacity> Engine_;
+  /// How long a target is cold after it started, and the requests a second that
+  /// it accepts from all hosts while it is cold; 0 if targets are never cold.
+  Milliseconds ColdStart_{0};
+  double ColdPerSecond_ = 0;
 };
 
 /// Limits on the requests and connections of callers.
--- /dev/null
+++ b/tests/Coordination/Targets/PacedTargetsTest.cpp
@@ -0,0 +1,123 @@
+#include "Coordination/Targets/PacedTargets.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace amaranth;
+using namespace amaranth::coordination;
+
+namespace {
+
+const SteadyTime Start{Seconds{1000}};
+
+state::RoutingTablePtr table(double ColdPerSecond) {
+  state::RoutingTable Table;
+  Table.Services_["s"].ColdStart_ = Seconds{4};
+  Table.Services_["s"].ColdPerSecond_ = ColdPerSecond;
+  return std::make_shared<const state::RoutingTable>(std::move(Table));
+}
+
+state::TargetRecord record(const char *Id, std::int64_t Incarnation = 1,
+                           Milliseconds Cold = Milliseconds{0}) {
+  return {Id, "s", "a:1", "dc", 1, false, Cold, Incarnation};
+}
+
+bool isPaced(const PacedTargets &Paced, const char *Id, SteadyTime Now) {
+  return Paced.makeRequest(Id, 1, Now).has_value();
+}
+
+} // namespace
+
+// Guards against new, cold and recovered targets that get requests without a
+// place, and against a fleet that starts with all targets paced.
+TEST_CASE("paced targets: what starts to be paced") {
+  PacedTargets Paced("host");
+  Paced.onConfiguration(table(12));
+  Paced.onRecord(record("old"), Start);
+  Paced.onRecord(record("cold", 1, Seconds{3}), Start);
+  Paced.onRecordsComplete();
+  Paced.onRecord(record("new"), Start);
+  CHECK_FALSE(isPaced(Paced, "old", Start));
+  CHECK(isPaced(Paced, "cold", Start));
+  // The record of a new target may have been written before it became cold.
+  CHECK(Paced.makeRequest("new", 1, Start)->ColdPerSecond_ == 12);
+  Paced.onRecord(record("old", 1, Seconds{-5}), Start);
+  CHECK_FALSE(isPaced(Paced, "old", Start));
+  Paced.onRecord(record("old", 1, Seconds{2}), Start);
+  CHECK(Paced.makeRequest("old", 1, Start)->ColdPerSecond_ == 12);
+  // Heartbeats do not begin anew; the elected host's word ends it, once the
+  // target is not cold.
+  PaceRequest Asked = *Paced.makeRequest("old", 1, Start);
+  SteadyTime Now = Start + Seconds{1};
+  Paced.onRecord(record("old", 1, Seconds{1}), Now);
+  Paced.onReply(Asked, {true, {}, false, 50}, Now);
+  CHECK(isPaced(Paced, "old", Now));
+  Now += Seconds{2};
+  Paced.onReply(Asked, {true, {}, false, 50}, Now);
+  CHECK_FALSE(isPaced(Paced, "old", Now));
+  Paced.onRemoved("old", Now);
+  Paced.onRecord(record("old"), Now);
+  CHECK_FALSE(isPaced(Paced, "old", Now));
+  Paced.onRecord(record("old", 2), Now);
+  CHECK(isPaced(Paced, "old", Now));
+  // Services without cold targets are served as before, unless their data
+  // centre returns.
+  Paced.onConfiguration(table(0));
+  CHECK_FALSE(isPaced(Paced, "old", Now));
+  Paced.onDataCentreReturned("dc", Now);
+  CHECK(isPaced(Paced, "old", Now));
+}
+
+// Guards against a target that recovers from failures into full load, and
+// against reports of responses that were only slow because they were large.
+TEST_CASE("paced targets: failures and slow responses") {
+  PacedTargets Paced("host");
+  Paced.onConfiguration(table(12));
+  Paced.onRecord(record("t"), Start);
+  Paced.onRecordsComplete();
+  auto Respond = [&](TargetResult Result, int Time, double Cost) {
+    return Paced.onResponse(record("t"), Result, Milliseconds{Time}, Cost,
+                            Start);
+  };
+  for (int I = 0; I < 3; ++I) {
+    CHECK_FALSE(Respond(TargetResult::Success, 200, 1));
+    CHECK_FALSE(Respond(TargetResult::Broken, 5, 1));
+  }
+  CHECK_FALSE(isPaced(Paced, "t", Start));
+  Respond(TargetResult::Broken, 5, 1);
+  Respond(TargetResult::Unreachable, 5, 1);
+  CHECK(isPaced(Paced, "t", Start));
+  CHECK(Respond(TargetResult::Broken, 5, 1) == PaceOutcome::Failed);
+  CHECK(Respond(TargetResult::Overloaded, 5, 1) == PaceOutcome::Refused);
+  CHECK(Respond(TargetResult::Success, 300, 1) == PaceOutcome::Usual);
+  CHECK(Respond(TargetResult::Success, 2000, 1) == PaceOutcome::Slow);
+  CHECK(Respond(TargetResult::Success, 2000, 8) == PaceOutcome::Usual);
+}
+
+// Rule FAILBACK. Guards against 25 hosts that lose the elected host at the same
+// moment and each send a cold target a request at once, or more than their
+// share together.
+TEST_CASE("paced targets: the shares of all hosts keep a cold target's bound") {
+  constexpr std::size_t Hosts = 25;
+  std::vector<SteadyTime> Sent;
+  for (std::size_t I = 0; I < Hosts; ++I) {
+    PacedTargets Paced("host-" + std::to_string(I));
+    Paced.onConfiguration(table(12));
+    Paced.onRecord(record("t", 1, Seconds{60}), Start);
+    for (SteadyTime Now = Start; Now < Start + Seconds{30};
+         Now += Milliseconds{10}) {
+      PaceRequest Request = *Paced.makeRequest("t", 1, Now);
+      if (Paced.reserveShare(Request, Hosts, Now).Granted_)
+        Sent.push_back(Now);
+    }
+  }
+  std::sort(Sent.begin(), Sent.end());
+  CHECK(Sent.size() > 60);
+  for (auto First = Sent.begin(); First != Sent.end(); ++First) {
+    auto End = std::lower_bound(First, Sent.end(), *First + Seconds{1});
+    // Beside 12 and a burst of 2 from the elected host, the bound is 23.
+    REQUIRE(End - First <= 9);
+  }
+}
