--- a/source/Coordination/Engines/EngineChooser.cpp
+++ b/source/Coordination/Engines/EngineChooser.cpp
@@ -51,6 +51,11 @@
   return totalTokens(Prompt) >= AverageTokens_;
 }
 
+double
+EngineChooser::relativeSize(const std::vector<PromptPart> &Prompt) const {
+  return AverageTokens_ > 0 ? totalTokens(Prompt) / AverageTokens_ : 1;
+}
+
 double EngineChooser::uncachedTokens(const TargetRecord &Engine,
                                      bool IsPreferred,
                                      const std::vector<PromptPart> &Prompt,
--- a/source/Coordination/Engines/EngineChooser.h
+++ b/source/Coordination/Engines/EngineChooser.h
@@ -53,6 +53,8 @@
                     SteadyTime Now);
   /// Whether a prompt is at least as large as the average one.
   bool isLarge(const std::vector<protocol::PromptPart> &Prompt) const;
+  /// Tokens of a prompt relative to the average prompt; 1 if that is unknown.
+  double relativeSize(const std::vector<protocol::PromptPart> &Prompt) const;
   /// Forgets the cached parts of an engine that no longer runs.
   void onEngineRemoved(const std::string &EngineId);
 
--- a/source/Coordination/Targets/PacedTargets.cpp
+++ b/source/Coordination/Targets/PacedTargets.cpp
@@ -26,7 +26,7 @@
 }
 
 bool PacedTargets::isPaced(const Entry &Target) const {
-  return Target.PacedSince_ && !Target.RemovedAt_ &&
+  return Target.PacedSince_ &&
          (Target.HasReturned_ || coldPerSecond(Target) > 0);
 }
 
@@ -190,6 +190,11 @@
   return Place;
 }
 
+bool PacedTargets::isPaced(const std::string &Id) const {
+  auto Found = Targets_.find(Id);
+  return Found != Targets_.end() && isPaced(Found->second);
+}
+
 SteadyTime PacedTargets::opensAt(const std::string &Id) const {
   auto Found = Targets_.find(Id);
   return Found != Targets_.end() && isPaced(Found->second)
--- a/source/Coordination/Targets/PacedTargets.h
+++ b/source/Coordination/Targets/PacedTargets.h
@@ -67,6 +67,7 @@
                                         TargetResult Result, Milliseconds Time,
                                         double Cost, SteadyTime Now);
 
+  bool isPaced(const std::string &Id) const;
   /// The request for a place at a target; nothing if it is not paced.
   std::optional<PaceRequest> makeRequest(const std::string &Id, double Cost,
                                          SteadyTime Now) const;
--- a/source/Coordination/Targets/TargetPacer.cpp
+++ b/source/Coordination/Targets/TargetPacer.cpp
@@ -47,6 +47,14 @@
   return std::max(Rate, 0.01);
 }
 
+double TargetPacer::burst(const Entry &Target, double PerSecond,
+                          SteadyTime Now) const {
+  if (Now < Target.ColdUntil_)
+    return Settings_.Burst_;
+  std::chrono::duration<double> Time = Settings_.BurstTime_;
+  return std::max(Settings_.Burst_, PerSecond * Time.count());
+}
+
 bool TargetPacer::hasEvenShare(const Entry &Target, SteadyTime Now) const {
   return Now >= Target.ColdUntil_ &&
          Now - Target.LastShortAt_ >= Settings_.CalmTime_ &&
@@ -79,8 +87,8 @@
   // interval later.
   if (IsNew)
     Target.NextPlace_ = Now + timeFor(1, Rate);
-  SteadyTime PlaceAt =
-      std::max(Target.NextPlace_, Now - timeFor(Settings_.Burst_ - 1, Rate));
+  SteadyTime PlaceAt = std::max(
+      Target.NextPlace_, Now - timeFor(burst(Target, Rate, Now) - 1, Rate));
   SteadyClock::duration Delay =
       std::max(PlaceAt - Now, SteadyClock::duration(0));
   if (Delay > SteadyClock::duration(0))
--- a/source/Coordination/Targets/TargetPacer.h
+++ b/source/Coordination/Targets/TargetPacer.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_COORDINATION_TARGETS_TARGETPACER_H
 #define AMARANTH_COORDINATION_TARGETS_TARGETPACER_H
 
+#include "Protocol/FleetMessages.h"
 #include "Support/Time.h"
 
 #include <map>
@@ -22,7 +23,10 @@
   double MaxPerSecond_ = 2000;
   /// Requests that a target may get at once after a pause. Counts against the
   /// tolerance of a cold target.
-  int Burst_ = 2;
+  double Burst_ = 2;
+  /// A target that is not cold may get what it missed in this time. Requests
+  /// come in groups; with Burst_ alone, a rate of 41 was used by 8 a second.
+  Milliseconds BurstTime_{100};
   /// Added to the rate by each response in usual time while requests wait. The
   /// responses are proportional to the rate, which therefore more than
   /// doubles in a second.
@@ -43,13 +47,7 @@
   Milliseconds UnusedLifetime_{60000};
 };
 
-/// How a paced target responded to a request.
-enum class PaceOutcome {
-  Usual,   ///< In usual time.
-  Slow,    ///< Well after the usual time.
-  Refused, ///< Not run, for lack of capacity.
-  Failed,  ///< No answer, or a broken one.
-};
+using protocol::PaceOutcome;
 
 /// A request for a place at a paced target, with what the asking host knows.
 struct PaceRequest {
@@ -114,6 +112,7 @@
   void begin(Entry &Target, double PerSecond, SteadyTime Now) const;
   void applyColdness(Entry &Target, const PaceRequest &Request,
                      SteadyTime Now) const;
+  double burst(const Entry &Target, double PerSecond, SteadyTime Now) const;
   double allowedRate(const Entry &Target, SteadyTime Now) const;
   bool hasEvenShare(const Entry &Target, SteadyTime Now) const;
 
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -19,6 +19,7 @@
     targetLimit @9 :TargetLimit;
     permitRequest @10 :PermitRequest;
     permitReply @11 :PermitReply;
+    paceReport @12 :PaceReport;
   }
 }
 
@@ -115,16 +116,33 @@
   perSecond @2 :Float64;   # 0 if it is not limited
 }
 
-# Asks the host that schedules the requests for a limited target for a place.
+# Asks the host that schedules the requests for a limited or paced target for a
+# place.
 struct PermitRequest {
   id @0 :UInt64;           # chosen by the asking host
   target @1 :Text;
   perSecond @2 :Float64;   # the limit as the asking host knows it
   maxDelayMs @3 :Int64;    # a place that is later is of no use
+  unlimited @4 :Bool;      # the target states no limit; perSecond is 0
+  paced @5 :Bool;          # the fields below are set
+  cost @6 :Float64;        # in average requests
+  knownPerSecond @7 :Float64; # rate that the asking host was told; 0 if none
+  pacedForMs @8 :Int64;    # time since the asking host has had it paced
+  coldForMs @9 :Int64;     # time for which the target is still cold
+  coldPerSecond @10 :Float64; # rate that it accepts for that time; 0 if not cold
 }
 
 struct PermitReply {
   id @0 :UInt64;
   granted @1 :Bool;
   delayUs @2 :Int64;       # time until the place that is granted, or the next one
+  notElected @3 :Bool;     # the replying host knows another one for the target
+  paced @4 :Bool;
+  pacePerSecond @5 :Float64; # allowed rate of a paced target
+}
+
+# How a paced target responded to a request.
+struct PaceReport {
+  target @0 :Text;
+  outcome @1 :UInt16;
 }
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -33,6 +33,7 @@
 CAPNP_DECLARE_SCHEMA(9405db6d88cbd680);
 CAPNP_DECLARE_SCHEMA(f74fdff8a84d2f86);
 CAPNP_DECLARE_SCHEMA(da5c47c7740e8fba);
+CAPNP_DECLARE_SCHEMA(b793789ea8af9519);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -60,6 +61,7 @@
     TARGET_LIMIT,
     PERMIT_REQUEST,
     PERMIT_REPLY,
+    PACE_REPORT,
   };
 
   struct _capnpPrivate {
@@ -243,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f74fdff8a84d2f86, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(f74fdff8a84d2f86, 9, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -258,7 +260,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da5c47c7740e8fba, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(da5c47c7740e8fba, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PaceReport {
+  PaceReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b793789ea8af9519, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -333,6 +350,10 @@
   inline bool hasPermitReply() const;
   inline  ::amaranth::protocol::fleet::PermitReply::Reader getPermitReply() const;
 
+  inline bool isPaceReport() const;
+  inline bool hasPaceReport() const;
+  inline  ::amaranth::protocol::fleet::PaceReport::Reader getPaceReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -458,6 +479,14 @@
   inline void adoptPermitReply(::capnp::Orphan< ::amaranth::protocol::fleet::PermitReply>&& value);
   inline ::capnp::Orphan< ::amaranth::protocol::fleet::PermitReply> disownPermitReply();
 
+  inline bool isPaceReport();
+  inline bool hasPaceReport();
+  inline  ::amaranth::protocol::fleet::PaceReport::Builder getPaceReport();
+  inline void setPaceReport( ::amaranth::protocol::fleet::PaceReport::Reader value);
+  inline  ::amaranth::protocol::fleet::PaceReport::Builder initPaceReport();
+  inline void adoptPaceReport(::capnp::Orphan< ::amaranth::protocol::fleet::PaceReport>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::PaceReport> disownPaceReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1742,6 +1771,20 @@
 
   inline  ::int64_t getMaxDelayMs() const;
 
+  inline bool getUnlimited() const;
+
+  inline bool getPaced() const;
+
+  inline double getCost() const;
+
+  inline double getKnownPerSecond() const;
+
+  inline  ::int64_t getPacedForMs() const;
+
+  inline  ::int64_t getColdForMs() const;
+
+  inline double getColdPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1786,6 +1829,27 @@
   inline  ::int64_t getMaxDelayMs();
   inline void setMaxDelayMs( ::int64_t value);
 
+  inline bool getUnlimited();
+  inline void setUnlimited(bool value);
+
+  inline bool getPaced();
+  inline void setPaced(bool value);
+
+  inline double getCost();
+  inline void setCost(double value);
+
+  inline double getKnownPerSecond();
+  inline void setKnownPerSecond(double value);
+
+  inline  ::int64_t getPacedForMs();
+  inline void setPacedForMs( ::int64_t value);
+
+  inline  ::int64_t getColdForMs();
+  inline void setColdForMs( ::int64_t value);
+
+  inline double getColdPerSecond();
+  inline void setColdPerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1835,6 +1899,12 @@
 
   inline  ::int64_t getDelayUs() const;
 
+  inline bool getNotElected() const;
+
+  inline bool getPaced() const;
+
+  inline double getPacePerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1872,6 +1942,15 @@
   inline  ::int64_t getDelayUs();
   inline void setDelayUs( ::int64_t value);
 
+  inline bool getNotElected();
+  inline void setNotElected(bool value);
+
+  inline bool getPaced();
+  inline void setPaced(bool value);
+
+  inline double getPacePerSecond();
+  inline void setPacePerSecond(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1898,6 +1977,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class PaceReport::Reader {
+public:
+  typedef PaceReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline  ::uint16_t getOutcome() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PaceReport::Builder {
+public:
+  typedef PaceReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline  ::uint16_t getOutcome();
+  inline void setOutcome( ::uint16_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PaceReport::Pipeline {
+public:
+  typedef PaceReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::amaranth::protocol::fleet::FleetMessage::Which FleetMessage::Reader::which() const {
@@ -2557,6 +2722,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isPaceReport() const {
+  return which() == FleetMessage::PACE_REPORT;
+}
+inline bool FleetMessage::Builder::isPaceReport() {
+  return which() == FleetMessage::PACE_REPORT;
+}
+inline bool FleetMessage::Reader::hasPaceReport() const {
+  if (which() != FleetMessage::PACE_REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasPaceReport() {
+  if (which() != FleetMessage::PACE_REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::PaceReport::Reader FleetMessage::Reader::getPaceReport() const {
+  KJ_IREQUIRE((which() == FleetMessage::PACE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::PaceReport::Builder FleetMessage::Builder::getPaceReport() {
+  KJ_IREQUIRE((which() == FleetMessage::PACE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setPaceReport( ::amaranth::protocol::fleet::PaceReport::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::PACE_REPORT);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::PaceReport::Builder FleetMessage::Builder::initPaceReport() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::PACE_REPORT);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptPaceReport(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::PaceReport>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::PACE_REPORT);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::PaceReport> FleetMessage::Builder::disownPaceReport() {
+  KJ_IREQUIRE((which() == FleetMessage::PACE_REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::PaceReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool HostState::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4083,6 +4302,104 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitRequest::Reader::getUnlimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getUnlimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setUnlimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::getPaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getPaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setPaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<193>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitRequest::Reader::getCost() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getCost() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setCost(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitRequest::Reader::getKnownPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getKnownPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setKnownPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitRequest::Reader::getPacedForMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitRequest::Builder::getPacedForMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setPacedForMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitRequest::Reader::getColdForMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitRequest::Builder::getColdForMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setColdForMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitRequest::Reader::getColdPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitRequest::Builder::getColdPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setColdPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PermitReply::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4125,6 +4442,96 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitReply::Reader::getNotElected() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getNotElected() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setNotElected(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitReply::Reader::getPaced() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitReply::Builder::getPaced() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setPaced(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline double PermitReply::Reader::getPacePerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline double PermitReply::Builder::getPacePerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitReply::Builder::setPacePerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PaceReport::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PaceReport::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PaceReport::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PaceReport::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PaceReport::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PaceReport::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PaceReport::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PaceReport::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t PaceReport::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t PaceReport::Builder::getOutcome() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PaceReport::Builder::setOutcome( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -242,14 +242,31 @@
     auto Encoded = Builder_.initPermitRequest();
     Encoded.setId(Source.Id_);
     Encoded.setTarget(Source.Target_);
-    Encoded.setPerSecond(Source.PerSecond_);
+    Encoded.setPerSecond(Source.PerSecond_.value_or(0));
+    Encoded.setUnlimited(!Source.PerSecond_);
     Encoded.setMaxDelayMs(Source.MaxDelay_.count());
+    if (!Source.Pace_)
+      return;
+    Encoded.setPaced(true);
+    Encoded.setCost(Source.Pace_->Cost_);
+    Encoded.setKnownPerSecond(Source.Pace_->KnownPerSecond_);
+    Encoded.setPacedForMs(Source.Pace_->PacedFor_.count());
+    Encoded.setColdForMs(Source.Pace_->ColdFor_.count());
+    Encoded.setColdPerSecond(Source.Pace_->ColdPerSecond_);
   }
   void operator()(const PermitReply &Source) {
     auto Encoded = Builder_.initPermitReply();
     Encoded.setId(Source.Id_);
     Encoded.setGranted(Source.Granted_);
     Encoded.setDelayUs(Source.Delay_.count());
+    Encoded.setNotElected(Source.NotElected_);
+    Encoded.setPaced(Source.IsPaced_);
+    Encoded.setPacePerSecond(Source.PacePerSecond_);
+  }
+  void operator()(const PaceReport &Source) {
+    auto Encoded = Builder_.initPaceReport();
+    Encoded.setTarget(Source.Target_);
+    Encoded.setOutcome(static_cast<std::uint16_t>(Source.Outcome_));
   }
 };
 
@@ -262,13 +279,36 @@
 }
 
 PermitRequest read(fleet::PermitRequest::Reader Source) {
-  return {Source.getId(), text(Source.getTarget()), Source.getPerSecond(),
-          Milliseconds(Source.getMaxDelayMs())};
+  PermitRequest Decoded;
+  Decoded.Id_ = Source.getId();
+  Decoded.Target_ = text(Source.getTarget());
+  if (!Source.getUnlimited())
+    Decoded.PerSecond_ = Source.getPerSecond();
+  Decoded.MaxDelay_ = Milliseconds(Source.getMaxDelayMs());
+  if (Source.getPaced())
+    Decoded.Pace_ = PaceState{Source.getCost(), Source.getKnownPerSecond(),
+                              Milliseconds(Source.getPacedForMs()),
+                              Milliseconds(Source.getColdForMs()),
+                              Source.getColdPerSecond()};
+  return Decoded;
 }
 
 PermitReply read(fleet::PermitReply::Reader Source) {
-  return {Source.getId(), Source.getGranted(),
-          Microseconds(Source.getDelayUs())};
+  return {Source.getId(),
+          Source.getGranted(),
+          Microseconds(Source.getDelayUs()),
+          Source.getNotElected(),
+          Source.getPaced(),
+          Source.getPacePerSecond()};
+}
+
+PaceReport read(fleet::PaceReport::Reader Source) {
+  PaceReport Decoded;
+  Decoded.Target_ = text(Source.getTarget());
+  auto Outcome = static_cast<PaceOutcome>(Source.getOutcome());
+  Decoded.Outcome_ =
+      Outcome <= PaceOutcome::Failed ? Outcome : PaceOutcome::Failed;
+  return Decoded;
 }
 
 SuspectRequests
@@ -352,6 +392,8 @@
     return read(Source.getPermitRequest());
   case Which::PERMIT_REPLY:
     return read(Source.getPermitReply());
+  case Which::PACE_REPORT:
+    return read(Source.getPaceReport());
   }
   return std::nullopt;
 }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -137,24 +137,55 @@
   std::optional<double> PerSecond_; ///< Empty if it states no limit.
 };
 
-/// Asks the host that keeps the schedule of a limited target for a place in it.
+/// What a host knows about a target that is paced: one that has just started or
+/// recovered. Times count from sending.
+struct PaceState {
+  double Cost_ = 1; ///< Of the request, in average requests.
+  /// Rate that the asking host was told last; 0 if none.
+  double KnownPerSecond_ = 0;
+  Milliseconds PacedFor_{0};
+  Milliseconds ColdFor_{0};  ///< Time for which the target is still cold.
+  double ColdPerSecond_ = 0; ///< Rate that it accepts then; 0 if not cold.
+};
+
+/// Asks the host that keeps the schedule of a limited or paced target for a
+/// place in it.
 struct PermitRequest {
   std::uint64_t Id_ = 0; ///< Chosen by the asking host.
   std::string Target_;
-  double PerSecond_ = 0;
-  Milliseconds MaxDelay_{0}; ///< A place that is later is of no use.
+  std::optional<double> PerSecond_; ///< Its limit; empty if it states none.
+  Milliseconds MaxDelay_{0};        ///< A place that is later is of no use.
+  std::optional<PaceState> Pace_{}; ///< Empty if it is not paced.
 };
 struct PermitReply {
   std::uint64_t Id_ = 0;
   bool Granted_ = false;
   /// Time until the place that was granted, or until the next free one.
   Microseconds Delay_{0};
+  /// The replying host knows another one that keeps the target's schedule.
+  bool NotElected_ = false;
+  bool IsPaced_ = false;
+  double PacePerSecond_ = 0; ///< Allowed rate of a paced target.
+};
+
+/// How a paced target responded to a request.
+enum class PaceOutcome {
+  Usual,   ///< In usual time.
+  Slow,    ///< Well after the usual time.
+  Refused, ///< Not run, for lack of capacity.
+  Failed,  ///< No answer, or a broken one.
+};
+
+/// Reports a response to the host that paces the target.
+struct PaceReport {
+  std::string Target_;
+  PaceOutcome Outcome_ = PaceOutcome::Usual;
 };
 
 using FleetMessage =
     std::variant<Ping, Pong, PieceOrders, PieceReports, CancelPieces,
                  ReleaseResults, StoreRecords, SuspectRequests, SuspectParts,
-                 TargetLimit, PermitRequest, PermitReply>;
+                 TargetLimit, PermitRequest, PermitReply, PaceReport>;
 
 /// Encodes one message, without the length that precedes it on a connection.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -55,7 +55,7 @@
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
     : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
-      Permits_(Context_, Peers_, *this),
+      Permits_(Context_, Peers_, *this, Settings.Host_),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
                *this, Permits_),
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
@@ -185,6 +185,8 @@
     Permits_.onRequest(Host, *Permit);
   } else if (const auto *Reply = std::get_if<protocol::PermitReply>(&Message)) {
     Permits_.onReply(*Reply);
+  } else if (const auto *Report = std::get_if<protocol::PaceReport>(&Message)) {
+    Permits_.pace().onReport(*Report);
   }
 }
 
@@ -278,6 +280,7 @@
       .field("routes", Table.Routes_.size());
   Context_.Table_ =
       std::make_shared<const state::RoutingTable>(std::move(Table));
+  Permits_.pace().targets().onConfiguration(Context_.Table_);
 }
 
 void EntryHost::applyTarget(const StoreItem &Item) {
@@ -294,7 +297,12 @@
           .field("key", Item.Key_)
           .field("error", Decoded.error().Message_);
   }
-  Context_.Targets_.apply(Change, SteadyClock::now());
+  SteadyTime Now = SteadyClock::now();
+  Context_.Targets_.apply(Change, Now);
+  if (Change.Record_)
+    Permits_.pace().targets().onRecord(*Change.Record_, Now);
+  else
+    Permits_.pace().targets().onRemoved(Change.Id_, Now);
   if (!Context_.Targets_.find(Change.Id_)) {
     Context_.Connections_.closeIdle(Change.Id_);
     LogEvent(LogLevel::Info, "target_leaving").field("target", Change.Id_);
@@ -330,8 +338,10 @@
 }
 
 void EntryHost::onRecordsComplete(const std::string &Prefix) {
-  if (Prefix == Codec_.targetPrefix())
+  if (Prefix == Codec_.targetPrefix()) {
     TargetsLoaded_ = true;
+    Permits_.pace().targets().onRecordsComplete();
+  }
   acceptCallersWhenReady();
 }
 
@@ -351,6 +361,7 @@
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
     Permits_.forgetUnused(Now);
+    Permits_.pace().update(ready(), Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
     UndeliveredReports_.expire(Now);
--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -135,22 +135,21 @@
     return;
   }
   reportToSuspects(Scope_, Exchange, Elapsed);
-  SteadyTime Now = SteadyClock::now();
   switch (Exchange.state()) {
   case ExchangeState::NotSent:
     ++UnreachedTargets_;
-    Context.Health_.end(Id, TargetResult::Unreachable, Elapsed, Now);
+    recordResult(Exchange, TargetResult::Unreachable, Elapsed);
     return;
   case ExchangeState::NotExecuted:
     ++SentAttempts_;
-    Context.Health_.end(Id, TargetResult::Overloaded, Elapsed, Now);
+    recordResult(Exchange, TargetResult::Overloaded, Elapsed);
     return;
   case ExchangeState::Complete:
     break;
   default:
     ++SentAttempts_;
     ++PossibleRuns_;
-    Context.Health_.end(Id, TargetResult::Broken, Elapsed, Now);
+    recordResult(Exchange, TargetResult::Broken, Elapsed);
     if (Exchange.state() == ExchangeState::Broken)
       reportPromptEnd(Scope_, Id, PromptEnd::Lost);
     return;
@@ -165,24 +164,32 @@
         .field("request", Scope_.Request_.Id_)
         .field("target", Id)
         .field("status", Status);
-    Context.Health_.end(Id, TargetResult::Broken, Elapsed, Now);
+    recordResult(Exchange, TargetResult::Broken, Elapsed);
     return;
   }
   TargetAnswer Answer{Exchange.head(), Exchange.takeBody()};
   if (Success) {
-    Context.Health_.end(Id, TargetResult::Success, Elapsed, Now);
+    recordResult(Exchange, TargetResult::Success, Elapsed);
     reportPromptEnd(Scope_, Id, PromptEnd::Answered);
     Success_ = std::move(Answer);
     Succeeded_ = true;
     return;
   }
-  Context.Health_.end(
-      Id, Status >= 500 ? TargetResult::ErrorReply : TargetResult::Success,
-      Elapsed, Now);
+  recordResult(Exchange,
+               Status >= 500 ? TargetResult::ErrorReply : TargetResult::Success,
+               Elapsed);
   Failure_ = std::move(Answer);
   FailureIsFinal_ = Status < 500 || !Scope_.isIdempotent();
 }
 
+void PlainRun::recordResult(const TargetExchange &Exchange, TargetResult Result,
+                            Milliseconds Elapsed) {
+  EntryContext &Context = Scope_.Context_;
+  Context.Health_.end(Exchange.target().Id_, Result, Elapsed,
+                      SteadyClock::now());
+  recordPace(Context, Exchange, Result, Elapsed, cost());
+}
+
 Awaitable<void> PlainRun::answerFailure() {
   if (Failure_) {
     Scope_.Reason_ = "target_failed";
--- a/source/Serving/PlainRun.h
+++ b/source/Serving/PlainRun.h
@@ -38,6 +38,8 @@
   bool mayTryAgain() const;
   transport::Awaitable<void> attempt(state::TargetRecord Target);
   void recordOutcome(TargetExchange &Exchange, Milliseconds Elapsed);
+  void recordResult(const TargetExchange &Exchange,
+                    coordination::TargetResult Result, Milliseconds Elapsed);
   transport::Awaitable<void> answerFailure();
 
   RequestScope &Scope_;
--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -95,6 +95,17 @@
                               Exchange.reply().RequestsPerSecond_);
 }
 
+void recordPace(EntryContext &Context, const TargetExchange &Exchange,
+                coordination::TargetResult Result, SteadyClock::duration Time,
+                double Cost) {
+  // Another target that has taken over the address says nothing about this one.
+  if (Exchange.state() == ExchangeState::NotExecuted &&
+      Exchange.reply().WrongTarget_)
+    return;
+  Context.Permits_.pace().onResponse(
+      Exchange.target(), Result, std::chrono::ceil<Milliseconds>(Time), Cost);
+}
+
 void reportToSuspects(RequestScope &Scope, const TargetExchange &Exchange,
                       Milliseconds RunTime) {
   coordination::SuspectRegistry &Suspects = Scope.Context_.Suspects_;
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -102,6 +102,11 @@
 /// Records the limit that the target has stated in its answer, or that it has
 /// stated none.
 void recordLimit(EntryContext &Context, const TargetExchange &Exchange);
+/// Records how a target responded after \p Time to a request of \p Cost, in
+/// average requests, for the rate of a target that has just started.
+void recordPace(EntryContext &Context, const TargetExchange &Exchange,
+                coordination::TargetResult Result, SteadyClock::duration Time,
+                double Cost);
 
 /// Reports the end of an exchange that ran for \p RunTime to the registry of
 /// suspect inputs (inputs that were running when their target crashed).
--- a/source/Serving/SendPermits.cpp
+++ b/source/Serving/SendPermits.cpp
@@ -13,8 +13,10 @@
 using transport::Awaitable;
 
 SendPermits::SendPermits(EntryContext &Context, PeerMesh &Peers,
-                         DispatcherRouter &Router, SendPermitsSettings Settings)
-    : Context_(Context), Peers_(Peers), Router_(Router), Settings_(Settings) {}
+                         DispatcherRouter &Router, std::string Host,
+                         SendPermitsSettings Settings)
+    : Context_(Context), Peers_(Peers), Router_(Router), Settings_(Settings),
+      Pace_(Peers, Router, std::move(Host)) {}
 
 void SendPermits::onAnswer(const std::string &Target,
                            std::optional<double> PerSecond) {
@@ -31,23 +33,31 @@
 }
 
 SendPermits::Targets SendPermits::openTargets(const std::string &Service,
-                                              bool WithLimits) const {
+                                              bool WithLimits,
+                                              bool WithPaced) const {
   SteadyTime Now = SteadyClock::now();
   Targets Open = Context_.Targets_.serving(Service);
   std::erase_if(Open, [&](const TargetRecord *Target) {
     return Context_.Limits_.find(Target->Id_) &&
            (!WithLimits || Context_.Limits_.opensAt(Target->Id_) > Now);
   });
+  std::erase_if(Open, [&](const TargetRecord *Target) {
+    return WithPaced ? Pace_.targets().opensAt(Target->Id_) > Now
+                     : Pace_.targets().isPaced(Target->Id_);
+  });
   return Open;
 }
 
+SteadyTime SendPermits::opensAt(const std::string &Id) const {
+  return std::max(Context_.Limits_.opensAt(Id), Pace_.targets().opensAt(Id));
+}
+
 const TargetRecord *SendPermits::firstToOpen(const std::string &Service,
                                              TargetChooser &Chooser) const {
   Targets Candidates = Context_.Targets_.serving(Service);
   std::stable_sort(Candidates.begin(), Candidates.end(),
                    [&](const TargetRecord *A, const TargetRecord *B) {
-                     return Context_.Limits_.opensAt(A->Id_) <
-                            Context_.Limits_.opensAt(B->Id_);
+                     return opensAt(A->Id_) < opensAt(B->Id_);
                    });
   for (const TargetRecord *Candidate : Candidates)
     if (Chooser.chooseFrom({Candidate}))
@@ -60,15 +70,16 @@
                     SteadyTime WaitUntil) {
   std::optional<TargetRecord> Permitted;
   for (int Tries = 0; !Permitted; ++Tries) {
-    bool WithLimits =
-        Chooser.mayTakeLimitedPlace() && Tries < Settings_.MaxImmediateTries_;
+    bool WithPlaces = Tries < Settings_.MaxImmediateTries_;
+    bool WithLimits = Chooser.mayTakeLimitedPlace() && WithPlaces;
     const TargetRecord *Chosen =
-        Chooser.chooseFrom(openTargets(Service, WithLimits));
+        Chooser.chooseFrom(openTargets(Service, WithLimits, WithPlaces));
     if (!Chosen)
       break;
     std::string Id = Chosen->Id_;
     SteadyTime Now = SteadyClock::now();
-    Permitted = co_await acquire(Id, Now);
+    double Cost = Chooser.cost();
+    Permitted = co_await acquire(Id, Now, Cost);
   }
   if (!Permitted)
     Permitted = co_await waitForPlace(Service, Chooser, WaitUntil);
@@ -85,11 +96,12 @@
         std::min(WaitUntil, Context_.Drain_.endRequestsAt());
     SteadyTime Until =
         std::min(LastPlaceAt, SteadyClock::now() + Settings_.MaxReservation_);
-    Permitted = co_await acquire(Id, Until);
+    double Cost = Chooser.cost();
+    Permitted = co_await acquire(Id, Until, Cost);
     // By the answer, the place is out of reach until the reservation that is
     // allowed then reaches it.
     SteadyTime TryAgainAt =
-        std::max(Context_.Limits_.opensAt(Id) - Settings_.MaxReservation_,
+        std::max(opensAt(Id) - Settings_.MaxReservation_,
                  SteadyClock::now() + Settings_.MinRetryDelay_);
     if (Permitted || TryAgainAt >= LastPlaceAt || Chooser.hasCallerLeft())
       break;
@@ -100,26 +112,39 @@
   co_return Permitted;
 }
 
-Awaitable<std::optional<TargetRecord>> SendPermits::acquire(std::string Target,
-                                                            SteadyTime Until) {
+Awaitable<std::optional<TargetRecord>>
+SendPermits::acquire(std::string Target, SteadyTime Until, double Cost) {
   std::optional<TargetRecord> Permitted;
+  SteadyTime AskedAt = SteadyClock::now();
+  std::optional<coordination::PaceRequest> Pace =
+      Pace_.targets().makeRequest(Target, Cost, AskedAt);
   PermitReply Place{0, true, Microseconds(0)};
-  if (std::optional<double> PerSecond = Context_.Limits_.find(Target)) {
+  std::optional<double> PerSecond = Context_.Limits_.find(Target);
+  if (PerSecond || Pace) {
     PermitRequest Request;
     Request.Id_ = ++LastRequestId_;
     Request.Target_ = Target;
-    Request.PerSecond_ = *PerSecond;
+    Request.PerSecond_ = PerSecond;
     Request.MaxDelay_ = std::max(Milliseconds(0), remaining(Until));
+    if (Pace)
+      Request.Pace_ = PaceExchange::toMessage(*Pace, AskedAt);
     Place = co_await requestPlace(Request);
+    // This host's share of the pace does not replace a place at a limit.
+    if (Pace && !(PerSecond && Place.NotElected_))
+      Place = Pace_.onReply(*Pace, Place, Request.MaxDelay_);
   }
   if (!Place.Granted_) {
-    Context_.Limits_.setFullUntil(Target, SteadyClock::now() + Place.Delay_);
+    if (PerSecond)
+      Context_.Limits_.setFullUntil(Target, SteadyClock::now() + Place.Delay_);
     co_return Permitted;
   }
+  SteadyTime PlaceAt = AskedAt + Place.Delay_;
   if (Place.Delay_ > Microseconds(0)) {
     auto Delay = std::chrono::ceil<Milliseconds>(Place.Delay_);
     co_await transport::pause(Context_.Loop_, Delay);
   }
+  if (!Pace_.isValid(Target, Pace, PlaceAt))
+    co_return Permitted;
   if (const TargetRecord *Record = Context_.Targets_.find(Target))
     Permitted = *Record;
   co_return Permitted;
@@ -133,7 +158,7 @@
     co_return Place;
   }
   std::optional<PermitReply> Reply = co_await ask(Host, Request);
-  if (Reply) {
+  if (Reply && !Reply->NotElected_) {
     Place = *Reply;
     co_return Place;
   }
@@ -141,6 +166,7 @@
       .field("target", Request.Target_)
       .field("host", Host);
   Place.Delay_ = Settings_.UnansweredPause_;
+  Place.NotElected_ = true;
   co_return Place;
 }
 
@@ -159,16 +185,39 @@
 }
 
 PermitReply SendPermits::reserve(const PermitRequest &Request) {
-  coordination::SendSchedule::Place Place =
-      Schedule_.reserve(Request.Target_, Request.PerSecond_, Request.MaxDelay_,
-                        SteadyClock::now());
-  return {Request.Id_, Place.Granted_,
-          std::chrono::ceil<Microseconds>(Place.Delay_)};
+  PermitReply Reply;
+  Reply.Id_ = Request.Id_;
+  Reply.Granted_ = true;
+  if (Request.Pace_) {
+    coordination::PacePlace Place = Pace_.reserve(Request);
+    Reply.Granted_ = Place.Granted_;
+    Reply.Delay_ = std::chrono::ceil<Microseconds>(Place.Delay_);
+    Reply.IsPaced_ = Place.IsPaced_;
+    Reply.PacePerSecond_ = Place.PerSecond_;
+  }
+  // The place of a paced target is lost if there is none within the limit, so
+  // that neither rate is exceeded.
+  if (Request.PerSecond_ && Reply.Granted_) {
+    coordination::SendSchedule::Place Place =
+        Schedule_.reserve(Request.Target_, *Request.PerSecond_,
+                          Request.MaxDelay_, SteadyClock::now());
+    Reply.Granted_ = Place.Granted_;
+    Reply.Delay_ =
+        std::max(Reply.Delay_, std::chrono::ceil<Microseconds>(Place.Delay_));
+  }
+  return Reply;
 }
 
 void SendPermits::onRequest(const std::string &Host,
                             const PermitRequest &Request) {
-  Peers_.send(Host, FleetMessage(reserve(Request)));
+  PermitReply Reply;
+  Reply.Id_ = Request.Id_;
+  Reply.NotElected_ =
+      Request.Pace_ &&
+      Router_.findDispatcher(Request.Target_) != Context_.Settings_.Host_;
+  if (!Reply.NotElected_)
+    Reply = reserve(Request);
+  Peers_.send(Host, FleetMessage(Reply));
 }
 
 void SendPermits::onReply(const PermitReply &Reply) {
@@ -182,7 +231,7 @@
 Milliseconds SendPermits::timeToNextPlace(const std::string &Service) const {
   std::optional<SteadyTime> First;
   for (const TargetRecord *Target : Context_.Targets_.serving(Service)) {
-    SteadyTime OpensAt = Context_.Limits_.opensAt(Target->Id_);
+    SteadyTime OpensAt = opensAt(Target->Id_);
     First = std::min(First.value_or(OpensAt), OpensAt);
   }
   return First ? std::max(Milliseconds(0), remaining(*First)) : Milliseconds(0);
--- a/source/Serving/SendPermits.h
+++ b/source/Serving/SendPermits.h
@@ -6,6 +6,7 @@
 #include "Coordination/Targets/SendSchedule.h"
 #include "Protocol/FleetMessages.h"
 #include "Serving/EntryContext.h"
+#include "Serving/PaceExchange.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/StageClient.h"
 #include "Transport/Loop.h"
@@ -47,15 +48,18 @@
   /// relieves the other targets more.
   virtual bool mayTakeLimitedPlace() const = 0;
   virtual bool hasCallerLeft() = 0;
+  /// Work of the request, in average requests.
+  virtual double cost() const { return 1; }
 };
 
-/// Gives requests permission to be sent. A target without a limit takes any
-/// request. The schedule of a limited one is kept by one host, elected like the
-/// dispatcher of a service; the others ask it before each request.
+/// Gives requests permission to be sent. A target that has no limit and is not
+/// paced takes any request. The schedule of another one is kept by one host,
+/// elected like the dispatcher of a service; the others ask it before each
+/// request. The smaller of limit and pace applies.
 class SendPermits final {
 public:
   SendPermits(EntryContext &Context, PeerMesh &Peers, DispatcherRouter &Router,
-              SendPermitsSettings Settings = {});
+              std::string Host, SendPermitsSettings Settings = {});
 
   /// Returns a target of \p Service to which a request may be sent now. Waits
   /// until \p WaitUntil for a place if all targets that \p Chooser can use are
@@ -64,6 +68,7 @@
   choose(std::string Service, TargetChooser &Chooser, SteadyTime WaitUntil);
   /// Time until a target of \p Service may accept a request.
   Milliseconds timeToNextPlace(const std::string &Service) const;
+  PaceExchange &pace() { return Pace_; }
 
   /// Records what a target stated in an answer and tells the other hosts.
   void onAnswer(const std::string &Target, std::optional<double> PerSecond);
@@ -90,15 +95,19 @@
   /// Waits for a place at a target. Returns the target, or nothing if there is
   /// no place before \p Until or the target has left.
   transport::Awaitable<std::optional<state::TargetRecord>>
-  acquire(std::string Target, SteadyTime Until);
-  /// Asks the host that keeps the target's schedule.
+  acquire(std::string Target, SteadyTime Until, double Cost);
+  /// Asks the host that keeps the target's schedule. The reply has NotElected_
+  /// set if there is no answer.
   transport::Awaitable<protocol::PermitReply>
   requestPlace(protocol::PermitRequest Request);
   protocol::PermitReply reserve(const protocol::PermitRequest &Request);
   transport::Awaitable<std::optional<protocol::PermitReply>>
   ask(std::string Host, protocol::PermitRequest Request);
   /// Targets of \p Service that are not known to be at their limits.
-  Targets openTargets(const std::string &Service, bool WithLimits) const;
+  Targets openTargets(const std::string &Service, bool WithLimits,
+                      bool WithPaced) const;
+  /// Time from which a target may accept a request.
+  SteadyTime opensAt(const std::string &Id) const;
   /// The target that \p Chooser can use and that accepts a request first.
   const state::TargetRecord *firstToOpen(const std::string &Service,
                                          TargetChooser &Chooser) const;
@@ -108,6 +117,7 @@
   DispatcherRouter &Router_;
   SendPermitsSettings Settings_;
   coordination::SendSchedule Schedule_; ///< Of the targets of this host.
+  PaceExchange Pace_;
   std::uint64_t LastRequestId_ = 0;
   std::map<std::uint64_t, std::shared_ptr<PendingPermit>> Pending_;
 };
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -128,6 +128,10 @@
   return Scope_.Context_.Engines_.isLarge(Scope_.Request_.Prompt_);
 }
 
+double StreamRun::cost() const {
+  return Scope_.Context_.Engines_.relativeSize(Scope_.Request_.Prompt_);
+}
+
 bool StreamRun::mayTryAgain() const {
   if (PossibleRuns_ > 0 && !Scope_.Route_->IsResumable_)
     return false;
@@ -208,6 +212,8 @@
     Result = isSuccess(Exchange.head().Status_) ? TargetResult::Success
                                                 : TargetResult::ErrorReply;
   Context.Health_.end(Id, Result, Elapsed, Now);
+  if (!FirstEventAt_ || Result == TargetResult::Broken)
+    recordPace(Context, Exchange, Result, Elapsed, cost());
 }
 
 PromptEnd StreamRun::promptEnd(const TargetExchange &Exchange) const {
@@ -234,8 +240,11 @@
     std::string Body = Exchange.takeBody();
     std::string WholeEvents = Events_.addBytes(Body);
     if (!WholeEvents.empty()) {
-      if (!FirstEventAt_)
+      if (!FirstEventAt_) {
         FirstEventAt_ = SteadyClock::now();
+        recordPace(Scope_.Context_, Exchange, TargetResult::Success,
+                   FirstEventAt_.value() - AttemptStart_, cost());
+      }
       bool Written = co_await writeEvents(Exchange, WholeEvents);
       if (!Written)
         co_return Step::Finished;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -29,6 +29,7 @@
       const std::vector<const state::TargetRecord *> &Candidates) override;
   bool mayTakeLimitedPlace() const override;
   bool hasCallerLeft() override { return Scope_.hasCallerLeft(); }
+  double cost() const override;
 
 private:
   /// What follows an attempt.
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -52,7 +52,24 @@
   CHECK(Permit.Target_ == "t");
   CHECK(Permit.PerSecond_ == 0.5);
   CHECK(Permit.MaxDelay_ == Milliseconds{700});
-  PermitReply Reply = roundTrip(PermitReply{7, true, Microseconds{1250}});
+  CHECK_FALSE(Permit.Pace_);
+  PermitRequest Paced;
+  Paced.Pace_ = PaceState{2.5, 7.5, Milliseconds{900}, Milliseconds{-3}, 12};
+  Paced = roundTrip(Paced);
+  CHECK_FALSE(Paced.PerSecond_);
+  CHECK(Paced.Pace_->Cost_ == 2.5);
+  CHECK(Paced.Pace_->KnownPerSecond_ == 7.5);
+  CHECK(Paced.Pace_->PacedFor_ == Milliseconds{900});
+  CHECK(Paced.Pace_->ColdFor_ == Milliseconds{-3});
+  CHECK(Paced.Pace_->ColdPerSecond_ == 12);
+  PaceReport Report = roundTrip(PaceReport{"t", PaceOutcome::Refused});
+  CHECK(Report.Target_ == "t");
+  CHECK(Report.Outcome_ == PaceOutcome::Refused);
+  PermitReply Reply =
+      roundTrip(PermitReply{7, true, Microseconds{1250}, true, true, 8.5});
+  CHECK(Reply.NotElected_);
+  CHECK(Reply.IsPaced_);
+  CHECK(Reply.PacePerSecond_ == 8.5);
   CHECK(Reply.Id_ == 7);
   CHECK(Reply.Granted_);
   CHECK(Reply.Delay_ == Microseconds{1250});
