Keep stage calls within the limits that their targets state

Cause: stage calls, and calls that free results, asked for no place at a target that states Server-Limit.

The dispatcher is the only host that calls a stage target, so it keeps a SendSchedule of its own and asks no other host. A target without a free place is not offered a call; its next place counts as the time at which it is free, and its limit in the rate of the service. One request in four at most frees results there: a call makes the results of many pieces, and what is not freed expires.

--- a/source/Coordination/Targets/SendSchedule.cpp
+++ b/source/Coordination/Targets/SendSchedule.cpp
@@ -7,28 +7,43 @@
 SendSchedule::SendSchedule(SendScheduleSettings Settings)
     : Settings_(Settings) {}
 
-SendSchedule::Place SendSchedule::reserve(const std::string &Target,
-                                          double PerSecond,
-                                          SteadyClock::duration MaxDelay,
-                                          SteadyTime Now) {
+SteadyClock::duration SendSchedule::interval(double PerSecond) const {
   double Rate =
       PerSecond > Settings_.MinPerSecond_ ? PerSecond : Settings_.MinPerSecond_;
   std::chrono::duration<double> Seconds(1 / Rate);
-  auto Interval = std::chrono::ceil<SteadyClock::duration>(Seconds);
+  return std::chrono::ceil<SteadyClock::duration>(Seconds);
+}
+
+SteadyTime SendSchedule::nextPlace(const std::string &Target,
+                                   SteadyClock::duration Interval,
+                                   SteadyTime Now) {
   // Another host may have given places until now: the first one here is an
   // interval later.
   auto [Entry, IsNew] = NextPlaces_.try_emplace(Target, Now + Interval);
-  SteadyTime &NextPlace = Entry->second;
-  SteadyTime PlaceAt =
-      std::max(NextPlace, Now - (Settings_.Burst_ - 1) * Interval);
+  return std::max(Entry->second, Now - (Settings_.Burst_ - 1) * Interval);
+}
+
+SendSchedule::Place SendSchedule::reserve(const std::string &Target,
+                                          double PerSecond,
+                                          SteadyClock::duration MaxDelay,
+                                          SteadyTime Now) {
+  SteadyClock::duration Interval = interval(PerSecond);
+  SteadyTime PlaceAt = nextPlace(Target, Interval, Now);
   SteadyClock::duration Delay =
       std::max(PlaceAt - Now, SteadyClock::duration(0));
   if (Delay > MaxDelay)
     return {false, Delay};
-  NextPlace = PlaceAt + Interval;
+  NextPlaces_[Target] = PlaceAt + Interval;
   return {true, Delay};
 }
 
+SteadyClock::duration SendSchedule::timeToPlace(const std::string &Target,
+                                                double PerSecond,
+                                                SteadyTime Now) {
+  SteadyTime PlaceAt = nextPlace(Target, interval(PerSecond), Now);
+  return std::max(PlaceAt - Now, SteadyClock::duration(0));
+}
+
 void SendSchedule::forgetUnused(SteadyTime Now) {
   std::erase_if(NextPlaces_, [&](const auto &Item) {
     return Now - Item.second > Settings_.UnusedLifetime_;
--- a/source/Coordination/Targets/SendSchedule.h
+++ b/source/Coordination/Targets/SendSchedule.h
@@ -40,9 +40,18 @@
   /// second, unless it is later than \p MaxDelay.
   Place reserve(const std::string &Target, double PerSecond,
                 SteadyClock::duration MaxDelay, SteadyTime Now);
+  /// Time until the next free place at \p Target, which is not taken.
+  SteadyClock::duration timeToPlace(const std::string &Target, double PerSecond,
+                                    SteadyTime Now);
+  /// Interval between the places at \p PerSecond requests a second.
+  SteadyClock::duration interval(double PerSecond) const;
   void forgetUnused(SteadyTime Now);
 
 private:
+  /// Time of the next free place.
+  SteadyTime nextPlace(const std::string &Target,
+                       SteadyClock::duration Interval, SteadyTime Now);
+
   SendScheduleSettings Settings_;
   /// Time of the next free place, by target.
   std::map<std::string, SteadyTime> NextPlaces_;
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -115,6 +115,7 @@
 Awaitable<void> StageDispatcher::checkQueues() {
   for (;;) {
     co_await transport::pause(Context_.Loop_, Settings_.CheckPeriod_);
+    Schedule_.forgetUnused(SteadyClock::now());
     for (auto &[ServiceName, Service] : Services_) {
       if (Service.Queue_.empty())
         continue;
@@ -218,6 +219,7 @@
     const TargetState &State = Service.Targets_[Target->Id_];
     SteadyTime FreeAt =
         State.Calls_ < Capacity.Slots_ ? Now : State.ExpectedFreeAt_;
+    FreeAt = std::max(FreeAt, Now + timeToPlace(Target->Id_, Now));
     auto [Entry, Inserted] = FreeTimes.emplace(Target->DataCentre_, FreeAt);
     if (!Inserted)
       Entry->second = std::min(Entry->second, FreeAt);
@@ -233,7 +235,8 @@
   for (const TargetRecord *Target : Context_.eligibleTargets(ServiceName)) {
     const TargetState &State = Service.Targets_[Target->Id_];
     if (State.Calls_ < Capacity.Slots_ &&
-        Context_.Health_.isUsable(Target->Id_, Now))
+        Context_.Health_.isUsable(Target->Id_, Now) &&
+        timeToPlace(Target->Id_, Now) == SteadyClock::duration(0))
       FreeTargets.emplace_back(Context_.Health_.cost(Target->Id_, Now), Target);
   }
   std::sort(FreeTargets.begin(), FreeTargets.end());
@@ -248,6 +251,7 @@
     Pieces CallPieces = Service.Queue_.composeCall(Offer, Capacity, Now);
     if (CallPieces.empty())
       continue;
+    takePlace(Target->Id_, Now);
     TargetState &State = Service.Targets_[Target->Id_];
     ++State.Calls_;
     State.ExpectedFreeAt_ = Now + expectedCallTime(Capacity, CallPieces.size());
@@ -506,6 +510,30 @@
   }
 }
 
+SteadyClock::duration StageDispatcher::timeToPlace(const std::string &Target,
+                                                   SteadyTime Now) {
+  std::optional<double> Limit = Context_.Notices_.limit(Target);
+  return Limit ? Schedule_.timeToPlace(Target, *Limit, Now)
+               : SteadyClock::duration(0);
+}
+
+void StageDispatcher::takePlace(const std::string &Target, SteadyTime Now) {
+  if (std::optional<double> Limit = Context_.Notices_.limit(Target))
+    Schedule_.reserve(Target, *Limit, SteadyClock::duration(0), Now);
+}
+
+SteadyClock::duration StageDispatcher::timeToFree(const TargetRecord &Target,
+                                                  const TargetState &State,
+                                                  SteadyTime Now) {
+  const coordination::TargetNotices &Notices = Context_.Notices_;
+  SteadyTime At = Now;
+  if (Notices.check(Target, Now) == coordination::Withheld::WantsNothing)
+    At = Notices.wantsNothingUntil(Target.Id_).value_or(Now);
+  if (Notices.limit(Target.Id_))
+    At = std::max({At, State.FreeAgainAt_, Now + timeToPlace(Target.Id_, Now)});
+  return At - Now;
+}
+
 Awaitable<void> StageDispatcher::freeResults(std::string ServiceName,
                                              TargetRecord Target) {
   // References into the maps stay valid: services and targets are not erased.
@@ -513,11 +541,9 @@
   TargetState &State = Service.Targets_[Target.Id_];
   while (!State.HandlesToFree_.empty()) {
     SteadyTime Now = SteadyClock::now();
-    if (Context_.Notices_.check(Target, Now) ==
-        coordination::Withheld::WantsNothing) {
-      SteadyTime Until =
-          Context_.Notices_.wantsNothingUntil(Target.Id_).value_or(Now);
-      auto Delay = std::chrono::ceil<Milliseconds>(Until - Now);
+    auto Delay =
+        std::chrono::ceil<Milliseconds>(timeToFree(Target, State, Now));
+    if (Delay > Milliseconds(0)) {
       co_await transport::pause(Context_.Loop_, Delay);
       continue;
     }
@@ -526,6 +552,10 @@
       State.HandlesToFree_.clear();
       break;
     }
+    takePlace(Target.Id_, Now);
+    if (std::optional<double> Limit = Context_.Notices_.limit(Target.Id_))
+      State.FreeAgainAt_ =
+          Now + Schedule_.interval(*Limit) * Settings_.LimitedFreeDivisor_;
     std::vector<std::string> Handles = std::move(State.HandlesToFree_);
     State.HandlesToFree_.clear();
     std::string Request = Context_.Edge_.freeResultsCall(Handles, Target.Id_);
@@ -554,14 +584,16 @@
     return 0;
   const StageCapacity &Capacity = *ServiceConfig->Stage_;
   SteadyTime Now = SteadyClock::now();
-  std::size_t Targets = 0;
-  for (const TargetRecord *Target : Context_.eligibleTargets(ServiceName))
-    Targets += Context_.Health_.isUsable(Target->Id_, Now);
   auto CallTime = expectedCallTime(Capacity, Capacity.MaxBatchPieces_);
-  return 1000.0 *
-         static_cast<double>(Targets * Capacity.Slots_ *
-                             Capacity.MaxBatchPieces_) /
-         std::max(1.0, static_cast<double>(CallTime.count()));
+  double CallsPerTarget = 1000.0 * static_cast<double>(Capacity.Slots_) /
+                          std::max(1.0, static_cast<double>(CallTime.count()));
+  double Calls = 0;
+  for (const TargetRecord *Target : Context_.eligibleTargets(ServiceName))
+    if (Context_.Health_.isUsable(Target->Id_, Now))
+      Calls += std::min(
+          CallsPerTarget,
+          Context_.Notices_.limit(Target->Id_).value_or(CallsPerTarget));
+  return Calls * static_cast<double>(Capacity.MaxBatchPieces_);
 }
 
 protocol::QueueState
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -6,6 +6,7 @@
 
 #include "Coordination/Stages/ResultLedger.h"
 #include "Coordination/Stages/StageQueue.h"
+#include "Coordination/Targets/SendSchedule.h"
 #include "Protocol/FleetMessages.h"
 #include "Serving/EntryContext.h"
 
@@ -34,6 +35,10 @@
   /// count as read, and can be freed, after the fixed time of a call divided by
   /// this number.
   int InputReadDivisor_ = 3;
+  /// At a target that states a limit, at most one request in this number frees
+  /// results: a call makes the results of many pieces, and what is not freed
+  /// expires.
+  int LimitedFreeDivisor_ = 4;
   /// Weight of a new call in the average yield of a service's calls.
   double YieldWeight_ = 0.05;
 };
@@ -76,6 +81,8 @@
     SteadyTime ExpectedFreeAt_{}; ///< Expected end of the last call started.
     std::vector<std::string> HandlesToFree_; ///< Handles of unneeded results.
     bool FreeCallRunning_ = false;
+    /// At a target with a limit, no results are freed before this time.
+    SteadyTime FreeAgainAt_{};
   };
   struct ServiceState {
     coordination::StageQueue Queue_;
@@ -139,6 +146,14 @@
   void retryOrReport(ServiceState &Service, coordination::QueuedPiece Piece,
                      protocol::PieceStatus End,
                      std::map<std::string, protocol::PieceReports> &Reports);
+  /// Time until a target accepts a request by the limit that it states.
+  SteadyClock::duration timeToPlace(const std::string &Target, SteadyTime Now);
+  /// Takes the place at a target that has one now.
+  void takePlace(const std::string &Target, SteadyTime Now);
+  /// Time until unneeded results may be freed at a target, which may want no
+  /// requests now or state a limit.
+  SteadyClock::duration timeToFree(const state::TargetRecord &Target,
+                                   const TargetState &State, SteadyTime Now);
   transport::Awaitable<void> freeResults(std::string ServiceName,
                                          state::TargetRecord Target);
   /// Pieces per second if all usable targets run full calls.
@@ -151,6 +166,9 @@
   PieceReportListener &Listener_;
   StageDispatcherSettings Settings_;
   std::map<std::string, ServiceState> Services_;
+  /// Places of the targets that state a limit. The dispatcher of a service is
+  /// the only host that calls its targets, so that it asks no other.
+  coordination::SendSchedule Schedule_;
   /// Expiry times of cancelled requests, by owner and request id.
   std::map<RequestKey, SteadyTime> Cancelled_;
 };
--- a/tests/Coordination/Targets/SendScheduleTest.cpp
+++ b/tests/Coordination/Targets/SendScheduleTest.cpp
@@ -106,3 +106,15 @@
     CHECK(Place.Delay_ >= Seconds{4});
   }
 }
+
+// Guards against a place that is taken by asking for it, and against a caller
+// that is told to wait at a free place.
+TEST_CASE("send schedule: asking for the next place does not take it") {
+  SendSchedule Schedule;
+  CHECK(Schedule.timeToPlace("t", 2, Start) == Milliseconds{500});
+  SteadyTime Later = Start + Milliseconds{500};
+  for (int I = 0; I < 3; ++I)
+    CHECK(Schedule.timeToPlace("t", 2, Later) == Milliseconds{0});
+  CHECK(Schedule.reserve("t", 2, Milliseconds{0}, Later).Granted_);
+  CHECK(Schedule.timeToPlace("t", 2, Later) == Milliseconds{500});
+}
--- a/tests/Integration/Platform/TargetLimitTest.cpp
+++ b/tests/Integration/Platform/TargetLimitTest.cpp
@@ -20,12 +20,13 @@
 /// Most requests that a target may get in any Window.
 constexpr auto MaxInWindow = static_cast<std::ptrdiff_t>(1.5 * Limit * 4 + 5);
 
-/// A target of the service "desk" that states a limit in all answers.
+/// A target that states a limit in all answers.
 class LimitedTarget final {
 public:
-  LimitedTarget(StoreDouble &Store, std::string Id)
+  LimitedTarget(StoreDouble &Store, std::string Id,
+                std::string Service = "desk")
       : Target_(
-            Store, std::move(Id), "desk",
+            Store, std::move(Id), std::move(Service),
             [this](RawServerConnection &Connection, const RawRequest &Request) {
               return answer(Connection, Request);
             }) {}
@@ -51,10 +52,13 @@
       std::lock_guard Lock(Mutex_);
       Arrivals_.push_back(SteadyClock::now());
     }
-    Connection.write(rawAnswer(200,
-                               validResponseFields(Request) + "Server-Limit: " +
-                                   std::to_string(Limit) + "\r\n",
-                               "done"));
+    std::string Answer =
+        Request.path().starts_with("/amaranthcourse/")
+            ? stageAnswer(Request, Target_.address())
+            : rawAnswer(200, validResponseFields(Request), "done");
+    Answer.insert(Answer.find("\r\n") + 2,
+                  "Server-Limit: " + std::to_string(Limit) + "\r\n");
+    Connection.write(Answer);
     return true;
   }
 
@@ -70,18 +74,26 @@
   int Other_ = 0;
 };
 
+std::string lookRequest() { return platformRequest("GET", "/look/1"); }
+
+std::string guideRequest() {
+  return platformRequest("POST", "/guide/1", "Pieces: 4,4\r\nPiece-Key: k\r\n");
+}
+
 /// Sends up to 24 calls a second for \p Duration. Enough callers wait at the
 /// same time that some have to be refused if the targets' limits are kept.
-CallCounts sendCalls(PlatformFleet &Fleet, Seconds Duration) {
-  constexpr std::size_t Callers = 4 * HostCount;
-  constexpr Milliseconds CallPeriod{1000 * Callers / 24};
+/// Fewer \p Callers send fewer calls.
+CallCounts sendCalls(PlatformFleet &Fleet, Seconds Duration,
+                     std::string (*MakeRequest)() = lookRequest,
+                     std::size_t Callers = 4 * HostCount) {
+  constexpr Milliseconds CallPeriod{1000 * 4 * HostCount / 24};
   std::mutex Mutex;
   CallCounts Counts;
   SteadyTime End = SteadyClock::now() + Duration;
   auto CallHost = [&](std::size_t Host) {
     while (SteadyClock::now() < End) {
       SteadyTime NextCall = SteadyClock::now() + CallPeriod;
-      int Status = Fleet.call(Host, platformRequest("GET", "/look/1")).Status_;
+      int Status = Fleet.call(Host, MakeRequest()).Status_;
       {
         std::lock_guard Lock(Mutex);
         ++(Status == 200   ? Counts.Served_
@@ -135,3 +147,20 @@
   CHECK(Counts.Other_ == 0);
   CHECK(Counts.Served_ == First.requests() + Second.requests());
 }
+
+// Rule S1 (LIMIT for stages). Guards against stage calls, and calls that free
+// results, beyond what their target accepts, and against pieces that are never
+// made there.
+TEST_CASE("platform: stage targets get no more calls than they accept") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  LimitedTarget Stage(Store, "i-1", "stage");
+  TargetDouble Engine(Store, "i-2", "engine", streamAll);
+  PlatformFleet Fleet(Store, HostCount);
+  CallCounts Counts = sendCalls(Fleet, Seconds{12}, guideRequest, HostCount);
+  CHECK(Stage.busiestWindow() <= MaxInWindow);
+  // Two calls a second make the pieces of two requests, less what the calls
+  // that free results take.
+  CHECK(Counts.Served_ >= 10);
+  CHECK(Counts.Other_ == 0);
+}
