--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -66,7 +66,7 @@
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
     : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
-      Permits_(Context_, Peers_, *this),
+      Permits_(Context_, Peers_, *this, Settings.Host_),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
                *this, Permits_),
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
@@ -209,11 +209,14 @@
   } else if (const auto *Notice =
                  std::get_if<protocol::TargetNotice>(&Message)) {
     Context_.Notices_.onPeer(*Notice, SteadyClock::now());
+    Permits_.updateColdness(Notice->Target_);
   } else if (const auto *Permit =
                  std::get_if<protocol::PermitRequest>(&Message)) {
     Permits_.onRequest(Host, *Permit);
   } else if (const auto *Reply = std::get_if<protocol::PermitReply>(&Message)) {
     Permits_.onReply(*Reply);
+  } else if (const auto *Report = std::get_if<protocol::PaceReport>(&Message)) {
+    Permits_.pace().onReport(*Report);
   }
 }
 
@@ -307,6 +310,7 @@
       .field("revision", Table.Revision_)
       .field("routes", Table.Routes_.size());
   LatestTable_ = std::make_shared<const state::RoutingTable>(std::move(Table));
+  Permits_.pace().targets().onConfiguration(LatestTable_);
   if (OperatorRecordsLoaded_)
     Context_.Table_ = LatestTable_;
 }
@@ -334,6 +338,9 @@
   LogEvent(LogLevel::Info, Item.Removed_ ? "evacuation_ended" : "evacuated")
       .field("data_centre", DataCentre)
       .field("revision", Item.Revision_);
+  if (Item.Removed_)
+    Permits_.pace().targets().onDataCentreReturned(DataCentre,
+                                                   SteadyClock::now());
   if (!Item.Removed_ && TargetsLoaded_)
     reportUnknownDataCentre(DataCentre);
 }
@@ -377,6 +384,11 @@
         .field("target", Change.Id_)
         .field("field", Change.Record_->InvalidField_)
         .field("irregular", Notices.irregularCount());
+  if (Change.Record_)
+    Permits_.pace().targets().onRecord(*Change.Record_, Now);
+  else
+    Permits_.pace().targets().onRemoved(Change.Id_, Now);
+  Permits_.updateColdness(Change.Id_);
   if (!Context_.Targets_.find(Change.Id_)) {
     Context_.Connections_.closeIdle(Change.Id_);
     LogEvent(LogLevel::Info, "target_leaving").field("target", Change.Id_);
@@ -420,6 +432,7 @@
     TargetsLoaded_ = true;
     for (const std::string &DataCentre : Context_.Notices_.evacuated())
       reportUnknownDataCentre(DataCentre);
+    Permits_.pace().targets().onRecordsComplete();
   }
   acceptCallersWhenReady();
 }
@@ -442,6 +455,7 @@
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
     Permits_.forgetUnused(Now);
+    Permits_.pace().update(ready(), Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
     UndeliveredReports_.expire(Now);
