Test retried and waiting requests against target notices

Adds the tests of the places that the first ones do not reach: second attempts, resumed streams, requests that wait for a place at a target with a limit and requests that wait for a connection.

--- a/tests/Integration/Platform/EvacuationTest.cpp
+++ b/tests/Integration/Platform/EvacuationTest.cpp
@@ -149,3 +149,79 @@
   CHECK(Setup.requestsInB() == 0);
   CHECK(Setup.StageA_.requests() == 0);
 }
+
+// Rule E1. Guards against second attempts and resumed streams that reach an
+// evacuated zone, because they choose among the targets that are left.
+TEST_CASE("platform: requests that are tried again avoid an evacuated zone") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  Store.put(EvacuationOfB, json::object());
+  auto Refuse = [](RawServerConnection &Connection, const RawRequest &Request) {
+    Connection.write(rawAnswer(503,
+                               "Not-Executed: 1\r\nRequest-Id: " +
+                                   Request.field("Request-Id") + "\r\n",
+                               ""));
+    return true;
+  };
+  auto Break = [](RawServerConnection &Connection, const RawRequest &Request) {
+    Connection.write(streamHead(Request) +
+                     "Transfer-Encoding: chunked\r\n\r\n" +
+                     transport::encodeChunk(streamEvent(1)));
+    std::this_thread::sleep_for(Milliseconds{50});
+    Connection.resetOnClose();
+    return false;
+  };
+  TargetDouble Refusing(Store, "desk-1", "desk", Refuse, "a");
+  TargetDouble DeskB(Store, "desk-2", "desk", answerDone, "b");
+  TargetDouble Breaking(Store, "engine-1", "engine", Break, "a");
+  TargetDouble EngineB(Store, "engine-2", "engine", streamAll, "b");
+  PlatformFleet Fleet(Store, 1);
+  for (int I = 0; I < 4; ++I) {
+    std::string Number = std::to_string(I);
+    CHECK(Fleet.call(0, platformRequest("GET", "/look/" + Number)).Status_ ==
+          503);
+    CHECK_FALSE(
+        Fleet.call(0, platformRequest("POST", "/draft/" + Number)).Complete_);
+  }
+  CHECK(Refusing.requests() > 0);
+  CHECK(Breaking.requests() > 0);
+  CHECK(DeskB.requests() + EngineB.requests() == 0);
+}
+
+// Rules E1, S1. Guards against requests that have reserved a place at a target
+// with a limit, or wait for one, when its zone is evacuated.
+TEST_CASE("platform: requests that wait for a place are not sent to an "
+          "evacuated zone") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  auto Limited = [](RawServerConnection &Connection,
+                    const RawRequest &Request) {
+    Connection.write(rawAnswer(
+        200, validResponseFields(Request) + "Server-Limit: 4\r\n", "done"));
+    return true;
+  };
+  TargetDouble DeskB(Store, "desk-1", "desk", Limited, "b");
+  PlatformFleet Fleet(Store, 1);
+  std::atomic<bool> Ended{false};
+  std::atomic<int> Refused{0};
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < 12; ++I)
+    Callers.emplace_back([&] {
+      while (!Ended) {
+        Refused +=
+            Fleet.call(0, platformRequest("GET", "/look/1")).Status_ == 503;
+        std::this_thread::sleep_for(Milliseconds{20});
+      }
+    });
+  CHECK(eventually([&] { return DeskB.requests() > 14; }, Seconds{10}));
+  Store.put(EvacuationOfB, json::object());
+  // The places that requests have reserved are up to a second ahead.
+  std::this_thread::sleep_for(Milliseconds{300});
+  int Before = DeskB.requests();
+  std::this_thread::sleep_for(Milliseconds{1500});
+  Ended = true;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  CHECK(DeskB.requests() == Before);
+  CHECK(Refused > 12);
+}
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -78,7 +78,8 @@
 
   Awaitable<void> run(std::string Request, std::string Id,
                       Milliseconds TimeLimit) {
-    TargetExchange Exchange(Connections_, Protocol_, Budget_, Target_);
+    TargetExchange Exchange(Connections_, Protocol_, Budget_, Target_,
+                            Settings_);
     Current_ = &Exchange;
     SteadyTime Deadline = SteadyClock::now() + TimeLimit;
     co_await Exchange.start(Request, Id, Deadline);
@@ -101,6 +102,7 @@
   transport::ByteBudget Budget_{BudgetBytes};
   TargetConnections Connections_{Loop_};
   state::TargetRecord Target_;
+  TargetExchangeSettings Settings_;
   TargetExchange *Current_ = nullptr;
   std::optional<ExchangeState> State_;
   std::string Body_;
@@ -155,6 +157,32 @@
   CHECK(End == boost::asio::error::connection_reset);
 }
 
+// Rules E1, L1. Guards against a request that is written to a target that left,
+// or was evacuated, while the request waited for its connection: new or kept.
+TEST_CASE("target exchange: a request waits for a connection to a target that "
+          "may no longer get it") {
+  std::atomic<int> Requests = 0;
+  Fixture F([&](PeerConnection &Connection) {
+    while (Requests < 2 && !Connection.readHead().empty()) {
+      ++Requests;
+      Connection.write(answer("r", "done"));
+    }
+  });
+  F.Settings_.MaySend_ = [] { return false; };
+  F.exchange("r");
+  CHECK(F.State_ == ExchangeState::Withheld);
+  F.Settings_.MaySend_ = [] { return true; };
+  F.exchange("r");
+  CHECK(F.State_ == ExchangeState::Complete);
+  F.Settings_.MaySend_ = [] { return false; };
+  F.exchange("r");
+  CHECK(F.State_ == ExchangeState::Withheld);
+  F.Settings_.MaySend_ = nullptr;
+  F.exchange("r");
+  CHECK(F.Body_ == "done");
+  CHECK(Requests == 2);
+}
+
 // Rules REFUSED, TWICE. Pattern: a target writes an earlier refusal once more,
 // with the id of its request or without one, before it runs the next request.
 // Guards against taking a request that runs for one that was refused.
