Pace the calls to cold stage targets

Cause: the dispatcher of a stage service is the only host that calls its targets and asks nobody for permits, so that a cold one got as many calls as it took. Change: the dispatcher takes places from its own pacer, for calls and for calls that free results, and reports their outcomes to it.

--- a/source/Serving/PaceExchange.cpp
+++ b/source/Serving/PaceExchange.cpp
@@ -91,6 +91,31 @@
         protocol::FleetMessage(protocol::PaceReport{Target.Id_, *Outcome}));
 }
 
+SteadyClock::duration PaceExchange::timeToOwnPlace(const std::string &Target,
+                                                   SteadyTime Now) {
+  std::optional<PaceRequest> Request = Paced_.makeRequest(Target, 1, Now);
+  if (!Request)
+    return SteadyClock::duration(0);
+  // No place is early enough, so that none is taken.
+  Request->MaxDelay_ = SteadyClock::duration(-1);
+  PacePlace Place = Pacer_.reserve(*Request, Now);
+  Paced_.onReply(*Request, Place, Now);
+  return Place.Delay_;
+}
+
+void PaceExchange::reserveOwn(const std::string &Target, SteadyTime Now) {
+  if (std::optional<PaceRequest> Request = Paced_.makeRequest(Target, 1, Now))
+    Pacer_.reserve(*Request, Now);
+}
+
+void PaceExchange::onOwnResponse(const state::TargetRecord &Target,
+                                 coordination::TargetResult Result,
+                                 Milliseconds Time, SteadyTime Now) {
+  if (std::optional<protocol::PaceOutcome> Outcome =
+          Paced_.onResponse(Target, Result, Time, 1, Now))
+    Pacer_.report(Target.Id_, *Outcome, Now);
+}
+
 void PaceExchange::onReport(const protocol::PaceReport &Report) {
   Pacer_.report(Report.Target_, Report.Outcome_, SteadyClock::now());
 }
--- a/source/Serving/PaceExchange.h
+++ b/source/Serving/PaceExchange.h
@@ -50,6 +50,15 @@
   void onResponse(const state::TargetRecord &Target,
                   coordination::TargetResult Result, Milliseconds Time,
                   double Cost);
+  /// For a stage target, which gets its requests only from the
+  /// dispatcher of its service: there is no other host to ask. reserveOwn()
+  /// takes a place if there is one now.
+  SteadyClock::duration timeToOwnPlace(const std::string &Target,
+                                       SteadyTime Now);
+  void reserveOwn(const std::string &Target, SteadyTime Now);
+  void onOwnResponse(const state::TargetRecord &Target,
+                     coordination::TargetResult Result, Milliseconds Time,
+                     SteadyTime Now);
   void onReport(const protocol::PaceReport &Report);
   /// Call often. \p IsServing is whether this host may be elected.
   void update(bool IsServing, SteadyTime Now);
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "Serving/StageDispatcher.h"
 
 #include "Serving/RequestScope.h"
+#include "Serving/SendPermits.h"
 #include "Serving/TargetExchange.h"
 #include "Support/Log.h"
 
@@ -332,10 +333,13 @@
   else if (countOutcomes(Outcomes, PieceStatus::Completed) > 0)
     Exchange.releaseConnection();
   bool IsWithheld = Exchange.state() == ExchangeState::Withheld;
-  if (IsWithheld)
+  if (IsWithheld) {
     Context_.Health_.cancel(Id);
-  else
+  } else {
     Context_.Health_.end(Id, Result, NormalizedTime, Now);
+    Context_.Permits_.pace().onOwnResponse(Call.Target_, Result, NormalizedTime,
+                                           Now);
+  }
   ServiceState &Service = Services_[Call.Service_];
   TargetState &State = Service.Targets_[Id];
   --State.Calls_;
@@ -513,13 +517,16 @@
 SteadyClock::duration StageDispatcher::timeToPlace(const std::string &Target,
                                                    SteadyTime Now) {
   std::optional<double> Limit = Context_.Notices_.limit(Target);
-  return Limit ? Schedule_.timeToPlace(Target, *Limit, Now)
-               : SteadyClock::duration(0);
+  SteadyClock::duration Pace =
+      Context_.Permits_.pace().timeToOwnPlace(Target, Now);
+  return Limit ? std::max(Pace, Schedule_.timeToPlace(Target, *Limit, Now))
+               : Pace;
 }
 
 void StageDispatcher::takePlace(const std::string &Target, SteadyTime Now) {
   if (std::optional<double> Limit = Context_.Notices_.limit(Target))
     Schedule_.reserve(Target, *Limit, SteadyClock::duration(0), Now);
+  Context_.Permits_.pace().reserveOwn(Target, Now);
 }
 
 SteadyClock::duration StageDispatcher::timeToFree(const TargetRecord &Target,
@@ -530,8 +537,8 @@
   if (Notices.check(Target, Now) == coordination::Withheld::WantsNothing)
     At = Notices.wantsNothingUntil(Target.Id_).value_or(Now);
   if (Notices.limit(Target.Id_))
-    At = std::max({At, State.FreeAgainAt_, Now + timeToPlace(Target.Id_, Now)});
-  return At - Now;
+    At = std::max(At, State.FreeAgainAt_);
+  return std::max(At - Now, timeToPlace(Target.Id_, Now));
 }
 
 Awaitable<void> StageDispatcher::freeResults(std::string ServiceName,
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -146,7 +146,8 @@
   void retryOrReport(ServiceState &Service, coordination::QueuedPiece Piece,
                      protocol::PieceStatus End,
                      std::map<std::string, protocol::PieceReports> &Reports);
-  /// Time until a target accepts a request by the limit that it states.
+  /// Time until a target accepts a request by the limit that it states and by
+  /// its pace, if it has just started.
   SteadyClock::duration timeToPlace(const std::string &Target, SteadyTime Now);
   /// Takes the place at a target that has one now.
   void takePlace(const std::string &Target, SteadyTime Now);
--- a/tests/Integration/Platform/TargetPaceTest.cpp
+++ b/tests/Integration/Platform/TargetPaceTest.cpp
@@ -30,17 +30,20 @@
 /// A target of the service "desk" that states in its record that it is cold.
 class ColdTarget final {
 public:
-  ColdTarget(StoreDouble &Store, const std::string &Id)
+  ColdTarget(StoreDouble &Store, const std::string &Id,
+             const std::string &Service = "desk")
       : ColdUntil_(SteadyClock::now() + ColdTime),
-        Server_(
-            [this](RawServerConnection &Connection, const RawRequest &Request) {
-              {
-                std::lock_guard Lock(Mutex_);
-                Arrivals_.push_back(SteadyClock::now());
-              }
-              return answerSlowly(Connection, Request);
-            }) {
-    Store.put("servers/" + Id, {{"service", "desk"},
+        Server_([this](RawServerConnection &Connection,
+                       const RawRequest &Request) {
+          {
+            std::lock_guard Lock(Mutex_);
+            Arrivals_.push_back(SteadyClock::now());
+          }
+          return Request.path().starts_with("/amaranthcourse/")
+                     ? answerStageCall(Connection, Request, Server_.address())
+                     : answerSlowly(Connection, Request);
+        }) {
+    Store.put("servers/" + Id, {{"service", Service},
                                 {"address", Server_.address()},
                                 {"zone", "a"},
                                 {"slots", 8},
@@ -158,6 +161,36 @@
   CHECK(Fleet.Failed_ == 0);
 }
 
+// Rule FAILBACK. Guards against a dispatcher that keeps a cold stage target
+// busy with calls, which do not ask for permits.
+TEST_CASE("platform: a cold stage target gets no more calls than it accepts") {
+  constexpr int ColdCalls = 2;
+  StoreDouble Store;
+  nlohmann::json Configuration = platformConfiguration();
+  Configuration["services"][2]["cold_start_s"] = 6;
+  Configuration["services"][2]["cold_per_s"] = ColdCalls;
+  Store.put("op/config", Configuration);
+  TargetDouble Engine(Store, "e-1", "engine", streamAll);
+  std::string WarmAddress;
+  TargetDouble Warm(
+      Store, "i-1", "stage",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        return answerStageCall(Connection, Request, WarmAddress);
+      });
+  WarmAddress = Warm.address();
+  PlatformFleet Fleet(Store, 2);
+  ColdTarget Cold(Store, "i-2", "stage");
+  int Served = 0;
+  while (SteadyClock::now() < Cold.coldUntil() - Seconds{2})
+    Served += Fleet
+                  .call(Served % 2,
+                        platformRequest("POST", "/guide/1", "Pieces: 1,1\r\n"))
+                  .Status_ == 200;
+  CHECK(Served > 40);
+  CHECK(Cold.arrivals({}, Cold.coldUntil()) >= ColdCalls);
+  CHECK(Cold.busiestColdSecond() <= 1.5 * ColdCalls + 5);
+}
+
 // Rule FAILBACK. Guards against a burst at a cold target when the host that
 // gives its places is lost, or cannot be reached and then returns.
 TEST_CASE("platform: a cold target's rate holds while the host that paces it "
