Read engines while their callers read slowly

Cause: StreamRun waited for each write to the caller before it read the engine again, and closed the caller's connection 2 s after the request's deadline. Streams of callers that read slowly were broken off, and their engines counted as broken.

Plain answers use the same writer. A stream that has begun is read after the deadline while its bytes arrive within the caller's gap tolerance. A caller that is given up does not count against its engine. Accepted sockets hold at most 16 KiB unsent: the kernel took over 64 kB of a slow caller's answer, counted nowhere.

--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -33,6 +33,22 @@
 
 } // namespace
 
+Awaitable<LinkStatus> deliver(RequestScope &Scope, std::string Answer) {
+  DeliveryLimit Limit = Scope.deliveryLimit();
+  auto Writer = std::make_shared<CallerWriter>(
+      Scope.Caller_, Scope.Context_.MessageBytes_, Limit);
+  Scope.Interrupt_ = [&Scope, &Writer] {
+    if (Scope.CallerDisconnected_)
+      Writer->abandon();
+  };
+  co_await Writer->write(std::move(Answer));
+  LinkStatus Status = co_await Writer->finish();
+  Scope.Interrupt_ = nullptr;
+  if (Status == LinkStatus::TimedOut)
+    Scope.Reason_ = CallerDoesNotRead;
+  co_return Status;
+}
+
 Awaitable<void> sendOwnAnswer(RequestScope &Scope, int Status,
                               std::string Reason,
                               std::optional<Milliseconds> RetryAfter) {
@@ -41,7 +57,7 @@
   bool Close = Scope.CloseAfterAnswer_ || Scope.Context_.Drain_.hasBegun();
   std::string Message = Scope.Context_.Edge_.hostAnswer(
       Status, Scope.Request_.Id_, Reason, RetryAfter, Close);
-  LinkStatus Written = co_await Scope.Caller_->write(Message);
+  LinkStatus Written = co_await deliver(Scope, std::move(Message));
   Scope.CloseAfterAnswer_ = Close || Written != LinkStatus::Ok;
 }
 
@@ -85,7 +101,9 @@
   transport::appendField(Message, "Content-Length",
                          std::to_string(Body.size()));
   Message.append("\r\n").append(Body);
-  LinkStatus Written = co_await Scope.Caller_->write(Message);
+  // The answer is held once while a slow caller reads it.
+  Body = std::string();
+  LinkStatus Written = co_await deliver(Scope, std::move(Message));
   Scope.CloseAfterAnswer_ = Close || Written != LinkStatus::Ok;
 }
 
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -3,9 +3,11 @@
 #ifndef AMARANTH_SERVING_REQUESTSCOPE_H
 #define AMARANTH_SERVING_REQUESTSCOPE_H
 
+#include "Serving/CallerWriter.h"
 #include "Serving/EntryContext.h"
 #include "Serving/TargetExchange.h"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
@@ -74,11 +76,22 @@
       Interrupt_();
   }
 
+  /// Limit for the delivery of the answer. A request that was refused before
+  /// its deadline was known counts from its arrival.
+  DeliveryLimit deliveryLimit() const {
+    return DeliveryLimit(std::max(Arrival_, Deadline_));
+  }
+
   bool isIdempotent() const {
     return Route_->Kind_ == state::RequestKind::Idempotent;
   }
 };
 
+/// Writes an answer to the caller, and waits until its connection has taken the
+/// whole of it.
+transport::Awaitable<transport::LinkStatus> deliver(RequestScope &Scope,
+                                                    std::string Answer);
+
 /// Sends an answer that the system itself gives and records it for the log.
 transport::Awaitable<void>
 sendOwnAnswer(RequestScope &Scope, int Status, std::string Reason,
@@ -118,6 +131,9 @@
 void reportPromptEnd(RequestScope &Scope, const std::string &Target,
                      PromptEnd End);
 
+/// Outcome of a request whose caller was given up.
+constexpr const char *CallerDoesNotRead = "caller does not read";
+
 /// Retry-After of requests to a host that stops: others take them at once.
 constexpr Milliseconds RetryAfterStop{50};
 /// Retry-After of requests that may crash targets.
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -17,9 +17,10 @@
 constexpr Milliseconds DefaultDeadline{30000};
 /// Part of the time limit kept for sending an answer to the caller.
 constexpr Milliseconds AnswerReserve{30};
-/// Time after the deadline for the caller to read the rest of its answer.
-constexpr Milliseconds CallerReadSlack{2000};
 constexpr Milliseconds RetryAfterStart{300};
+/// The connection is closed this long after the delivery of the answer was
+/// given up, if that did not end the request.
+constexpr Milliseconds CloseMargin{1000};
 
 /// Answer to a request that is refused before anything is run.
 struct Refusal {
@@ -133,7 +134,7 @@
     co_await sendOwnAnswer(Scope, Refused->Status_, Refused->Reason_,
                            Refused->RetryAfter_);
   } else {
-    Caller->setDeadline(Scope.Deadline_ + CallerReadSlack);
+    Caller->setDeadline(Scope.deliveryLimit().deliverBy() + CloseMargin);
     Caller->watchForEnd([&Scope] {
       Scope.CallerDisconnected_ = true;
       if (Scope.Interrupt_)
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -32,13 +32,16 @@
 constexpr int GapToleranceInAims = 4;
 constexpr int GapToleranceInPauses = 8;
 
+Milliseconds gapTolerance(const RequestScope &Scope) {
+  return std::max({MinGapTolerance,
+                   GapToleranceInAims * Scope.Route_->LatencyAim_,
+                   GapToleranceInPauses * Scope.Route_->PauseAim_});
+}
+
 /// Time after which the stage results are useless.
 SteadyTime usableUntil(const RequestScope &Scope) {
-  Milliseconds GapTolerance =
-      std::max({MinGapTolerance, GapToleranceInAims * Scope.Route_->LatencyAim_,
-                GapToleranceInPauses * Scope.Route_->PauseAim_});
   SteadyTime CallerGivesUpAt =
-      Scope.Arrival_ + GapTolerance - FirstEventReserve;
+      Scope.Arrival_ + gapTolerance(Scope) - FirstEventReserve;
   return std::min(CallerGivesUpAt, Scope.Deadline_ - GenerationReserve);
 }
 
@@ -59,7 +62,17 @@
 StreamRun::StreamRun(RequestScope &Scope, StageClient &Client)
     : Scope_(Scope), PendingEvent_(Scope.Context_.MessageBytes_),
       Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
-              usableUntil(Scope), likelyDataCentre(Scope)) {}
+              usableUntil(Scope), likelyDataCentre(Scope)),
+      Writer_(std::make_shared<CallerWriter>(
+          Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())) {
+  // The engine is not read any longer for a caller that is given up.
+  Writer_->onFailure([&Scope] {
+    if (Scope.Interrupt_)
+      Scope.Interrupt_();
+  });
+}
+
+StreamRun::~StreamRun() { Writer_->onFailure(nullptr); }
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
@@ -92,6 +105,8 @@
     if (!crashReason(Scope_).empty())
       continue;
     Step NextStep = co_await attempt(*Target);
+    if (AnswerCompleted_ && !hasCallerFailed())
+      co_await finishAnswer();
     if (NextStep == Step::Finished || Scope_.CallerDisconnected_)
       co_return;
   }
@@ -153,7 +168,11 @@
       Context.Edge_.targetRequest(Scope_.Head_, Scope_.Body_, Fields);
   TargetExchange Exchange(Context.Connections_, Context.Edge_,
                           Context.MessageBytes_, Target);
-  Scope_.Interrupt_ = [&Exchange] { Exchange.stop(); };
+  Scope_.Interrupt_ = [this, &Exchange] {
+    Exchange.stop();
+    if (Scope_.CallerDisconnected_)
+      Writer_->abandon();
+  };
   AttemptStart_ = SteadyClock::now();
   FirstEventAt_.reset();
   AnswerCompleted_ = false;
@@ -192,7 +211,8 @@
   EntryContext &Context = Scope_.Context_;
   const std::string &Id = Exchange.target().Id_;
   SteadyTime Now = SteadyClock::now();
-  if (Scope_.CallerDisconnected_ || wasEndedForStop(Scope_, Exchange)) {
+  if (Scope_.CallerDisconnected_ || hasCallerFailed() ||
+      wasEndedForStop(Scope_, Exchange)) {
     Context.Health_.cancel(Id);
     return;
   }
@@ -236,7 +256,7 @@
     if (!WholeEvents.empty()) {
       if (!FirstEventAt_)
         FirstEventAt_ = SteadyClock::now();
-      bool Written = co_await writeEvents(Exchange, WholeEvents);
+      bool Written = co_await writeEvents(Exchange, std::move(WholeEvents));
       if (!Written)
         co_return Step::Finished;
     }
@@ -250,8 +270,12 @@
       Exchange.stop();
       break;
     }
+    SteadyTime ReadUntil = readUntil();
+    Exchange.setDeadline(ReadUntil);
     co_await Exchange.readMore();
-    if (Scope_.CallerDisconnected_)
+    if (hasCallerFailed())
+      noteCallerFailure();
+    if (Scope_.CallerDisconnected_ || hasCallerFailed())
       co_return Step::Finished;
   }
   bool Complete = Exchange.state() == ExchangeState::Complete &&
@@ -261,10 +285,6 @@
     co_return Step::TryAgain;
   }
   AnswerCompleted_ = true;
-  std::string FinalChunk(transport::LastChunk);
-  LinkStatus Status = co_await Scope_.Caller_->write(FinalChunk);
-  if (Status != LinkStatus::Ok)
-    Scope_.CloseAfterAnswer_ = true;
   co_return Step::Finished;
 }
 
@@ -287,14 +307,46 @@
     Message.append("\r\n");
   }
   Message += transport::encodeChunk(Events);
-  LinkStatus Status = co_await Scope_.Caller_->write(Message);
+  // The engine waits for the caller; that is not its fault.
+  if (!Writer_->hasRoom(Message.size()))
+    Exchange.setDeadline(Writer_->limit().deliverBy());
+  LinkStatus Status = co_await Writer_->write(std::move(Message));
   if (Status == LinkStatus::Ok)
     co_return true;
-  Scope_.Reason_ = "caller does not read";
-  Scope_.CloseAfterAnswer_ = true;
+  noteCallerFailure();
   co_return false;
 }
 
+Awaitable<void> StreamRun::finishAnswer() {
+  Scope_.Interrupt_ = [this] {
+    if (Scope_.CallerDisconnected_)
+      Writer_->abandon();
+  };
+  std::string FinalChunk(transport::LastChunk);
+  co_await Writer_->write(std::move(FinalChunk));
+  co_await Writer_->finish();
+  Scope_.Interrupt_ = nullptr;
+  if (hasCallerFailed())
+    noteCallerFailure();
+}
+
+SteadyTime StreamRun::readUntil() const {
+  if (!HeadWritten_)
+    return Scope_.Deadline_;
+  SteadyTime NextEventBy = SteadyClock::now() + gapTolerance(Scope_);
+  return std::min(Writer_->limit().deliverBy(),
+                  std::max(Scope_.Deadline_, NextEventBy));
+}
+
+bool StreamRun::hasCallerFailed() const {
+  return Writer_->status() != LinkStatus::Ok;
+}
+
+void StreamRun::noteCallerFailure() {
+  Scope_.Reason_ = CallerDoesNotRead;
+  Scope_.CloseAfterAnswer_ = true;
+}
+
 Awaitable<StreamRun::Step> StreamRun::handleFailure(TargetExchange &Exchange) {
   bool NotExecuted = Exchange.reply().NotExecuted_;
   int Status = Exchange.head().Status_;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -15,12 +15,14 @@
 namespace amaranth::serving {
 
 /// Runs the stages of a request, sends it to an engine and forwards the
-/// engine's events as they arrive. If the engine's stream breaks, another
+/// engine's events as they arrive; those that the caller has not read yet are
+/// buffered. If the engine's stream breaks, another
 /// engine continues it where the route allows that; otherwise the caller's
 /// connection is reset, so that the caller cannot take the answer as complete.
 class StreamRun final : public TargetChooser {
 public:
   StreamRun(RequestScope &Scope, StageClient &Client);
+  ~StreamRun() override;
 
   transport::Awaitable<void> run();
 
@@ -41,6 +43,15 @@
   transport::Awaitable<Step> forwardEvents(TargetExchange &Exchange);
   transport::Awaitable<bool> writeEvents(TargetExchange &Exchange,
                                          std::string Events);
+  /// Writes the last chunk and waits until the caller's connection has taken
+  /// the answer.
+  transport::Awaitable<void> finishAnswer();
+  /// Until when the engine is read: to the deadline before its first event.
+  /// After that a stream whose bytes keep coming is not cut at the deadline.
+  SteadyTime readUntil() const;
+  /// Whether the caller's connection has broken or the caller was given up.
+  bool hasCallerFailed() const;
+  void noteCallerFailure();
   /// Handles an answer whose status is not 2xx.
   transport::Awaitable<Step> handleFailure(TargetExchange &Exchange);
   void recordOutcome(const TargetExchange &Exchange);
@@ -52,6 +63,7 @@
   RequestScope &Scope_;
   transport::ByteReservation PendingEvent_;
   StageRun Stages_;
+  std::shared_ptr<CallerWriter> Writer_;
   EventStream Events_;
   std::set<std::string> TriedTargets_;
   int SentAttempts_ = 0;
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -154,6 +154,11 @@
   co_return State_;
 }
 
+void TargetExchange::setDeadline(SteadyTime Deadline) {
+  if (Link_ && Link_->isOpen())
+    Link_->setDeadline(Deadline, transport::TcpLink::AtDeadline::Abort);
+}
+
 bool TargetExchange::hasTargetsAnswer() const {
   bool HasHead = State_ == ExchangeState::Answering ||
                  State_ == ExchangeState::Complete ||
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -57,6 +57,10 @@
   /// given up at once.
   transport::Awaitable<ExchangeState> readAll();
 
+  /// Changes the deadline of the exchange. No effect before start() has
+  /// connected or after the end.
+  void setDeadline(SteadyTime Deadline);
+
   /// Gives a held connection to later requests, if it can carry any.
   void releaseConnection();
 
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -32,6 +34,10 @@
 constexpr int KeepAliveIdleSeconds = 10;
 constexpr int KeepAliveIntervalSeconds = 2;
 constexpr int KeepAliveProbes = 3;
+/// Bytes not yet sent that the socket of an accepted connection holds. The
+/// default is over 1 MB for each peer that reads slowly, which no budget of
+/// this process counts.
+constexpr int MaxUnsentBytes = 16 * 1024;
 
 } // namespace
 
@@ -76,6 +82,7 @@
   setOption(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
   setOption(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
   setOption(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(IPPROTO_TCP, TCP_NOTSENT_LOWAT, MaxUnsentBytes);
 }
 
 TcpLink::~TcpLink() = default;
@@ -193,6 +200,29 @@
   co_return statusOf(Failure);
 }
 
+LinkStatus TcpLink::writeNow(std::string_view Bytes, std::size_t &Count) {
+  error_code Failure;
+  Count = Socket_.write_some(asio::buffer(Bytes.data(), Bytes.size()), Failure);
+  if (Failure == asio::error::would_block || Failure == asio::error::try_again)
+    Failure.clear();
+  return statusOf(Failure);
+}
+
+void TcpLink::whenWritable(std::function<void()> Callback) {
+  // The link lives until the callback, as in a task that awaits it.
+  std::shared_ptr<TcpLink> Self = shared_from_this();
+  Socket_.async_wait(tcp::socket::wait_write,
+                     [Self, Callback = std::move(Callback)](
+                         const error_code &) { Callback(); });
+}
+
+std::size_t TcpLink::unacknowledgedBytes() {
+  int Bytes = 0;
+  if (ioctl(Socket_.native_handle(), SIOCOUTQ, &Bytes) != 0 || Bytes < 0)
+    return 0;
+  return static_cast<std::size_t>(Bytes);
+}
+
 void TcpLink::watchForEnd(std::function<void()> OnEnd) {
   OnEnd_ = std::move(OnEnd);
   ++WatchGeneration_;
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace amaranth::transport {
 
@@ -59,6 +60,15 @@
   /// Writes all of \p Bytes, which must live until the end of the call.
   Awaitable<LinkStatus> write(const std::string &Bytes);
 
+  /// Writes the part of \p Bytes that the socket takes without waiting, and
+  /// sets \p Count to its length.
+  LinkStatus writeNow(std::string_view Bytes, std::size_t &Count);
+  /// Calls \p Callback once when the socket may take bytes or has failed.
+  void whenWritable(std::function<void()> Callback);
+  /// Bytes written that the peer's system has not acknowledged; it acknowledges
+  /// no more than it can hold until the peer reads.
+  std::size_t unacknowledgedBytes();
+
   /// Calls \p OnEnd once when the peer closes or resets the connection while no
   /// read is in progress. Bytes that arrive are appended to input(); the watch
   /// stops when these reach a limit.
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,8 +25,18 @@
 constexpr Seconds StartTimeout{20};
 constexpr int AnswerTimeoutSeconds = 15;
 
-int connectTo(int Port) {
+/// Buffer and segment size of a caller that reads slowly: the kernel then holds
+/// little of an answer.
+constexpr int SmallBuffer = 4096;
+constexpr int SmallSegment = 1000;
+
+int connectTo(int Port, bool SmallBuffers = false) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (SmallBuffers) {
+    setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &SmallBuffer, sizeof SmallBuffer);
+    setsockopt(Socket, IPPROTO_TCP, TCP_MAXSEG, &SmallSegment,
+               sizeof SmallSegment);
+  }
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(static_cast<std::uint16_t>(Port));
@@ -40,17 +51,24 @@
   return Socket;
 }
 
-/// Reads the answer on \p Socket and closes it.
-PlatformAnswer readAnswer(int Socket) {
+/// Reads the answer on \p Socket and closes it. Reads up to \p BytesPerRead
+/// with a pause after it, until \p SlowUntil.
+PlatformAnswer readAnswer(int Socket, std::size_t BytesPerRead = 0,
+                          Milliseconds Pause = Milliseconds{0},
+                          SteadyTime SlowUntil = SteadyTime::min()) {
   PlatformAnswer Answer;
   transport::HttpReader Reader(transport::HttpReader::Kind::Response, 65536,
                                1 << 24);
   std::string Input;
   char Chunk[16384];
   while (Reader.state() <= transport::HttpReader::State::Body) {
-    ssize_t Count = recv(Socket, Chunk, sizeof Chunk, 0);
+    bool IsSlow = SteadyClock::now() < SlowUntil;
+    ssize_t Count =
+        recv(Socket, Chunk, IsSlow ? BytesPerRead : sizeof Chunk, 0);
     if (Count <= 0)
       break;
+    if (IsSlow)
+      std::this_thread::sleep_for(Pause);
     Input.append(Chunk, static_cast<std::size_t>(Count));
     Reader.feed(Input);
   }
@@ -243,6 +261,18 @@
   return readAnswer(Socket);
 }
 
+PlatformAnswer PlatformFleet::callSlowly(std::size_t Host,
+                                         const std::string &Request,
+                                         std::size_t BytesPerRead,
+                                         Milliseconds Pause,
+                                         Milliseconds SlowTime) {
+  int Socket = connectTo(Hosts_.at(Host).CallerPort_, true);
+  if (Socket < 0)
+    return {};
+  send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+  return readAnswer(Socket, BytesPerRead, Pause, SteadyClock::now() + SlowTime);
+}
+
 void PlatformFleet::sendAndDisconnect(std::size_t Host,
                                       const std::string &Request,
                                       Milliseconds Delay) {
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -77,6 +77,12 @@
   /// The same with a pause after the first \p FirstBytes of the request.
   PlatformAnswer callWithPause(std::size_t Host, const std::string &Request,
                                std::size_t FirstBytes, Milliseconds Pause);
+  /// Sends a request and reads the answer through small buffers: up to
+  /// \p BytesPerRead, then a pause, and so on. After \p SlowTime the rest is
+  /// read at once.
+  PlatformAnswer callSlowly(std::size_t Host, const std::string &Request,
+                            std::size_t BytesPerRead, Milliseconds Pause,
+                            Milliseconds SlowTime);
   /// Sends a request and closes the connection after \p Delay without reading.
   void sendAndDisconnect(std::size_t Host, const std::string &Request,
                          Milliseconds Delay);
--- a/tests/Integration/Platform/RawServer.cpp
+++ b/tests/Integration/Platform/RawServer.cpp
@@ -100,6 +100,10 @@
   }
 }
 
+void RawServerConnection::setSendBuffer(int Bytes) {
+  setsockopt(Socket_, SOL_SOCKET, SO_SNDBUF, &Bytes, sizeof Bytes);
+}
+
 void RawServerConnection::resetOnClose() {
   linger ResetOnClose{1, 0};
   setsockopt(Socket_, SOL_SOCKET, SO_LINGER, &ResetOnClose,
--- a/tests/Integration/Platform/RawServer.h
+++ b/tests/Integration/Platform/RawServer.h
@@ -34,6 +34,9 @@
 
   std::optional<RawRequest> read();
   void write(const std::string &Bytes);
+  /// Bounds the bytes that the kernel holds, so that write() waits until the
+  /// peer reads.
+  void setSendBuffer(int Bytes);
   /// Makes the close of the connection send a reset.
   void resetOnClose();
   /// Waits until the peer closes the connection; false after \p TimeoutMs.
