Test the pacing of a zone that returns and the fields of cold services

Cause: neither the end of an evacuation nor the configuration fields were covered. Change: a test with real daemons, and cases of the codec test.

--- a/tests/Integration/Platform/TargetPaceTest.cpp
+++ b/tests/Integration/Platform/TargetPaceTest.cpp
@@ -31,7 +31,8 @@
 class ColdTarget final {
 public:
   ColdTarget(StoreDouble &Store, const std::string &Id,
-             const std::string &Service = "desk")
+             const std::string &Service = "desk", const char *Zone = "a",
+             Milliseconds Stated = ColdTime)
       : ColdUntil_(SteadyClock::now() + ColdTime),
         Server_([this](RawServerConnection &Connection,
                        const RawRequest &Request) {
@@ -45,10 +46,10 @@
         }) {
     Store.put("servers/" + Id, {{"service", Service},
                                 {"address", Server_.address()},
-                                {"zone", "a"},
+                                {"zone", Zone},
                                 {"slots", 8},
                                 {"state", "ready"},
-                                {"cold_remaining_ms", ColdTime.count()},
+                                {"cold_remaining_ms", Stated.count()},
                                 {"born", 1},
                                 {"sequence", 1}});
   }
@@ -161,6 +162,24 @@
   CHECK(Fleet.Failed_ == 0);
 }
 
+// Rule FAILBACK. Guards against targets that get their whole share as soon as
+// their zone returns, before their records state that they are cold.
+TEST_CASE("platform: a target of a zone that returns is paced") {
+  constexpr Milliseconds UnconfirmedTime{2500};
+  LoadedFleet Fleet;
+  Fleet.Store_.put("op/evacuate/b", nlohmann::json::object());
+  std::this_thread::sleep_for(Seconds{1});
+  ColdTarget Returned(Fleet.Store_, "i-2", "desk", "b", Milliseconds{0});
+  std::this_thread::sleep_until(Returned.coldUntil() - UnconfirmedTime);
+  CHECK(Returned.arrivals({}, Returned.coldUntil()) == 0);
+  Fleet.Store_.remove("op/evacuate/b");
+  std::this_thread::sleep_until(Returned.coldUntil() + Seconds{1});
+  Fleet.end();
+  CHECK(Returned.busiestColdSecond() <= MaxInSecond);
+  CHECK(Returned.arrivals({}, Returned.coldUntil()) >= ColdPerSecond);
+  CHECK(Fleet.Failed_ == 0);
+}
+
 // Rule FAILBACK. Guards against a dispatcher that keeps a cold stage target
 // busy with calls, which do not ask for permits.
 TEST_CASE("platform: a cold stage target gets no more calls than it accepts") {
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -34,7 +34,9 @@
    "service":"p","public":true}],
  "services":[{"name":"s","max_connections":280,"pieces":{"slots":1,"queue":2,
    "batch":8,"call_ms":240.0,"item_ms":26.5,"headroom_mb":9.6,"handle_s":4.0}},
-  {"name":"m","engine":{"slots":64,"kv_capacity_tokens":1000}}],
+  {"name":"m","engine":{"slots":64,"kv_capacity_tokens":1000},
+   "cold_start_s":4.5,"cold_per_s":12},
+  {"name":"p","cold_start_s":-1,"cold_per_s":1e300}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":100,
    "header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
@@ -113,6 +115,11 @@
   REQUIRE((Stage && Stage->Stage_));
   CHECK(Stage->Stage_->PieceTime_ == Microseconds{26500});
   CHECK(Stage->Stage_->ResultMemoryBytes_ == 9600000);
+  CHECK(Decoded->findService("m")->ColdStart_ == Milliseconds{4500});
+  CHECK(Decoded->findService("m")->ColdPerSecond_ == 12);
+  // Unreasonable values count as a service that is never cold.
+  CHECK(Decoded->findService("p")->ColdStart_ == Milliseconds{0});
+  CHECK(Decoded->findService("p")->ColdPerSecond_ == 0);
   CHECK(Decoded->Limits_.MaxBodyBytes_ == 100);
   REQUIRE(Decoded->findAccount("k2"));
   CHECK(Decoded->findAccount("k2")->Name_ == "t");
