Serve stage pieces that are due at the same time in their order of arrival

Cause: groups with the same priority and due time were ordered by the address of their key. The case 'a request is divided if a full call remains waiting' expects the order of arrival and failed once in a full run, when the heap happened to place a later group lower. Change: groups carry a rising number, which decides before the address. Result: the case passes in full runs; with the old order it failed with r1, r1 in place of r2, r2.

--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -58,7 +58,8 @@
 StageQueue::Rank StageQueue::makeRank(const Groups::value_type &Item) {
   const Group &Current = Item.second;
   return {Current.Priority_,
-          Current.IsLate_ ? Current.ExpiresAt_ : Current.AimBy_, &Item.first};
+          Current.IsLate_ ? Current.ExpiresAt_ : Current.AimBy_,
+          Current.Number_, &Item.first};
 }
 
 void StageQueue::addToOrder(const Groups::value_type &Item) {
@@ -79,6 +80,7 @@
   auto [Position, IsNew] = Groups_.try_emplace(makeGroupKey(NewPiece));
   Group &Current = Position->second;
   if (IsNew) {
+    Current.Number_ = ++LastNumber_;
     Current.Priority_ = NewPiece.Priority_;
     Current.AimBy_ = NewPiece.AimBy_;
     Current.ExpiresAt_ = NewPiece.ExpiresAt_;
@@ -128,10 +130,10 @@
 void StageQueue::markLateGroups(SteadyTime CompletionTime) {
   // Within a priority, groups are ordered by AimBy_.
   for (auto Position = InTimeOrder_.begin(); Position != InTimeOrder_.end();) {
-    auto [Priority, AimBy, Key] = *Position;
+    auto [Priority, AimBy, Number, Key] = *Position;
     if (AimBy >= CompletionTime) {
       Position = InTimeOrder_.lower_bound(
-          Rank{Priority + 1, SteadyTime::min(), nullptr});
+          Rank{Priority + 1, SteadyTime::min(), 0, nullptr});
       continue;
     }
     Position = InTimeOrder_.erase(Position);
@@ -182,7 +184,7 @@
       std::size_t FreeSlots = Capacity.MaxBatchPieces_ - Call.size();
       if (FreeSlots == 0 || SkippedGroups > MaxSkippedGroups)
         return;
-      auto Found = Groups_.find(*std::get<2>(*Position));
+      auto Found = Groups_.find(*std::get<3>(*Position));
       Group &Current = Found->second;
       ++Position;
       bool FitsWhole =
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -93,12 +93,13 @@
     int Priority_ = 0;
     SteadyTime AimBy_;
     SteadyTime ExpiresAt_;
-    bool IsLate_ = false; ///< In LateOrder_, else in InTimeOrder_.
+    bool IsLate_ = false;      ///< In LateOrder_, else in InTimeOrder_.
+    std::uint64_t Number_ = 0; ///< Rises with each new group.
   };
   using Groups = std::map<GroupKey, Group>;
-  /// Order of groups: more urgent priorities first, then earlier due times. The
-  /// address of the key makes ranks unique.
-  using Rank = std::tuple<int, SteadyTime, const GroupKey *>;
+  /// Order of groups: more urgent priorities first, then earlier due times,
+  /// then those that were queued first.
+  using Rank = std::tuple<int, SteadyTime, std::uint64_t, const GroupKey *>;
 
   static GroupKey makeGroupKey(const QueuedPiece &Piece);
   static Rank makeRank(const Groups::value_type &Item);
@@ -128,6 +129,7 @@
   std::set<Rank> InTimeOrder_;
   std::set<Rank> LateOrder_;
   std::size_t Size_ = 0;
+  std::uint64_t LastNumber_ = 0;
 };
 
 } // namespace amaranth::coordination
