Measure the time of stage calls when deciding which pieces are late

Cause: a piece counted as in time if a call that is half full, by the configuration, would end before its aim. At the peak calls are nearly full and take longer than configured, so that pieces went first whose results came just too late. Change: CallStatistics averages the calls of a service (and holds the yield, formerly in StageDispatcher); StageQueue uses the average.

--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -10,6 +10,7 @@
 
 namespace amaranth::serving {
 
+using coordination::configuredCallTime;
 using coordination::QueuedPiece;
 using coordination::TargetResult;
 using protocol::PieceOutcome;
@@ -30,12 +31,6 @@
 constexpr std::size_t MaxAnswerBytes = 16 * 1024;
 constexpr std::size_t MaxAnswerBytesPerPiece = 1024;
 
-Milliseconds expectedCallTime(const StageCapacity &Capacity,
-                              std::size_t Pieces) {
-  auto Work = Capacity.PieceTime_ * static_cast<std::int64_t>(Pieces);
-  return Capacity.CallOverhead_ + std::chrono::ceil<Milliseconds>(Work);
-}
-
 std::uint64_t totalBytes(const std::vector<QueuedPiece> &CallPieces) {
   std::uint64_t Sum = 0;
   for (const QueuedPiece &Piece : CallPieces)
@@ -230,6 +225,7 @@
   for (const auto &[Cost, Target] : FreeTargets) {
     coordination::FreeTarget Offer;
     Offer.NextFreeTimes_ = EarliestFree;
+    Offer.CallTime_ = Service.Statistics_.callTime();
     Offer.DataCentre_ = Target->DataCentre_;
     Offer.FreeResultBytes_ = Service.Ledger_.freeBytes(
         Target->Id_, Capacity.ResultMemoryBytes_, Now);
@@ -238,14 +234,15 @@
       continue;
     TargetState &State = Service.Targets_[Target->Id_];
     ++State.Calls_;
-    State.ExpectedFreeAt_ = Now + expectedCallTime(Capacity, CallPieces.size());
+    State.ExpectedFreeAt_ =
+        Now + configuredCallTime(Capacity, CallPieces.size());
     Service.Ledger_.reserve(Target->Id_, totalBytes(CallPieces));
     auto Running = std::make_shared<RunningCall>();
     Running->Service_ = ServiceName;
     Running->Target_ = *Target;
     Running->Capacity_ = Capacity;
     Running->StartedAt_ = Now;
-    Running->ExpectedTime_ = expectedCallTime(Capacity, CallPieces.size());
+    Running->ExpectedTime_ = configuredCallTime(Capacity, CallPieces.size());
     Running->Pieces_ = std::move(CallPieces);
     Running->Saturated_ = Service.Queue_.size() >= Capacity.MaxBatchPieces_;
     transport::startTask(Context_.Loop_, runCall(Running));
@@ -324,7 +321,9 @@
       Elapsed < Call.ExpectedTime_ + Call.Capacity_.CallOverhead_ / 2;
   Service.Ledger_.unreserve(Id, totalBytes(Call.Pieces_));
   if (Result == TargetResult::Success)
-    recordYield(Call, countOutcomes(Outcomes, PieceStatus::Completed), Elapsed);
+    Service.Statistics_.add(Call.Capacity_,
+                            countOutcomes(Outcomes, PieceStatus::Completed),
+                            Call.Saturated_, Elapsed);
   if (Outcomes.empty()) {
     bool NotRun = Exchange.state() == ExchangeState::NotExecuted ||
                   Exchange.state() == ExchangeState::NotSent;
@@ -357,19 +356,6 @@
   return false;
 }
 
-void StageDispatcher::recordYield(const RunningCall &Call,
-                                  std::size_t Completed, Milliseconds Elapsed) {
-  if (!Call.Saturated_ || Elapsed <= Milliseconds(0))
-    return;
-  std::size_t Batch = Call.Capacity_.MaxBatchPieces_;
-  Milliseconds FullCall = expectedCallTime(Call.Capacity_, Batch);
-  double Yield = static_cast<double>(Completed) / static_cast<double>(Batch) *
-                 static_cast<double>(FullCall.count()) /
-                 static_cast<double>(Elapsed.count());
-  double &Average = Services_[Call.Service_].Yield_;
-  Average += Settings_.YieldWeight_ * (Yield - Average);
-}
-
 void StageDispatcher::logCall(const RunningCall &Call,
                               const std::vector<PieceOutcome> &Outcomes,
                               Milliseconds Elapsed) {
@@ -519,7 +505,7 @@
   std::size_t Targets = 0;
   for (const TargetRecord *Target : Context_.Targets_.serving(ServiceName))
     Targets += Context_.Health_.isUsable(Target->Id_, Now);
-  auto CallTime = expectedCallTime(Capacity, Capacity.MaxBatchPieces_);
+  auto CallTime = configuredCallTime(Capacity, Capacity.MaxBatchPieces_);
   return 1000.0 *
          static_cast<double>(Targets * Capacity.Slots_ *
                              Capacity.MaxBatchPieces_) /
@@ -534,7 +520,8 @@
   if (Found == Services_.end())
     return State;
   ServiceState &Service = Found->second;
-  State.PiecesPerSecond_ = maxPieceRate(ServiceName) * Service.Yield_;
+  State.PiecesPerSecond_ =
+      maxPieceRate(ServiceName) * Service.Statistics_.yield();
   return State;
 }
 
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -4,6 +4,7 @@
 #ifndef AMARANTH_SERVING_STAGEDISPATCHER_H
 #define AMARANTH_SERVING_STAGEDISPATCHER_H
 
+#include "Coordination/Stages/CallStatistics.h"
 #include "Coordination/Stages/ResultLedger.h"
 #include "Coordination/Stages/StageQueue.h"
 #include "Protocol/FleetMessages.h"
@@ -34,8 +35,6 @@
   /// count as read, and can be freed, after the fixed time of a call divided by
   /// this number.
   int InputReadDivisor_ = 3;
-  /// Weight of a new call in the average yield of a service's calls.
-  double YieldWeight_ = 0.05;
 };
 
 /// Receives the outcomes of pieces and passes them to the host that ordered
@@ -82,10 +81,7 @@
     coordination::ResultLedger Ledger_;
     std::map<std::string, TargetState> Targets_;
     bool StartCallsPosted_ = false;
-    /// Average yield of the calls after which a full call still waited: pieces
-    /// completed in a time, relative to full calls according to the
-    /// configuration. Such calls are less full if storage for results is short.
-    double Yield_ = 1;
+    coordination::CallStatistics Statistics_;
   };
   using Pieces = std::vector<coordination::QueuedPiece>;
   /// A call to a target and what it was composed from.
@@ -123,9 +119,6 @@
   /// the target reported for another piece.
   bool isEarlierAnswer(const RunningCall &Call,
                        const std::vector<protocol::PieceOutcome> &Outcomes);
-  /// Updates the yield of the service from a call that succeeded.
-  void recordYield(const RunningCall &Call, std::size_t Completed,
-                   Milliseconds Elapsed);
   void logCall(const RunningCall &Call,
                const std::vector<protocol::PieceOutcome> &Outcomes,
                Milliseconds Elapsed);
--- a/tests/Coordination/Stages/StageLoadReplay.cpp
+++ b/tests/Coordination/Stages/StageLoadReplay.cpp
@@ -16,7 +16,6 @@
 constexpr Milliseconds GenerationReserve{700};
 constexpr Milliseconds InputReadReserve{100};
 constexpr int InputReadDivisor = 3;
-constexpr double YieldWeight = 0.05;
 constexpr double LateWorth = 0.15;
 constexpr int DataCentres = 4;
 const SteadyTime Start{Seconds{1000}};
@@ -42,6 +41,7 @@
     SteadyTime Arrival_, UsableUntil_;
     std::string DataCentre_;
     bool Ended_ = false;
+    std::map<std::size_t, std::size_t> PeakPieces_; ///< Run, by service.
   };
   struct Target {
     std::string Id_, DataCentre_;
@@ -54,7 +54,7 @@
     StageQueue Queue_;
     ResultLedger Ledger_;
     std::vector<Target> Targets_;
-    double Yield_ = 1;
+    CallStatistics Statistics_;
     bool StartPosted_ = false;
   };
   struct Result {
@@ -113,7 +113,7 @@
     Sum.PiecesPerSecond_ =
         1000 * static_cast<double>(Config.Targets_) * Batch /
         static_cast<double>(callTime(Config.Capacity_, Batch).count()) *
-        Services_[Index].Yield_;
+        Services_[Index].Statistics_.yield();
     return Sum;
   }
 
@@ -178,6 +178,9 @@
     ++(Outcome_.Day_[Current.Class_].*Count);
     if (inPeak(Current.Arrival_))
       ++(Outcome_.Peak_[Current.Class_].*Count);
+    if (Count != &ReplayCounts::InAim_)
+      for (const auto &[Index, Pieces] : Current.PeakPieces_)
+        Outcome_.Calls_[Index].Wasted_ += Pieces;
     double Worth = Load_.Classes_[Current.Class_].Worth_;
     Outcome_.MaxWorth_ += Worth;
     if (Count == &ReplayCounts::InAim_)
@@ -285,6 +288,7 @@
     for (const auto &[Cost, I] : Free) {
       Target &Chosen = Current.Targets_[I];
       Offer.DataCentre_ = Chosen.DataCentre_;
+      Offer.CallTime_ = Current.Statistics_.callTime();
       Offer.FreeResultBytes_ = Current.Ledger_.freeBytes(
           Chosen.Id_, Capacity.ResultMemoryBytes_, Now_);
       ReplayCalls &Calls = Outcome_.Calls_[Index];
@@ -329,7 +333,7 @@
       Calls.FreeBytes_ += FreeBytes;
       Calls.BusyTime_ += Duration;
       for (const QueuedPiece &Piece : Pieces)
-        Calls.Wasted_ += RequestsById_[Piece.Piece_.RequestId_]->Ended_;
+        ++RequestsById_[Piece.Piece_.RequestId_]->PeakPieces_[Index];
     }
     // The target reads its inputs first and works on the pieces that have all.
     std::vector<bool> HasInputs;
@@ -351,13 +355,7 @@
       Ended.Targets_[TargetIndex].Busy_ = false;
       Ended.Targets_[TargetIndex].ReportsInputsRead_ = IsInTime;
       Ended.Ledger_.unreserve(Ended.Targets_[TargetIndex].Id_, Bytes);
-      if (Saturated) {
-        double Batch = static_cast<double>(Capacity.MaxBatchPieces_);
-        double Yield = static_cast<double>(Pieces.size()) / Batch *
-                       static_cast<double>(callTime(Capacity, Batch).count()) /
-                       static_cast<double>(Duration.count());
-        Ended.Yield_ += YieldWeight * (Yield - Ended.Yield_);
-      }
+      Ended.Statistics_.add(Capacity, Pieces.size(), Saturated, Duration);
       for (std::size_t I = 0; I < Pieces.size(); ++I)
         complete(Index, TargetIndex, Pieces[I], HasInputs[I]);
       postStartCalls(Index);
--- a/tests/Coordination/Stages/StageLoadReplay.h
+++ b/tests/Coordination/Stages/StageLoadReplay.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_TESTS_COORDINATION_STAGES_STAGELOADREPLAY_H
 #define AMARANTH_TESTS_COORDINATION_STAGES_STAGELOADREPLAY_H
 
+#include "Coordination/Stages/CallStatistics.h"
 #include "Coordination/Stages/OutstandingWork.h"
 #include "Coordination/Stages/ResultLedger.h"
 #include "Coordination/Stages/StageAdmission.h"
@@ -86,7 +87,7 @@
 struct ReplayCalls {
   std::size_t Calls_ = 0;
   std::size_t Pieces_ = 0;
-  std::size_t Wasted_ = 0; ///< Pieces of requests that had ended.
+  std::size_t Wasted_ = 0; ///< Pieces of requests that were not in aim.
   std::size_t LongestQueue_ = 0;
   std::uint64_t FreeBytes_ = 0; ///< Sum over the calls when composed.
   Milliseconds BusyTime_{0};
--- a/tests/Coordination/Stages/StageLoads.cpp
+++ b/tests/Coordination/Stages/StageLoads.cpp
@@ -65,7 +65,7 @@
          << Load.Services_[I].Name_ << " busy " << Calls.Busy_
          << " pieces a call " << static_cast<double>(Calls.Pieces_) / Count
          << " free MB " << static_cast<double>(Calls.FreeBytes_) / Count / 1e6
-         << " wasted " << Calls.Wasted_ << " longest queue "
+         << " not in aim " << Calls.Wasted_ << " longest queue "
          << Calls.LongestQueue_;
   }
   return Text.str();
