Let smaller requests begin first at a stage backlog

Cause: while arrivals exceed the capacity, a request with many pieces was admitted as readily as one with few, although several small ones can meet their aims in its place. Change: StageAdmission averages the pieces per request of each service on this host and counts the predicted delay of a request in proportion to its size, at most twice more or less. Without a backlog nothing changes; when a request is late, its size does not matter.

--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -34,6 +34,31 @@
                                StageAdmissionSettings Settings)
     : Queues_(Queues), Settings_(Settings) {}
 
+void StageAdmission::onRequest(const StagePlan &Plan) {
+  for (std::size_t Stage = 0; Stage < Plan.stageCount(); ++Stage) {
+    if (Plan.pieceCount(Stage) == 0)
+      continue;
+    auto Pieces = static_cast<double>(Plan.pieceCount(Stage));
+    double &Average =
+        AveragePieces_.try_emplace(Plan.step(Stage).Service_, Pieces)
+            .first->second;
+    Average += Settings_.RequestWeight_ * (Pieces - Average);
+  }
+}
+
+double StageAdmission::sizeFactor(const StagePlan &Plan,
+                                  const std::string &Service) const {
+  auto Average = AveragePieces_.find(Service);
+  if (Average == AveragePieces_.end())
+    return 1;
+  std::size_t Pieces = 0;
+  for (std::size_t Stage = 0; Stage < Plan.stageCount(); ++Stage)
+    if (Plan.step(Stage).Service_ == Service)
+      Pieces += Plan.pieceCount(Stage);
+  return std::clamp(static_cast<double>(Pieces) / Average->second,
+                    1 / Settings_.MaxSizeFactor_, Settings_.MaxSizeFactor_);
+}
+
 Milliseconds StageAdmission::workTime(const std::string &Service, Ahead Work,
                                       int Priority) const {
   QueueState State = Queues_.queueState(Service);
@@ -51,7 +76,12 @@
 Milliseconds StageAdmission::timeToFinish(const StagePlan &Plan, Ahead Work,
                                           int Priority) const {
   return Plan.timeToFinish([&](const std::string &Service, Milliseconds Time) {
-    return std::max(Milliseconds(0), workTime(Service, Work, Priority) - Time);
+    Milliseconds Delay =
+        std::max(Milliseconds(0), workTime(Service, Work, Priority) - Time);
+    if (Work != Ahead::InTime)
+      return Delay;
+    return Milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(Delay.count()) * sizeFactor(Plan, Service)));
   });
 }
 
--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -7,6 +7,7 @@
 #include "Protocol/FleetMessages.h"
 #include "Support/Time.h"
 
+#include <map>
 #include <string>
 
 namespace amaranth::coordination {
@@ -23,6 +24,11 @@
   /// completed within this time. Otherwise results of its first stages would
   /// expire before they are read.
   Milliseconds MaxBacklogForLate_{100};
+  /// Weight of a new request in the average number of pieces per service.
+  double RequestWeight_ = 0.02;
+  /// The predicted delay of a request with more or fewer pieces than usual
+  /// counts at most this much more or less.
+  double MaxSizeFactor_ = 2;
   /// Bounds of the retry delay given to refused callers.
   Milliseconds MinRetryAfter_{300};
   Milliseconds MaxRetryAfter_{3000};
@@ -49,12 +55,16 @@
 /// the requests before this one, wherever that work is now. Requests that can
 /// meet their aim start at once. The others wait, without using any target,
 /// until the backlog is short, so that no result is computed that expires
-/// unread, or are refused at once if that would be too late.
+/// unread, or are refused at once if that would be too late. The delay counts
+/// more for a request with more pieces than usual: while arrivals exceed the
+/// capacity, several small requests can meet their aims in its place.
 class StageAdmission final {
 public:
   explicit StageAdmission(QueueView &Queues,
                           StageAdmissionSettings Settings = {});
 
+  /// Records the sizes of a new request, once for each request.
+  void onRequest(const StagePlan &Plan);
   /// Decides for the remaining stages of \p Plan. The last results are needed
   /// by \p ReadyBy to meet the aim and by \p UsableUntil to meet the deadline.
   StageStart decide(const StagePlan &Plan, int Priority, SteadyTime ReadyBy,
@@ -73,12 +83,15 @@
 
   Milliseconds workTime(const std::string &Service, Ahead Work,
                         int Priority) const;
+  /// Pieces of the plan for a service relative to the average request.
+  double sizeFactor(const StagePlan &Plan, const std::string &Service) const;
   /// Time until the plan is completed behind the work \p Work.
   Milliseconds timeToFinish(const StagePlan &Plan, Ahead Work,
                             int Priority) const;
 
   QueueView &Queues_;
   StageAdmissionSettings Settings_;
+  std::map<std::string, double> AveragePieces_; ///< By service.
 };
 
 } // namespace amaranth::coordination
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -59,6 +59,8 @@
 
 Awaitable<std::optional<StageEnd>> StageRun::waitForStart() {
   using coordination::StageStart;
+  if (!Outstanding_.Started_)
+    Scope_.Context_.StageAdmission_.onRequest(Plan_);
   while (!Outstanding_.Started_ && !Plan_.isComplete()) {
     if (Scope_.HostStops_)
       co_return StageEnd::HostStops;
--- a/tests/Coordination/Stages/StageAdmissionTest.cpp
+++ b/tests/Coordination/Stages/StageAdmissionTest.cpp
@@ -148,3 +148,22 @@
   CHECK(F.decide(1) == StageStart::Refuse);
   CHECK(F.decide(0) == StageStart::Wait);
 }
+
+// Pattern: overload by requests of different sizes. Guards against one request
+// with many pieces that takes the place of several small ones.
+TEST_CASE("stage admission: at a backlog smaller requests begin first") {
+  Fixture F;
+  std::vector<state::StageStep> Steps = {{"first", {}, 100},
+                                         {"second", {0}, 100}};
+  StagePlan Usual(Steps, {1, 4}, stageTable());
+  StagePlan Larger(Steps, {1, 7}, stageTable());
+  F.Admission_.onRequest(Usual);
+  auto Decide = [&](const StagePlan &Plan) {
+    return F.Admission_.decide(Plan, 1, Now + Seconds{2}, Now + Seconds{8},
+                               Now);
+  };
+  CHECK(Decide(Larger) == StageStart::Begin);
+  F.fill(0, 130, 0);
+  CHECK(Decide(Usual) == StageStart::Begin);
+  CHECK(Decide(Larger) == StageStart::Wait);
+}
--- a/tests/Coordination/Stages/StageLoadReplay.cpp
+++ b/tests/Coordination/Stages/StageLoadReplay.cpp
@@ -138,6 +138,7 @@
     New.Outstanding_ = {New.Plan_.get(), Priority,
                         Now_ + Kind.Aim_ - FirstEventReserve, false};
     at(New.UsableUntil_, [this, &New] { fail(New); });
+    Admission_.onRequest(*New.Plan_);
     decide(New);
   }
 
