--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -17,8 +17,11 @@
 /// Priorities from here on are counted as one.
 constexpr int MaxCountedPriority = 9;
 
-/// Expected time of a call that is half full.
-Milliseconds expectedCallTime(const StageCapacity &Capacity) {
+/// Expected time of a call: as measured, else that of one that is half full.
+Milliseconds expectedCallTime(const FreeTarget &Target,
+                              const StageCapacity &Capacity) {
+  if (Target.CallTime_ > Milliseconds(0))
+    return Target.CallTime_;
   auto BatchWork =
       Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.MaxBatchPieces_);
   return Capacity.CallOverhead_ +
@@ -58,7 +61,8 @@
 StageQueue::Rank StageQueue::makeRank(const Groups::value_type &Item) {
   const Group &Current = Item.second;
   return {Current.Priority_,
-          Current.IsLate_ ? Current.ExpiresAt_ : Current.AimBy_, &Item.first};
+          Current.IsLate_ ? Current.ExpiresAt_ : Current.AimBy_,
+          Current.Number_, &Item.first};
 }
 
 void StageQueue::addToOrder(const Groups::value_type &Item) {
@@ -79,6 +83,7 @@
   auto [Position, IsNew] = Groups_.try_emplace(makeGroupKey(NewPiece));
   Group &Current = Position->second;
   if (IsNew) {
+    Current.Number_ = ++LastNumber_;
     Current.Priority_ = NewPiece.Priority_;
     Current.AimBy_ = NewPiece.AimBy_;
     Current.ExpiresAt_ = NewPiece.ExpiresAt_;
@@ -128,10 +133,10 @@
 void StageQueue::markLateGroups(SteadyTime CompletionTime) {
   // Within a priority, groups are ordered by AimBy_.
   for (auto Position = InTimeOrder_.begin(); Position != InTimeOrder_.end();) {
-    auto [Priority, AimBy, Key] = *Position;
+    auto [Priority, AimBy, Number, Key] = *Position;
     if (AimBy >= CompletionTime) {
       Position = InTimeOrder_.lower_bound(
-          Rank{Priority + 1, SteadyTime::min(), nullptr});
+          Rank{Priority + 1, SteadyTime::min(), 0, nullptr});
       continue;
     }
     Position = InTimeOrder_.erase(Position);
@@ -175,14 +180,14 @@
                           const StageCapacity &Capacity, SteadyTime Now,
                           std::uint64_t &FreeBytes,
                           std::vector<QueuedPiece> &Call) {
-  Milliseconds CallTime = expectedCallTime(Capacity);
+  Milliseconds CallTime = expectedCallTime(Target, Capacity);
   std::size_t SkippedGroups = 0;
   for (std::set<Rank> *Order : {&InTimeOrder_, &LateOrder_}) {
     for (auto Position = Order->begin(); Position != Order->end();) {
       std::size_t FreeSlots = Capacity.MaxBatchPieces_ - Call.size();
       if (FreeSlots == 0 || SkippedGroups > MaxSkippedGroups)
         return;
-      auto Found = Groups_.find(*std::get<2>(*Position));
+      auto Found = Groups_.find(*std::get<3>(*Position));
       Group &Current = Found->second;
       ++Position;
       bool FitsWhole =
@@ -209,7 +214,7 @@
 std::vector<QueuedPiece> StageQueue::composeCall(const FreeTarget &Target,
                                                  const StageCapacity &Capacity,
                                                  SteadyTime Now) {
-  markLateGroups(Now + expectedCallTime(Capacity));
+  markLateGroups(Now + expectedCallTime(Target, Capacity));
   std::vector<QueuedPiece> Call;
   std::uint64_t FreeBytes = Target.FreeResultBytes_;
   fillCall(Target, Filling::Preferred, Capacity, Now, FreeBytes, Call);
