Keep prompts within the memory and speed of engines

Cause: EngineChooser knew neither how much of an engine's memory the requests there occupy (an engine crashes when they exceed it), nor what other hosts send there, nor how fast an engine is, nor where the stage results are that it must read.

Change: EngineMemory counts the prompt and the allowed output of this host's requests at each engine, and what peers report. A host reports the engines of which its requests occupy over a sixteenth, in loadedPing and loadedPong; other pings have the same bytes as before. EngineChooser leaves out engines without room; a request waits for room (50 ms checks) and is refused as not run when its time is over; a prompt above the memory of any engine is refused at once. The cost of an engine is multiplied by its measured time for a token relative to the median (EngineSpeed), counts the requests of peers, and adds up to 40 tokens for inputs in another data centre.

Result: coordination_test (242 cases), protocol_test and 20 platform cases pass. With real daemons, ten prompts at an engine that holds three: three at most at once, all served. With a check switched off the tests for it fail: room (4 cases), output not counted, reports without expiry or threshold, peers' requests, slowness, its expiry, place of the inputs (one each), requests not counted (ten at once), no waiting (some refused), no refusal at once, reports not decoded.

--- a/source/Coordination/Engines/EngineChooser.cpp
+++ b/source/Coordination/Engines/EngineChooser.cpp
@@ -38,6 +38,19 @@
   return Prompt.empty() ? nullptr : &Prompt.front();
 }
 
+/// Share of the bytes of stage results that are not in \p DataCentre.
+double remoteShare(const std::map<std::string, std::uint64_t> &InputBytes,
+                   const std::string &DataCentre) {
+  double All = 0;
+  double Remote = 0;
+  for (const auto &[Place, Bytes] : InputBytes) {
+    All += static_cast<double>(Bytes);
+    if (Place != DataCentre)
+      Remote += static_cast<double>(Bytes);
+  }
+  return All > 0 ? Remote / All : 0;
+}
+
 double totalTokens(const std::vector<PromptPart> &Prompt) {
   double Tokens = 0;
   for (const PromptPart &Part : Prompt)
@@ -74,11 +87,11 @@
   return Tokens;
 }
 
-const TargetRecord *
-EngineChooser::choose(const std::vector<const TargetRecord *> &Engines,
-                      const std::vector<PromptPart> &Prompt,
-                      const std::set<std::string> &Excluded,
-                      const TargetHealth &Health, SteadyTime Now) const {
+const TargetRecord *EngineChooser::choose(
+    const std::vector<const TargetRecord *> &Engines, const EngineQuery &Query,
+    const std::set<std::string> &Excluded, const TargetHealth &Health,
+    const EngineMemory &Memory, SteadyTime Now) const {
+  const std::vector<PromptPart> &Prompt = Query.Prompt_;
   const PromptPart *Shared = lastSharedPart(Prompt);
   const TargetRecord *Preferred = nullptr;
   std::uint64_t PreferredRank = 0;
@@ -94,10 +107,18 @@
   }
   const TargetRecord *BestEngine = nullptr;
   double BestCost = std::numeric_limits<double>::max();
+  double UsualTime = Speed_.usualTime(Engines, Now);
   for (const TargetRecord *Engine : Engines) {
+    if (!Memory.fits(Engine->Id_, Query.Demand_, Query.MemoryTokens_, Now))
+      continue;
+    double Requests =
+        static_cast<double>(Health.inFlight(Engine->Id_)) +
+        static_cast<double>(Memory.peerRequests(Engine->Id_, Now));
     double Cost = uncachedTokens(*Engine, Engine == Preferred, Prompt, Now);
-    Cost += Settings_.TokensPerRequest_ *
-            static_cast<double>(Health.inFlight(Engine->Id_));
+    Cost += Settings_.TokensPerRequest_ * Requests;
+    Cost *= Speed_.slowness(Engine->Id_, UsualTime, Now);
+    Cost += Settings_.RemoteInputTokens_ *
+            remoteShare(Query.InputBytes_, Engine->DataCentre_);
     Cost += Settings_.FailureTokens_ * Health.failureShare(Engine->Id_, Now);
     bool LastResort =
         Excluded.count(Engine->Id_) || !Health.isUsable(Engine->Id_, Now);
@@ -134,6 +155,7 @@
 void EngineChooser::onEngineRemoved(const std::string &EngineId) {
   for (auto &[Part, Uses] : LastUses_)
     Uses.erase(EngineId);
+  Speed_.onEngineRemoved(EngineId);
 }
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Engines/EngineChooser.h
+++ b/source/Coordination/Engines/EngineChooser.h
@@ -3,6 +3,8 @@
 #ifndef AMARANTH_COORDINATION_ENGINES_ENGINECHOOSER_H
 #define AMARANTH_COORDINATION_ENGINES_ENGINECHOOSER_H
 
+#include "Coordination/Engines/EngineMemory.h"
+#include "Coordination/Engines/EngineSpeed.h"
 #include "Coordination/Targets/TargetHealth.h"
 #include "Protocol/EdgeProtocol.h"
 #include "State/TargetRecord.h"
@@ -29,6 +31,21 @@
   double FailureTokens_ = 20000;
   /// Weight of a new prompt in the average size of the prompts.
   double SizeWeight_ = 0.02;
+  /// Cost in prompt tokens of an engine in whose data centre none of the stage
+  /// results are that it must read; multiplied by the share of bytes elsewhere.
+  /// Only separates engines that are otherwise equal: reading results from
+  /// another data centre delays a request by about a millisecond.
+  double RemoteInputTokens_ = 40;
+};
+
+/// The request for which an engine is chosen.
+struct EngineQuery {
+  std::vector<protocol::PromptPart> Prompt_;
+  TokenDemand Demand_;
+  /// Memory of each engine in tokens; 0 if it is not stated.
+  std::uint64_t MemoryTokens_ = 0;
+  /// Bytes of stage results that the engine must read, by data centre.
+  std::map<std::string, std::uint64_t> InputBytes_;
 };
 
 /// Sends prompts to the engine that has most of their parts in its prefix
@@ -39,14 +56,24 @@
 public:
   explicit EngineChooser(EngineChooserSettings Settings = {});
 
-  /// Returns the best of \p Engines for \p Prompt, or null if there is none.
-  /// Engines in \p Excluded are chosen only if no other is usable.
+  /// Returns the best of \p Engines for \p Query, or null if there is none
+  /// whose memory can take the request. Engines in \p Excluded are chosen only
+  /// if no other is usable.
   const state::TargetRecord *
   choose(const std::vector<const state::TargetRecord *> &Engines,
-         const std::vector<protocol::PromptPart> &Prompt,
-         const std::set<std::string> &Excluded, const TargetHealth &Health,
+         const EngineQuery &Query, const std::set<std::string> &Excluded,
+         const TargetHealth &Health, const EngineMemory &Memory,
          SteadyTime Now) const;
 
+  /// Prompt tokens that an engine has to compute, as far as is known here; ask
+  /// before onPromptSent().
+  double tokensToRead(const state::TargetRecord &Engine,
+                      const std::vector<protocol::PromptPart> &Prompt,
+                      SteadyTime Now) const {
+    return uncachedTokens(Engine, false, Prompt, Now);
+  }
+  EngineSpeed &speed() { return Speed_; }
+
   /// Records that a prompt was sent to an engine, which now caches its parts.
   void onPromptSent(const std::string &EngineId,
                     const std::vector<protocol::PromptPart> &Prompt,
@@ -64,6 +91,7 @@
                         SteadyTime Now) const;
 
   EngineChooserSettings Settings_;
+  EngineSpeed Speed_;
   /// Last use of each part at each engine, by part and engine id.
   std::map<std::string, std::map<std::string, SteadyTime>> LastUses_;
   double AverageTokens_ = 0; ///< Of all prompts that were sent.
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -19,6 +19,10 @@
     targetLimit @9 :TargetLimit;
     permitRequest @10 :PermitRequest;
     permitReply @11 :PermitReply;
+    # A ping or pong of a host that occupies much of an engine's memory. They
+    # are messages of their own so that other pings do not grow.
+    loadedPing @12 :LoadedHostState;
+    loadedPong @13 :LoadedHostState;
   }
 }
 
@@ -37,6 +41,18 @@
   linkMegabits @11 :Float64;
 }
 
+struct LoadedHostState {
+  state @0 :HostState;
+  engines @1 :List(EngineTokens);
+}
+
+# What the host's own requests may hold at an engine.
+struct EngineTokens {
+  engine @0 :Text;
+  tokens @1 :UInt64;
+  requests @2 :UInt64;
+}
+
 struct QueueState {
   service @0 :Text;
   inTime @1 :List(UInt32);  # pieces that can meet their aim, by priority
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -21,6 +21,8 @@
 
 CAPNP_DECLARE_SCHEMA(fb5beb1f8b0da057);
 CAPNP_DECLARE_SCHEMA(db49741e3fd10766);
+CAPNP_DECLARE_SCHEMA(df592f49f7f27bda);
+CAPNP_DECLARE_SCHEMA(8cf9d3170bf6f826);
 CAPNP_DECLARE_SCHEMA(e214b82b18fb5fed);
 CAPNP_DECLARE_SCHEMA(adb4b7e9911aa29d);
 CAPNP_DECLARE_SCHEMA(c23d965bc8868669);
@@ -60,6 +62,8 @@
     TARGET_LIMIT,
     PERMIT_REQUEST,
     PERMIT_REPLY,
+    LOADED_PING,
+    LOADED_PONG,
   };
 
   struct _capnpPrivate {
@@ -85,6 +89,36 @@
   };
 };
 
+struct LoadedHostState {
+  LoadedHostState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df592f49f7f27bda, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EngineTokens {
+  EngineTokens() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8cf9d3170bf6f826, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QueueState {
   QueueState() = delete;
 
@@ -333,6 +367,14 @@
   inline bool hasPermitReply() const;
   inline  ::amaranth::protocol::fleet::PermitReply::Reader getPermitReply() const;
 
+  inline bool isLoadedPing() const;
+  inline bool hasLoadedPing() const;
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Reader getLoadedPing() const;
+
+  inline bool isLoadedPong() const;
+  inline bool hasLoadedPong() const;
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Reader getLoadedPong() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -458,6 +500,22 @@
   inline void adoptPermitReply(::capnp::Orphan< ::amaranth::protocol::fleet::PermitReply>&& value);
   inline ::capnp::Orphan< ::amaranth::protocol::fleet::PermitReply> disownPermitReply();
 
+  inline bool isLoadedPing();
+  inline bool hasLoadedPing();
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Builder getLoadedPing();
+  inline void setLoadedPing( ::amaranth::protocol::fleet::LoadedHostState::Reader value);
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Builder initLoadedPing();
+  inline void adoptLoadedPing(::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState> disownLoadedPing();
+
+  inline bool isLoadedPong();
+  inline bool hasLoadedPong();
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Builder getLoadedPong();
+  inline void setLoadedPong( ::amaranth::protocol::fleet::LoadedHostState::Reader value);
+  inline  ::amaranth::protocol::fleet::LoadedHostState::Builder initLoadedPong();
+  inline void adoptLoadedPong(::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState> disownLoadedPong();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -651,6 +709,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class LoadedHostState::Reader {
+public:
+  typedef LoadedHostState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState() const;
+  inline  ::amaranth::protocol::fleet::HostState::Reader getState() const;
+
+  inline bool hasEngines() const;
+  inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Reader getEngines() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LoadedHostState::Builder {
+public:
+  typedef LoadedHostState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasState();
+  inline  ::amaranth::protocol::fleet::HostState::Builder getState();
+  inline void setState( ::amaranth::protocol::fleet::HostState::Reader value);
+  inline  ::amaranth::protocol::fleet::HostState::Builder initState();
+  inline void adoptState(::capnp::Orphan< ::amaranth::protocol::fleet::HostState>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::HostState> disownState();
+
+  inline bool hasEngines();
+  inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Builder getEngines();
+  inline void setEngines( ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Builder initEngines(unsigned int size);
+  inline void adoptEngines(::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>> disownEngines();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LoadedHostState::Pipeline {
+public:
+  typedef LoadedHostState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::amaranth::protocol::fleet::HostState::Pipeline getState();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EngineTokens::Reader {
+public:
+  typedef EngineTokens Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine() const;
+  inline  ::capnp::Text::Reader getEngine() const;
+
+  inline  ::uint64_t getTokens() const;
+
+  inline  ::uint64_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EngineTokens::Builder {
+public:
+  typedef EngineTokens Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEngine();
+  inline  ::capnp::Text::Builder getEngine();
+  inline void setEngine( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEngine(unsigned int size);
+  inline void adoptEngine(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEngine();
+
+  inline  ::uint64_t getTokens();
+  inline void setTokens( ::uint64_t value);
+
+  inline  ::uint64_t getRequests();
+  inline void setRequests( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EngineTokens::Pipeline {
+public:
+  typedef EngineTokens Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QueueState::Reader {
 public:
   typedef QueueState Reads;
@@ -2557,6 +2798,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isLoadedPing() const {
+  return which() == FleetMessage::LOADED_PING;
+}
+inline bool FleetMessage::Builder::isLoadedPing() {
+  return which() == FleetMessage::LOADED_PING;
+}
+inline bool FleetMessage::Reader::hasLoadedPing() const {
+  if (which() != FleetMessage::LOADED_PING) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasLoadedPing() {
+  if (which() != FleetMessage::LOADED_PING) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Reader FleetMessage::Reader::getLoadedPing() const {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Builder FleetMessage::Builder::getLoadedPing() {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setLoadedPing( ::amaranth::protocol::fleet::LoadedHostState::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PING);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Builder FleetMessage::Builder::initLoadedPing() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PING);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptLoadedPing(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PING);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState> FleetMessage::Builder::disownLoadedPing() {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PING),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessage::Reader::isLoadedPong() const {
+  return which() == FleetMessage::LOADED_PONG;
+}
+inline bool FleetMessage::Builder::isLoadedPong() {
+  return which() == FleetMessage::LOADED_PONG;
+}
+inline bool FleetMessage::Reader::hasLoadedPong() const {
+  if (which() != FleetMessage::LOADED_PONG) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasLoadedPong() {
+  if (which() != FleetMessage::LOADED_PONG) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Reader FleetMessage::Reader::getLoadedPong() const {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Builder FleetMessage::Builder::getLoadedPong() {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setLoadedPong( ::amaranth::protocol::fleet::LoadedHostState::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PONG);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::LoadedHostState::Builder FleetMessage::Builder::initLoadedPong() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PONG);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptLoadedPong(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::LOADED_PONG);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState> FleetMessage::Builder::disownLoadedPong() {
+  KJ_IREQUIRE((which() == FleetMessage::LOADED_PONG),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::LoadedHostState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool HostState::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2869,6 +3218,141 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadedHostState::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadedHostState::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::HostState::Reader LoadedHostState::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::HostState::Builder LoadedHostState::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::amaranth::protocol::fleet::HostState::Pipeline LoadedHostState::Pipeline::getState() {
+  return  ::amaranth::protocol::fleet::HostState::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LoadedHostState::Builder::setState( ::amaranth::protocol::fleet::HostState::Reader value) {
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::HostState::Builder LoadedHostState::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadedHostState::Builder::adoptState(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::HostState>&& value) {
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::HostState> LoadedHostState::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::HostState>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadedHostState::Reader::hasEngines() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadedHostState::Builder::hasEngines() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Reader LoadedHostState::Reader::getEngines() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Builder LoadedHostState::Builder::getEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadedHostState::Builder::setEngines( ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>::Builder LoadedHostState::Builder::initEngines(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadedHostState::Builder::adoptEngines(
+    ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>> LoadedHostState::Builder::disownEngines() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::amaranth::protocol::fleet::EngineTokens,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool EngineTokens::Reader::hasEngine() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EngineTokens::Builder::hasEngine() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EngineTokens::Reader::getEngine() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EngineTokens::Builder::getEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EngineTokens::Builder::setEngine( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EngineTokens::Builder::initEngine(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EngineTokens::Builder::adoptEngine(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EngineTokens::Builder::disownEngine() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t EngineTokens::Reader::getTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineTokens::Builder::getTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EngineTokens::Builder::setTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EngineTokens::Reader::getRequests() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EngineTokens::Builder::getRequests() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EngineTokens::Builder::setRequests( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QueueState::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -72,6 +72,16 @@
     write(Source.Outstanding_[I], Outstanding[I]);
 }
 
+void write(const HostState &Source, fleet::LoadedHostState::Builder Builder) {
+  write(Source, Builder.initState());
+  auto Engines = Builder.initEngines(Source.Engines_.size());
+  for (unsigned I = 0; I < Source.Engines_.size(); ++I) {
+    Engines[I].setEngine(Source.Engines_[I].Engine_);
+    Engines[I].setTokens(Source.Engines_[I].Tokens_);
+    Engines[I].setRequests(Source.Engines_[I].Requests_);
+  }
+}
+
 HostState read(fleet::HostState::Reader Source) {
   HostState Decoded;
   Decoded.Host_ = text(Source.getHost());
@@ -92,6 +102,14 @@
   return Decoded;
 }
 
+HostState read(fleet::LoadedHostState::Reader Source) {
+  HostState Decoded = read(Source.getState());
+  for (auto Engine : Source.getEngines())
+    Decoded.Engines_.push_back(
+        {text(Engine.getEngine()), Engine.getTokens(), Engine.getRequests()});
+  return Decoded;
+}
+
 void write(const PieceOrder &Source, fleet::Piece::Builder Builder) {
   Builder.setRequestId(Source.Piece_.RequestId_);
   Builder.setStage(static_cast<std::uint32_t>(Source.Piece_.Stage_));
@@ -170,10 +188,16 @@
   fleet::FleetMessage::Builder Builder_;
 
   void operator()(const Ping &Source) {
-    write(Source.State_, Builder_.initPing());
+    if (Source.State_.Engines_.empty())
+      write(Source.State_, Builder_.initPing());
+    else
+      write(Source.State_, Builder_.initLoadedPing());
   }
   void operator()(const Pong &Source) {
-    write(Source.State_, Builder_.initPong());
+    if (Source.State_.Engines_.empty())
+      write(Source.State_, Builder_.initPong());
+    else
+      write(Source.State_, Builder_.initLoadedPong());
   }
   void operator()(const PieceOrders &Source) {
     auto List = Builder_.initPieces(Source.Orders_.size());
@@ -311,6 +335,10 @@
     return Ping{read(Source.getPing())};
   case Which::PONG:
     return Pong{read(Source.getPong())};
+  case Which::LOADED_PING:
+    return Ping{read(Source.getLoadedPing())};
+  case Which::LOADED_PONG:
+    return Pong{read(Source.getLoadedPong())};
   case Which::PIECES: {
     PieceOrders Decoded;
     for (auto Piece : Source.getPieces())
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -30,6 +30,13 @@
   double PiecesPerSecond_ = 0;
 };
 
+/// What the requests of one host may hold at a model engine.
+struct EngineTokens {
+  std::string Engine_;
+  std::uint64_t Tokens_ = 0;
+  std::uint64_t Requests_ = 0;
+};
+
 /// State that a host reports about itself.
 struct HostState {
   std::string Host_;
@@ -50,6 +57,8 @@
   /// What the host's own requests still need.
   std::vector<QueueState> Outstanding_;
   double LinkMegabits_ = 0; ///< Bandwidth of its network link; 0 if unknown.
+  /// Engines of whose memory the host's requests occupy a large part.
+  std::vector<EngineTokens> Engines_;
 };
 
 struct Ping {
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -61,6 +61,7 @@
   coordination::TargetHealth Health_;
   coordination::TargetLimits Limits_;
   coordination::EngineChooser Engines_;
+  coordination::EngineMemory EngineMemory_;
   transport::ByteBudget MessageBytes_;
   TargetConnections Connections_;
   coordination::WindowBudget RetryBudget_;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -111,12 +111,15 @@
   State.Digests_ = Replica_.digests();
   State.Queues_ = Dispatcher_.queueStates();
   State.Outstanding_ = Context_.OutstandingWork_.states(SteadyClock::now());
+  State.Engines_ = Context_.EngineMemory_.report();
   return State;
 }
 
 void EntryHost::onPeerState(const HostState &State) {
   Replica_.onPeerState(State);
   SuspectExchange_.onPeerState(State);
+  Context_.EngineMemory_.onPeerReport(State.Host_, State.Engines_,
+                                      SteadyClock::now());
   if (UndeliveredReports_.empty())
     return;
   protocol::PieceReports Reports =
@@ -350,6 +353,7 @@
     Context_.Targets_.expire(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
+    Context_.Engines_.speed().forgetUnused(Now);
     Permits_.forgetUnused(Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
     Stages_.sendUnsentOrders();
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -2,6 +2,8 @@
 
 #include "Support/Log.h"
 
+#include <algorithm>
+
 namespace amaranth::serving {
 
 using coordination::TargetResult;
@@ -13,6 +15,11 @@
 
 constexpr int MaxSentAttempts = 4;
 constexpr int MaxUnreachedTargets = 4;
+/// Retry-After of a prompt that fits into no engine; only another configuration
+/// can change that.
+constexpr Milliseconds RetryAfterTooLarge{30000};
+/// How often a request looks for an engine when the memory of all is full.
+constexpr Milliseconds MemoryCheckPeriod{50};
 /// Time reserved for the engine's first event when the stages of a request are
 /// scheduled.
 constexpr Milliseconds FirstEventReserve{250};
@@ -45,15 +52,40 @@
   return std::min(CallerGivesUpAt, Scope.Deadline_ - GenerationReserve);
 }
 
+/// Memory of each engine of the request's service in tokens; 0 if not stated.
+std::uint64_t engineMemory(const RequestScope &Scope) {
+  auto Found = Scope.Table_->Services_.find(Scope.Service_);
+  bool IsEngine =
+      Found != Scope.Table_->Services_.end() && Found->second.Engine_;
+  return IsEngine ? Found->second.Engine_->MemoryTokens_ : 0;
+}
+
+/// The request as EngineChooser needs it.
+coordination::EngineQuery engineQuery(const RequestScope &Scope) {
+  constexpr std::uint64_t MaxCount = coordination::TokenDemand::MaxCount;
+  coordination::EngineQuery Query;
+  Query.Prompt_ = Scope.Request_.Prompt_;
+  std::uint64_t PartTokens = 0;
+  for (const protocol::PromptPart &Part : Query.Prompt_)
+    PartTokens =
+        std::min(MaxCount, PartTokens + std::min(MaxCount, Part.Tokens_));
+  Query.Demand_.Prompt_ =
+      std::min(MaxCount, std::max(PartTokens, Scope.Request_.PromptTokens_));
+  Query.Demand_.MaxOutput_ =
+      std::min(MaxCount, Scope.Request_.MaxOutputTokens_);
+  Query.MemoryTokens_ = engineMemory(Scope);
+  return Query;
+}
+
 /// Data centre of the engine that would be chosen now.
 std::string likelyDataCentre(const RequestScope &Scope) {
   EntryContext &Context = Scope.Context_;
   std::vector<const TargetRecord *> Engines =
       Context.Targets_.serving(Scope.Service_);
   std::set<std::string> NoneTried;
-  const TargetRecord *Engine =
-      Context.Engines_.choose(Engines, Scope.Request_.Prompt_, NoneTried,
-                              Context.Health_, SteadyClock::now());
+  const TargetRecord *Engine = Context.Engines_.choose(
+      Engines, engineQuery(Scope), NoneTried, Context.Health_,
+      Context.EngineMemory_, SteadyClock::now());
   return Engine ? Engine->DataCentre_ : "";
 }
 
@@ -76,6 +108,12 @@
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
+  coordination::EngineQuery Query = engineQuery(Scope_);
+  if (coordination::EngineMemory::exceeds(Query.Demand_, Query.MemoryTokens_)) {
+    std::string TooLarge = "the prompt is larger than the engines' memory";
+    co_await sendOwnAnswer(Scope_, 503, TooLarge, RetryAfterTooLarge);
+    co_return;
+  }
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
   for (;;) {
     bool HasInputs = co_await runStages();
@@ -93,10 +131,7 @@
     if (SentAttempts_ > 0 &&
         !Context.RetryBudget_.tryTake(Scope_.Service_, SteadyClock::now()))
       break;
-    SteadyTime WaitUntil = usableUntil(Scope_);
-    std::string Service = Scope_.Service_;
-    std::optional<TargetRecord> Target =
-        co_await Context.Permits_.choose(Service, *this, WaitUntil);
+    std::optional<TargetRecord> Target = co_await chooseEngine();
     if (Scope_.hasCallerLeft())
       co_return;
     if (!Target || Scope_.HostStops_)
@@ -113,6 +148,40 @@
   co_await answerOrAbort();
 }
 
+Awaitable<std::optional<TargetRecord>> StreamRun::chooseEngine() {
+  EntryContext &Context = Scope_.Context_;
+  SteadyTime WaitUntil = usableUntil(Scope_);
+  std::string Service = Scope_.Service_;
+  std::optional<TargetRecord> Target;
+  for (;;) {
+    Target = co_await Context.Permits_.choose(Service, *this, WaitUntil);
+    // Other requests may have taken the memory while this one waited for its
+    // place.
+    if (Target && !hasMemory(*Target))
+      Target.reset();
+    if (Target || !isMemoryFull() || Scope_.HostStops_ ||
+        Scope_.hasCallerLeft() ||
+        SteadyClock::now() + MemoryCheckPeriod >= WaitUntil)
+      co_return Target;
+    co_await transport::pause(Context.Loop_, MemoryCheckPeriod);
+  }
+}
+
+bool StreamRun::hasMemory(const TargetRecord &Engine) const {
+  coordination::EngineQuery Query = engineQuery(Scope_);
+  return Scope_.Context_.EngineMemory_.fits(
+      Engine.Id_, Query.Demand_, Query.MemoryTokens_, SteadyClock::now());
+}
+
+bool StreamRun::isMemoryFull() const {
+  std::vector<const TargetRecord *> Engines =
+      Scope_.Context_.Targets_.serving(Scope_.Service_);
+  return !Engines.empty() && std::none_of(Engines.begin(), Engines.end(),
+                                          [this](const TargetRecord *Engine) {
+                                            return hasMemory(*Engine);
+                                          });
+}
+
 Awaitable<bool> StreamRun::runStages() {
   StageEnd End = co_await Stages_.run();
   if (End == StageEnd::Completed)
@@ -134,8 +203,10 @@
 const TargetRecord *
 StreamRun::chooseFrom(const std::vector<const TargetRecord *> &Candidates) {
   EntryContext &Context = Scope_.Context_;
-  return Context.Engines_.choose(Candidates, Scope_.Request_.Prompt_,
-                                 TriedTargets_, Context.Health_,
+  coordination::EngineQuery Query = engineQuery(Scope_);
+  Query.InputBytes_ = Stages_.inputBytesByDataCentre();
+  return Context.Engines_.choose(Candidates, Query, TriedTargets_,
+                                 Context.Health_, Context.EngineMemory_,
                                  SteadyClock::now());
 }
 
@@ -178,8 +249,12 @@
   AnswerCompleted_ = false;
   Context.SuspectParts_.onSent(Scope_.SharedParts_, AttemptStart_);
   Context.Health_.begin(Target.Id_);
+  TokensToRead_ = Context.Engines_.tokensToRead(Target, Scope_.Request_.Prompt_,
+                                                AttemptStart_);
   Context.Engines_.onPromptSent(Target.Id_, Scope_.Request_.Prompt_,
                                 AttemptStart_);
+  coordination::EngineQuery Query = engineQuery(Scope_);
+  Context.EngineMemory_.begin(Target.Id_, Query.Demand_, Query.MemoryTokens_);
   std::string Id = Scope_.Request_.Id_;
   co_await Exchange.start(Request, Id, Scope_.Deadline_);
   recordLimit(Context, Exchange);
@@ -203,6 +278,7 @@
     ++PossibleRuns_;
   }
   Scope_.Interrupt_ = nullptr;
+  Context.EngineMemory_.end(Target.Id_, Query.Demand_);
   recordOutcome(Exchange);
   co_return NextStep;
 }
@@ -255,7 +331,7 @@
     std::string WholeEvents = Events_.addBytes(Body);
     if (!WholeEvents.empty()) {
       if (!FirstEventAt_)
-        FirstEventAt_ = SteadyClock::now();
+        noteFirstEvent(Exchange.target().Id_);
       bool Written = co_await writeEvents(Exchange, std::move(WholeEvents));
       if (!Written)
         co_return Step::Finished;
@@ -317,6 +393,14 @@
   co_return false;
 }
 
+void StreamRun::noteFirstEvent(const std::string &Engine) {
+  SteadyTime Now = SteadyClock::now();
+  FirstEventAt_ = Now;
+  auto Time = std::chrono::ceil<Milliseconds>(Now - AttemptStart_);
+  Scope_.Context_.Engines_.speed().onFirstEvent(Engine, TokensToRead_, Time,
+                                                Now);
+}
+
 Awaitable<void> StreamRun::finishAnswer() {
   Scope_.Interrupt_ = [this] {
     if (Scope_.CallerDisconnected_)
--- a/tests/Coordination/Engines/EngineChooserTest.cpp
+++ b/tests/Coordination/Engines/EngineChooserTest.cpp
@@ -24,14 +24,22 @@
   std::string choose(const EngineChooser &Chooser,
                      const std::vector<PromptPart> &Prompt,
                      const std::set<std::string> &Excluded = {}) {
-    const TargetRecord *Found =
-        Chooser.choose(Engines_, Prompt, Excluded, Health_, Now);
+    const TargetRecord *Found = Chooser.choose(Engines_, query(Prompt),
+                                               Excluded, Health_, Memory_, Now);
     return Found ? Found->Id_ : "";
   }
 
   std::vector<TargetRecord> Records_;
   std::vector<const TargetRecord *> Engines_;
   TargetHealth Health_;
+  EngineMemory Memory_;
+  std::uint64_t MemoryTokens_ = 0;
+  std::map<std::string, std::uint64_t> InputBytes_;
+
+private:
+  EngineQuery query(const std::vector<PromptPart> &Prompt) const {
+    return {Prompt, {8000, 0}, MemoryTokens_, InputBytes_};
+  }
 };
 
 std::vector<PromptPart> prompt(const std::string &Catalogue,
@@ -103,3 +111,68 @@
   CHECK(Chooser.isLarge({{"a", 7000}, {"b", 5000}}));
   CHECK_FALSE(Chooser.isLarge({{"a", 800}}));
 }
+
+// Load: prompts of which an engine holds three. Guards against engines that
+// crash because they hold more than their memory, and against a choice of the
+// preferred engine that has no room.
+TEST_CASE("engine chooser: an engine without room gets no prompt") {
+  Fixture F(2);
+  EngineChooser Chooser;
+  F.MemoryTokens_ = 24000;
+  std::string First = F.choose(Chooser, prompt("c", "x"));
+  std::string Second = First == "e0" ? "e1" : "e0";
+  F.Memory_.begin(First, {17000, 0}, F.MemoryTokens_);
+  CHECK(F.choose(Chooser, prompt("c", "x")) == Second);
+  F.Memory_.onPeerReport("h", {{Second, 17000, 2}}, Now);
+  CHECK(F.choose(Chooser, prompt("c", "x")).empty());
+}
+
+// Load: other hosts send many prompts to the engine that is preferred here.
+// Guards against a queue at an engine that no single host sees.
+TEST_CASE("engine chooser: requests of peers count") {
+  Fixture F(2);
+  EngineChooser Chooser;
+  std::string First = F.choose(Chooser, prompt("c", "x"));
+  F.Memory_.onPeerReport("h", {{First, 1000, 20}}, Now);
+  CHECK(F.choose(Chooser, prompt("c", "x")) != First);
+}
+
+// Load: one of three engines computes prompts at a third of the speed of the
+// others. Guards against sending it as many prompts as the others, and against
+// avoiding it after it has not been measured for long.
+TEST_CASE("engine chooser: a slow engine gets fewer prompts") {
+  Fixture F(3);
+  EngineChooser Chooser;
+  auto CountAtFirst = [&] {
+    int Count = 0;
+    for (int I = 0; I < 300; ++I)
+      Count += F.choose(Chooser, {{"p" + std::to_string(I), 100},
+                                  {"q" + std::to_string(I), 5000}}) == "e0";
+    return Count;
+  };
+  CHECK(CountAtFirst() > 60);
+  for (int I = 0; I < 10; ++I)
+    for (int Engine = 0; Engine < 3; ++Engine)
+      Chooser.speed().onFirstEvent("e" + std::to_string(Engine), 5000,
+                                   Milliseconds{Engine == 0 ? 900 : 300}, Now);
+  CHECK(CountAtFirst() == 0);
+  std::vector<const TargetRecord *> All = F.Engines_;
+  SteadyTime Later = Now + Seconds{30};
+  CHECK(Chooser.speed().slowness("e0", Chooser.speed().usualTime(All, Later),
+                                 Later) == 1);
+}
+
+// Load: results of the last stage that are all in one data centre. Guards
+// against reading them from another one without need, and against a longer wait
+// for the sake of it.
+TEST_CASE("engine chooser: the place of the inputs decides between equals") {
+  Fixture F(2);
+  EngineChooser Chooser;
+  F.Records_[0].DataCentre_ = "a";
+  F.Records_[1].DataCentre_ = "b";
+  F.InputBytes_ = {{"b", 60000}};
+  for (int I = 0; I < 20; ++I)
+    CHECK(F.choose(Chooser, {{"x" + std::to_string(I), 0}}) == "e1");
+  F.Health_.begin("e1");
+  CHECK(F.choose(Chooser, {{"x", 0}}) == "e0");
+}
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -78,6 +78,13 @@
   CHECK(Read.Outstanding_.at(0).InTime_ == std::vector<std::uint32_t>{1});
   CHECK(Read.Outstanding_.at(0).Waiting_ == std::vector<std::uint32_t>{0, 3});
 
+  State.Engines_ = {{"e", 9000, 3}};
+  HostState Loaded = roundTrip(Pong{State}).State_;
+  CHECK(Loaded.Digests_ == State.Digests_);
+  CHECK(Loaded.Engines_.at(0).Engine_ == "e");
+  CHECK(Loaded.Engines_.at(0).Tokens_ == 9000);
+  CHECK(Loaded.Engines_.at(0).Requests_ == 3);
+
   PieceReports Reports{{{"r", 1, 2, {PieceStatus::NoCapacity, "h/1"}}}};
   CHECK(roundTrip(Reports).Reports_.at(0).Outcome_.Status_ ==
         PieceStatus::NoCapacity);
