--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -20,6 +20,10 @@
     permitRequest @10 :PermitRequest;
     permitReply @11 :PermitReply;
     paceReport @12 :PaceReport;
+    # A ping or pong of a host that occupies much of an engine's memory. They
+    # are messages of their own so that other pings do not grow.
+    loadedPing @13 :LoadedHostState;
+    loadedPong @14 :LoadedHostState;
   }
 }
 
@@ -46,6 +50,18 @@
   hosts @1 :UInt32;  # that the callers of the data centre need
 }
 
+struct LoadedHostState {
+  state @0 :HostState;
+  engines @1 :List(EngineTokens);
+}
+
+# What the host's own requests may hold at an engine.
+struct EngineTokens {
+  engine @0 :Text;
+  tokens @1 :UInt64;
+  requests @2 :UInt64;
+}
+
 struct QueueState {
   service @0 :Text;
   inTime @1 :List(UInt32);  # pieces that can meet their aim, by priority
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -36,6 +36,13 @@
   std::uint32_t Hosts_ = 0;
 };
 
+/// What the requests of one host may hold at a model engine.
+struct EngineTokens {
+  std::string Engine_;
+  std::uint64_t Tokens_ = 0;
+  std::uint64_t Requests_ = 0;
+};
+
 /// State that a host reports about itself.
 struct HostState {
   std::string Host_;
@@ -62,6 +69,8 @@
   double BusyShare_ = 0;
   /// For the data centres for which this host was elected to decide.
   std::vector<CallerNeed> CallerNeeds_;
+  /// Engines of whose memory the host's requests occupy a large part.
+  std::vector<EngineTokens> Engines_;
 };
 
 struct Ping {
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -78,6 +78,7 @@
   coordination::TargetHealth Health_;
   coordination::TargetNotices Notices_;
   coordination::EngineChooser Engines_;
+  coordination::EngineMemory EngineMemory_;
   transport::ByteBudget MessageBytes_;
   TargetConnections Connections_;
   coordination::WindowBudget RetryBudget_;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -137,6 +137,7 @@
   State.ProcessorShare_ = Context_.Settings_.ProcessorShare_;
   State.BusyShare_ = Processor_.busyShare();
   State.CallerNeeds_ = Placement_.decisions();
+  State.Engines_ = Context_.EngineMemory_.report();
   return State;
 }
 
@@ -145,6 +146,8 @@
   SuspectExchange_.onPeerState(State);
   if (!State.Serving_)
     PlacementAt_ = {};
+  Context_.EngineMemory_.onPeerReport(State.Host_, State.Engines_,
+                                      SteadyClock::now());
   if (UndeliveredReports_.empty())
     return;
   protocol::PieceReports Reports =
@@ -454,6 +457,7 @@
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
+    Context_.Engines_.speed().forgetUnused(Now);
     Permits_.forgetUnused(Now);
     Permits_.pace().update(ready(), Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
