--- a/source/Coordination/Targets/TargetNotices.cpp
+++ b/source/Coordination/Targets/TargetNotices.cpp
@@ -51,7 +51,7 @@
   }
   bool Changed = !Target.Limit_ || Target.Limit_->PerSecond_ != *PerSecond;
   if (!Target.Limit_)
-    Target.Limit_.emplace();
+    Target.Limit_ = Limit();
   Target.Limit_->PerSecond_ = *PerSecond;
   Target.Limit_->ReceivedAt_ = Now;
   return Changed;
