Pace new targets only of services that are in use

Cause: all 90 engines register after the hosts have read the store for the first time, counted as started, and were paced on all hosts when the traffic began, so that prompts went to engines without their cached parts.

A new target that does not state that it is cold is paced only if its service has responded to this host before. The test of what is paced has the two cases; the first fails without the change.

--- a/source/Coordination/Targets/PacedTargets.cpp
+++ b/source/Coordination/Targets/PacedTargets.cpp
@@ -57,7 +57,11 @@
   Target.RemovedAt_.reset();
   if (HasStarted)
     Target.FailureStreak_ = 0;
-  if (HasStarted && IsLoaded_)
+  // Before the first response, the whole service may be starting: pacing all of
+  // its targets would spare none.
+  bool IsInUse = UsualMs_.contains(Record.Service_);
+  bool IsCold = Record.WarmUpRemaining_ > Milliseconds(0);
+  if (HasStarted && IsLoaded_ && (IsInUse || IsCold))
     start(Record.Id_, Target, "started", true, Now);
 }
 
--- a/source/Coordination/Targets/PacedTargets.h
+++ b/source/Coordination/Targets/PacedTargets.h
@@ -42,8 +42,9 @@
 ///
 /// A target is paced after it has started, become cold or recovered, if its
 /// service has a rate for cold targets, and after its data centre has returned
-/// to service. Targets that were known at the first complete read are paced
-/// only if they are cold, so that a fleet that starts serves at once.
+/// to service. Targets that were known at the first complete read, or that
+/// register before their service has responded to this host, are paced only if
+/// they are cold, so that a fleet or a service that starts serves at once.
 ///
 /// The bound for cold targets holds over all hosts: the elected host gives at
 /// most the stated rate, a host that has just become the elected one a quarter
--- a/tests/Coordination/Targets/PacedTargetsTest.cpp
+++ b/tests/Coordination/Targets/PacedTargetsTest.cpp
@@ -44,14 +44,22 @@
 } // namespace
 
 // Guards against new, cold and recovered targets that get requests without a
-// place, and against a fleet that starts with all targets paced.
+// place, and against a fleet or a service that starts with all targets paced:
+// their prompts then went to engines without their cached parts.
 TEST_CASE("paced targets: what starts to be paced") {
   PacedTargets Paced("host");
   Paced.onConfiguration(table(12));
   put(Paced, record("old"), Start);
   put(Paced, record("cold", 1, Seconds{3}), Start);
   Paced.onRecordsComplete();
+  put(Paced, record("early"), Start);
+  put(Paced, record("early-and-cold", 1, Seconds{3}), Start);
+  CHECK_FALSE(isPaced(Paced, "early", Start));
+  CHECK(isPaced(Paced, "early-and-cold", Start));
+  Paced.onResponse(record("early"), TargetResult::Success, Milliseconds{50}, 1,
+                   Start);
   put(Paced, record("new"), Start);
+  CHECK(isPaced(Paced, "new", Start));
   CHECK_FALSE(isPaced(Paced, "old", Start));
   CHECK(isPaced(Paced, "cold", Start));
   // The record of a new target may have been written before it became cold.
