Choose engines without a measured speed

Cause: the cost of an engine was multiplied with its time to the first event for each token, between 0.5 and 4 of the usual one. The time has the waiting time in it; its variation outweighed the shared parts that an engine had cached.

--- a/source/Coordination/Engines/EngineChooser.cpp
+++ b/source/Coordination/Engines/EngineChooser.cpp
@@ -112,7 +112,6 @@
   }
   const TargetRecord *BestEngine = nullptr;
   double BestCost = std::numeric_limits<double>::max();
-  double UsualTime = Speed_.usualTime(Engines, Now);
   for (const TargetRecord *Engine : Engines) {
     if (!Memory.fits(Engine->Id_, Query.Demand_, Query.MemoryTokens_, Now))
       continue;
@@ -121,7 +120,6 @@
         static_cast<double>(Memory.peerRequests(Engine->Id_, Now));
     double Cost = uncachedTokens(*Engine, Engine == Preferred, Prompt, Now);
     Cost += Settings_.TokensPerRequest_ * Requests;
-    Cost *= Speed_.slowness(Engine->Id_, UsualTime, Now);
     Cost += Settings_.RemoteInputTokens_ *
             remoteShare(Query.InputBytes_, Engine->DataCentre_);
     Cost += Settings_.FailureTokens_ * Health.failureShare(Engine->Id_, Now);
@@ -160,7 +158,6 @@
 void EngineChooser::onEngineRemoved(const std::string &EngineId) {
   for (auto &[Part, Uses] : LastUses_)
     Uses.erase(EngineId);
-  Speed_.onEngineRemoved(EngineId);
 }
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Engines/EngineChooser.h
+++ b/source/Coordination/Engines/EngineChooser.h
@@ -4,7 +4,6 @@
 #define AMARANTH_COORDINATION_ENGINES_ENGINECHOOSER_H
 
 #include "Coordination/Engines/EngineMemory.h"
-#include "Coordination/Engines/EngineSpeed.h"
 #include "Coordination/Targets/TargetHealth.h"
 #include "Protocol/EdgeProtocol.h"
 #include "State/TargetRecord.h"
@@ -65,15 +64,6 @@
          const TargetHealth &Health, const EngineMemory &Memory,
          SteadyTime Now) const;
 
-  /// Prompt tokens that an engine has to compute, as far as is known here; ask
-  /// before onPromptSent().
-  double tokensToRead(const state::TargetRecord &Engine,
-                      const std::vector<protocol::PromptPart> &Prompt,
-                      SteadyTime Now) const {
-    return uncachedTokens(Engine, false, Prompt, Now);
-  }
-  EngineSpeed &speed() { return Speed_; }
-
   /// Records that a prompt was sent to an engine, which now caches its parts.
   void onPromptSent(const std::string &EngineId,
                     const std::vector<protocol::PromptPart> &Prompt,
@@ -93,7 +83,6 @@
                         SteadyTime Now) const;
 
   EngineChooserSettings Settings_;
-  EngineSpeed Speed_;
   /// Last use of each part at each engine, by part and engine id.
   std::map<std::string, std::map<std::string, SteadyTime>> LastUses_;
   double AverageTokens_ = 0; ///< Of all prompts that were sent.
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -457,7 +457,6 @@
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
-    Context_.Engines_.speed().forgetUnused(Now);
     Permits_.forgetUnused(Now);
     Permits_.pace().update(ready(), Now);
     Context_.RetryBudget_.setHosts(Peers_.servingPeers().size() + 1);
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -260,8 +260,6 @@
   AnswerCompleted_ = false;
   Context.SuspectParts_.onSent(Scope_.SharedParts_, AttemptStart_);
   Context.Health_.begin(Target.Id_);
-  TokensToRead_ = Context.Engines_.tokensToRead(Target, Scope_.Request_.Prompt_,
-                                                AttemptStart_);
   Context.Engines_.onPromptSent(Target.Id_, Scope_.Request_.Prompt_,
                                 AttemptStart_);
   coordination::EngineQuery Query = engineQuery(Scope_);
@@ -346,7 +344,7 @@
     std::string WholeEvents = Events_.addBytes(Body);
     if (!WholeEvents.empty()) {
       if (!FirstEventAt_) {
-        noteFirstEvent(Exchange.target().Id_);
+        FirstEventAt_ = SteadyClock::now();
         recordPace(Scope_.Context_, Exchange, TargetResult::Success,
                    FirstEventAt_.value() - AttemptStart_, cost());
       }
@@ -411,14 +409,6 @@
   co_return false;
 }
 
-void StreamRun::noteFirstEvent(const std::string &Engine) {
-  SteadyTime Now = SteadyClock::now();
-  FirstEventAt_ = Now;
-  auto Time = std::chrono::ceil<Milliseconds>(Now - AttemptStart_);
-  Scope_.Context_.Engines_.speed().onFirstEvent(Engine, TokensToRead_, Time,
-                                                Now);
-}
-
 Awaitable<void> StreamRun::finishAnswer() {
   Scope_.Interrupt_ = [this] {
     if (Scope_.CallerDisconnected_)
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -47,8 +47,6 @@
   bool isMemoryFull() const;
   transport::Awaitable<Step> attempt(state::TargetRecord Target);
   transport::Awaitable<Step> forwardEvents(TargetExchange &Exchange);
-  /// Records the time of the attempt's first event.
-  void noteFirstEvent(const std::string &Engine);
   transport::Awaitable<bool> writeEvents(TargetExchange &Exchange,
                                          std::string Events);
   /// Writes the last chunk and waits until the caller's connection has taken
@@ -79,7 +77,6 @@
   int UnreachedTargets_ = 0;
   bool HeadWritten_ = false;
   SteadyTime AttemptStart_{};
-  double TokensToRead_ = 0; ///< Of the prompt, at this attempt's engine.
   /// Time of the first event of this attempt.
   std::optional<SteadyTime> FirstEventAt_;
   bool AnswerCompleted_ = false; ///< This attempt ended with a whole answer.
