Skip the look-ups of notices and paces while there are none

Each request asked three maps for every target of its service, although no target was withheld, limited or paced.

--- a/source/Coordination/Targets/PacedTargets.cpp
+++ b/source/Coordination/Targets/PacedTargets.cpp
@@ -31,8 +31,8 @@
 }
 
 void PacedTargets::start(const std::string &Id, Entry &Target,
-                         const char *Reason, bool MayBeCold,
-                         SteadyTime Now) const {
+                         const char *Reason, bool MayBeCold, SteadyTime Now) {
+  HasPaced_ = true;
   Target.PacedSince_ = Now;
   Target.PerSecond_ = 0;
   Target.OpensAt_ = {};
@@ -89,6 +89,10 @@
     return Target.RemovedAt_ &&
            Now - *Target.RemovedAt_ > Settings_.RemovalRetention_;
   });
+  HasPaced_ =
+      std::any_of(Targets_.begin(), Targets_.end(), [](const auto &Item) {
+        return Item.second.PacedSince_.has_value();
+      });
 }
 
 void PacedTargets::onDataCentreReturned(const std::string &DataCentre,
@@ -202,11 +206,15 @@
 }
 
 bool PacedTargets::isPaced(const std::string &Id) const {
+  if (!HasPaced_)
+    return false;
   auto Found = Targets_.find(Id);
   return Found != Targets_.end() && isPaced(Found->second);
 }
 
 SteadyTime PacedTargets::opensAt(const std::string &Id) const {
+  if (!HasPaced_)
+    return SteadyTime{};
   auto Found = Targets_.find(Id);
   return Found != Targets_.end() && isPaced(Found->second)
              ? Found->second.OpensAt_
--- a/source/Coordination/Targets/PacedTargets.h
+++ b/source/Coordination/Targets/PacedTargets.h
@@ -106,13 +106,16 @@
   static SteadyTime coldUntil(const Entry &Target);
   bool isPaced(const Entry &Target) const;
   void start(const std::string &Id, Entry &Target, const char *Reason,
-             bool MayBeCold, SteadyTime Now) const;
+             bool MayBeCold, SteadyTime Now);
 
   std::string Host_;
   PacedTargetsSettings Settings_;
   state::RoutingTablePtr Table_;
   bool IsLoaded_ = false;
   std::map<std::string, Entry> Targets_;
+  /// Whether any target may be paced. Each request asks for every target of its
+  /// service, and mostly none is.
+  bool HasPaced_ = false;
   /// Usual time of a response for each unit of cost, in milliseconds, by
   /// service.
   std::map<std::string, double> UsualMs_;
--- a/source/Coordination/Targets/TargetNotices.cpp
+++ b/source/Coordination/Targets/TargetNotices.cpp
@@ -12,6 +12,8 @@
 
 Withheld TargetNotices::check(const TargetRecord &Target,
                               SteadyTime Now) const {
+  if (!MayWithhold_ && Evacuated_.empty())
+    return Withheld::No;
   const Entry *Known = find(Target.Id_);
   bool Applies = Known && Known->Incarnation_ == Target.Incarnation_;
   if (Applies && Known->IsLeaving_)
@@ -52,6 +54,7 @@
   bool Changed = !Target.Limit_ || Target.Limit_->PerSecond_ != *PerSecond;
   if (!Target.Limit_)
     Target.Limit_ = Limit();
+  HasLimits_ = true;
   Target.Limit_->PerSecond_ = *PerSecond;
   Target.Limit_->ReceivedAt_ = Now;
   return Changed;
@@ -80,6 +83,8 @@
     return false;
   bool Changed = Statement.IsLeaving_ && !Known->IsLeaving_;
   Known->IsLeaving_ = Known->IsLeaving_ || Statement.IsLeaving_;
+  MayWithhold_ =
+      MayWithhold_ || Known->IsLeaving_ || Statement.WantsNothingFor_;
   if (!Statement.IsLimitInvalid_)
     Changed = setLimit(*Known, Statement.PerSecond_, Now) || Changed;
   if (Statement.ColdFor_)
@@ -118,6 +123,7 @@
   if (!Known)
     return;
   Known->IsLeaving_ = Known->IsLeaving_ || Notice.IsLeaving_;
+  MayWithhold_ = MayWithhold_ || Known->IsLeaving_;
   setLimit(*Known, Notice.PerSecond_, Now);
   if (Notice.ColdFor_)
     setCold(*Known, *Notice.ColdFor_, Source::Peer, Now);
@@ -155,7 +161,7 @@
 }
 
 std::optional<double> TargetNotices::limit(const std::string &Id) const {
-  const Entry *Known = find(Id);
+  const Entry *Known = HasLimits_ ? find(Id) : nullptr;
   if (!Known || !Known->Limit_)
     return std::nullopt;
   return Known->Limit_->PerSecond_;
@@ -182,7 +188,7 @@
 }
 
 SteadyTime TargetNotices::opensAt(const std::string &Id) const {
-  const Entry *Known = find(Id);
+  const Entry *Known = HasLimits_ ? find(Id) : nullptr;
   return Known && Known->Limit_ ? Known->Limit_->FullUntil_ : SteadyTime{};
 }
 
@@ -193,6 +199,8 @@
 }
 
 void TargetNotices::forgetOld(SteadyTime Now) {
+  MayWithhold_ = false;
+  HasLimits_ = false;
   for (auto Position = Entries_.begin(); Position != Entries_.end();) {
     Entry &Target = Position->second;
     if (Target.Limit_ &&
@@ -202,6 +210,9 @@
       Target.Cold_.reset();
     if (Target.WantsNothingUntil_ && *Target.WantsNothingUntil_ <= Now)
       Target.WantsNothingUntil_.reset();
+    MayWithhold_ =
+        MayWithhold_ || Target.IsLeaving_ || Target.WantsNothingUntil_;
+    HasLimits_ = HasLimits_ || Target.Limit_;
     bool IsForgotten =
         !Target.IsRegistered_ &&
         Now - Target.ReceivedAt_ > Settings_.UnregisteredLifetime_;
--- a/source/Coordination/Targets/TargetNotices.h
+++ b/source/Coordination/Targets/TargetNotices.h
@@ -145,6 +145,10 @@
 
   TargetNoticesSettings Settings_;
   std::map<std::string, Entry> Entries_;
+  /// Whether an entry may withhold requests, and whether one has a limit. Each
+  /// request asks for every target of its service, and mostly there are none.
+  bool MayWithhold_ = false;
+  bool HasLimits_ = false;
   std::set<std::string> Evacuated_;
   std::set<std::string> IrregularSources_;
   std::uint64_t IrregularCount_ = 0;
