--- a/tests/Coordination/Targets/PaceModel.h
+++ b/tests/Coordination/Targets/PaceModel.h
@@ -64,7 +64,7 @@
   std::array<Target, Targets> Fleet;
   std::array<int, 41> ToReturned{}, Total{}; // By half-second.
   PaceFigures Figures;
-  auto time = [](double Second) {
+  auto ToTime = [](double Second) {
     return SteadyTime(Seconds(1000)) +
            Microseconds(static_cast<std::int64_t>(Second * 1e6));
   };
@@ -72,7 +72,7 @@
     Fleet[I].ColdUntil_ = ColdSeconds;
   for (int Part = 0; Part < Parts; ++Part)
     Fleet[Returned + Part % (Targets - Returned)].Cached_.insert(Part);
-  auto finish = [&](const End &Call) {
+  auto Finish = [&](const End &Call) {
     Target &At = Fleet[Call.Target_];
     Figures.Late_ += Call.Life_ != At.Life_ || Call.Time_ > 1;
     if (Call.Life_ != At.Life_)
@@ -80,13 +80,13 @@
     --At.Running_;
     Policy.report(Call.Target_,
                   Call.Time_ > 0.6 ? PaceOutcome::Slow : PaceOutcome::Usual,
-                  Call.Time_ / 0.2, time(Call.At_));
+                  Call.Time_ / 0.2, ToTime(Call.At_));
   };
-  auto send = [&](int Index, int Part, double Now) {
+  auto Send = [&](int Index, int Part, double Now) {
     Target &At = Fleet[Index];
     if (At.Running_ >= MaxRunning) {
       ++Figures.Refused_;
-      Policy.report(Index, PaceOutcome::Refused, 1, time(Now));
+      Policy.report(Index, PaceOutcome::Refused, 1, ToTime(Now));
       return false;
     }
     bool IsCold = Now < At.ColdUntil_;
@@ -115,7 +115,7 @@
   while (Now < 20) {
     Now += std::exponential_distribution<double>(Now < 2 ? 400 : 233)(Random);
     for (; !Ends.empty() && Ends.top().At_ <= Now; Ends.pop())
-      finish(Ends.top());
+      Finish(Ends.top());
     for (int Member = 0; Member < 3; ++Member) {
       int Part = static_cast<int>(Random() % Parts);
       std::array<int, 7> Order{Part % Targets};
@@ -128,8 +128,8 @@
       for (int Index : Order) {
         bool IsOpen =
             Index >= Returned ||
-            Policy.take(Index, Now < Fleet[Index].ColdUntil_, time(Now));
-        if (!IsOpen || !send(Index, Part, Now))
+            Policy.take(Index, Now < Fleet[Index].ColdUntil_, ToTime(Now));
+        if (!IsOpen || !Send(Index, Part, Now))
           continue;
         IsSent = true;
         ++Total[static_cast<std::size_t>(Now * 2)];
