Decide by the configured time of a call again which pieces are late

Cause: with the measured time of calls, which is longer than that of a call that is half full, more pieces counted as late. Late groups are not divided and run only in their data centre, and their requests give way to others.

--- a/source/Coordination/Stages/CallStatistics.h
+++ b/source/Coordination/Stages/CallStatistics.h
@@ -16,9 +16,6 @@
 struct CallStatisticsSettings {
   /// Weight of a new call in the averages.
   double CallWeight_ = 0.05;
-  /// A call counts with at most this multiple of the configured time of a full
-  /// call, so that one stuck target does not make all requests late.
-  int MaxFullCalls_ = 2;
 };
 
 /// Averages over the recent successful calls of one stage service. Calls take
@@ -32,15 +29,12 @@
   /// call still waited when it was composed.
   void add(const state::StageCapacity &Capacity, std::size_t Pieces,
            bool Saturated, Milliseconds Elapsed);
-  /// Average duration; 0 before the first call.
-  Milliseconds callTime() const;
   /// Pieces completed in a time by saturated calls, relative to full calls
   /// according to the configuration.
   double yield() const { return Yield_; }
 
 private:
   CallStatisticsSettings Settings_;
-  double CallTimeMs_ = 0;
   double Yield_ = 1;
 };
 
--- a/source/Coordination/Stages/StageQueue.cpp
+++ b/source/Coordination/Stages/StageQueue.cpp
@@ -17,11 +17,8 @@
 /// Priorities from here on are counted as one.
 constexpr int MaxCountedPriority = 9;
 
-/// Expected time of a call: as measured, else that of one that is half full.
-Milliseconds expectedCallTime(const FreeTarget &Target,
-                              const StageCapacity &Capacity) {
-  if (Target.CallTime_ > Milliseconds(0))
-    return Target.CallTime_;
+/// Expected time of a call that is half full.
+Milliseconds expectedCallTime(const StageCapacity &Capacity) {
   auto BatchWork =
       Capacity.PieceTime_ * static_cast<std::int64_t>(Capacity.MaxBatchPieces_);
   return Capacity.CallOverhead_ +
@@ -180,7 +177,7 @@
                           const StageCapacity &Capacity, SteadyTime Now,
                           std::uint64_t &FreeBytes,
                           std::vector<QueuedPiece> &Call) {
-  Milliseconds CallTime = expectedCallTime(Target, Capacity);
+  Milliseconds CallTime = expectedCallTime(Capacity);
   std::size_t SkippedGroups = 0;
   for (std::set<Rank> *Order : {&InTimeOrder_, &LateOrder_}) {
     for (auto Position = Order->begin(); Position != Order->end();) {
@@ -214,7 +211,7 @@
 std::vector<QueuedPiece> StageQueue::composeCall(const FreeTarget &Target,
                                                  const StageCapacity &Capacity,
                                                  SteadyTime Now) {
-  markLateGroups(Now + expectedCallTime(Target, Capacity));
+  markLateGroups(Now + expectedCallTime(Capacity));
   std::vector<QueuedPiece> Call;
   std::uint64_t FreeBytes = Target.FreeResultBytes_;
   fillCall(Target, Filling::Preferred, Capacity, Now, FreeBytes, Call);
--- a/source/Coordination/Stages/StageQueue.h
+++ b/source/Coordination/Stages/StageQueue.h
@@ -44,9 +44,6 @@
   /// Time at which a target of the service is expected to be free, by data
   /// centre; data centres without targets are missing.
   std::map<std::string, SteadyTime> NextFreeTimes_;
-  /// Measured time of the service's recent calls; if 0, that of a call that is
-  /// half full according to the configuration is used.
-  Milliseconds CallTime_{0};
 };
 
 /// Composes a call when a target becomes free. A call takes almost the same
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -241,7 +241,6 @@
   for (const auto &[Cost, Target] : FreeTargets) {
     coordination::FreeTarget Offer;
     Offer.NextFreeTimes_ = EarliestFree;
-    Offer.CallTime_ = Service.Statistics_.callTime();
     Offer.DataCentre_ = Target->DataCentre_;
     Offer.FreeResultBytes_ = Service.Ledger_.freeBytes(
         Target->Id_, Capacity.ResultMemoryBytes_, Now);
