Run the cases on the platform beside the other integration tests

The program is started twice, with the cases "platform: *" and with all others but the hidden ones, which makes the same 147 cases as before (100 and 47, compared by name). Time limits and checks are unchanged.

--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -12,7 +12,7 @@
   target_link_libraries(${Name} PRIVATE amaranth_test_main ${ARGN})
   target_compile_definitions(${Name} PRIVATE AMARANTH_BINARY_DIR="${CMAKE_BINARY_DIR}"
     AMARANTH_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-  add_test(NAME ${Name} COMMAND ${Name})
+  add_test(NAME ${Name} COMMAND ${Name} ${AMARANTH_TEST_CASES})
   set_tests_properties(${Name} PROPERTIES TIMEOUT ${Timeout})
 endfunction()
 
@@ -23,13 +23,18 @@
 amaranth_test(coordination_test Coordination 180 amaranth_coordination)
 amaranth_test(serving_test Serving 120 amaranth_serving)
 amaranth_test(platform_test Platform 60 amaranth_platform)
+# The cases on the platform and the others run beside each other: both mostly
+# wait, and one after the other they take too long for CI.
+set(AMARANTH_TEST_CASES "~[.]~platform: *")
 amaranth_test(integration_test Integration 600 amaranth_coordination)
+unset(AMARANTH_TEST_CASES)
 if(TARGET integration_test)
+  add_test(NAME integration_platform_test COMMAND integration_test "platform: *")
+  set_tests_properties(integration_platform_test PROPERTIES TIMEOUT 600)
   add_dependencies(integration_test amaranthd amaranthctl amaranth-standin)
   # The tests compute the expected answers of the stand-ins with these.
   target_sources(integration_test PRIVATE source/Standin/DeterministicText.cpp
     source/Standin/DeterministicRetrieval.cpp)
-  set_tests_properties(integration_test PROPERTIES RUN_SERIAL TRUE)
 endif()
 
 # amaranthctl is a program without a library, so its test compiles its sources.
