--- a/tests/Integration/Platform/SilentStoreTest.cpp
+++ b/tests/Integration/Platform/SilentStoreTest.cpp
@@ -118,6 +118,9 @@
   ChangingPlatform Setup;
   constexpr std::size_t Hosts = 3;
   PlatformFleet Fleet(Setup.Store_, Hosts);
+  REQUIRE(eventually(
+      [&] { return Setup.Store_.watchingHosts(TargetPrefix).size() == Hosts; },
+      Seconds{1}));
   // A new target ends all watches, so that the next ones have most of their
   // time left when they go silent.
   TargetDouble Added(Setup.Store_, "i-4", "desk", answerDone);
