--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -42,8 +42,8 @@
 
 bool answerWhole(RawServerConnection &Connection, const RawRequest &Request) {
   sleepFor(Work);
-  Connection.write(integration::rawAnswer(200, ownFields(Request),
-                                          std::string(800, 'x')));
+  Connection.write(
+      integration::rawAnswer(200, ownFields(Request), std::string(800, 'x')));
   return true;
 }
 
@@ -58,12 +58,12 @@
 
 Verdict run(Record &Log, const std::string &Folder) {
   StoreDouble Store;
-  Store.put("op/config",
-            configuration({plainRoute("order-place", "/pedido/",
-                                      "non_idempotent", "tienda"),
-                           plainRoute("order-look", "/estado/", "idempotent",
-                                      "tienda")},
-                          {{{"name", "tienda"}}}));
+  Store.put(
+      "op/config",
+      configuration(
+          {plainRoute("order-place", "/pedido/", "non_idempotent", "tienda"),
+           plainRoute("order-look", "/estado/", "idempotent", "tienda")},
+          {{{"name", "tienda"}}}));
   Runs Seen;
   std::vector<std::unique_ptr<Server>> Servers;
   for (int I = 0; I < SoundServers; ++I)
@@ -137,9 +137,9 @@
     Log.state("host " + std::to_string(Host) + " ended by itself, signal " +
               std::to_string(Exit->Signal_));
   }
-  Log.state("answered " + std::to_string(Answered) + ", lost at sound servers " +
-            std::to_string(Losses) + ", hosts that ended " +
-            std::to_string(EndedByThemselves));
+  Log.state("answered " + std::to_string(Answered) +
+            ", lost at sound servers " + std::to_string(Losses) +
+            ", hosts that ended " + std::to_string(EndedByThemselves));
   if (Answered == 0)
     return Verdict::CannotRun;
   return Losses > AllowedLosses ? Verdict::Broken : Verdict::Held;
@@ -147,6 +147,4 @@
 
 } // namespace
 
-int main(int Count, char **Arguments) {
-  return runCase(Count, Arguments, run);
-}
+int main(int Count, char **Arguments) { return runCase(Count, Arguments, run); }
--- a/review/common-2/SmallFleet.h
+++ b/review/common-2/SmallFleet.h
@@ -266,11 +266,11 @@
         [this, Handle](RawServerConnection &Connection,
                        const RawRequest &Request) {
           if (Request.field("Expect-Instance") != Id_) {
-            Connection.write(integration::rawAnswer(
-                421,
-                "Not-Executed: 1\r\nRequest-Id: " +
-                    Request.field("Request-Id") + "\r\n",
-                ""));
+            Connection.write(
+                integration::rawAnswer(421,
+                                       "Not-Executed: 1\r\nRequest-Id: " +
+                                           Request.field("Request-Id") + "\r\n",
+                                       ""));
             return true;
           }
           return Handle(Connection, Request);
@@ -302,10 +302,9 @@
   std::string Id_;
   std::string Service_;
   int Sequence_ = 0;
-  std::int64_t Born_ =
-      std::chrono::duration_cast<Milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count();
+  std::int64_t Born_ = std::chrono::duration_cast<Milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                           .count();
   std::unique_ptr<RawServer> Server_;
 };
 
@@ -317,17 +316,11 @@
 
 inline json plainRoute(const char *Name, const char *Prefix, const char *Kind,
                        const char *Service) {
-  return {{"name", Name},
-          {"host", "tienda.example"},
-          {"prefix", Prefix},
-          {"kind", Kind},
-          {"timeout_ms", 3000},
-          {"target_latency_ms", 300},
-          {"priority", 0},
-          {"service", Service},
-          {"max_attempts", 2},
-          {"public", false},
-          {"stages", json::array()}};
+  return {
+      {"name", Name},    {"host", "tienda.example"}, {"prefix", Prefix},
+      {"kind", Kind},    {"timeout_ms", 3000},       {"target_latency_ms", 300},
+      {"priority", 0},   {"service", Service},       {"max_attempts", 2},
+      {"public", false}, {"stages", json::array()}};
 }
 
 inline json configuration(json Routes, json Services) {
@@ -344,9 +337,8 @@
 
 /// A request with a length; \p Id is its Request-Id.
 inline std::string callerRequest(const std::string &Method,
-                                 const std::string &Path,
-                                 const std::string &Id, int DeadlineMs,
-                                 const std::string &Body = "") {
+                                 const std::string &Path, const std::string &Id,
+                                 int DeadlineMs, const std::string &Body = "") {
   return Method + " " + Path + " HTTP/1.1\r\nHost: tienda.example\r\n" +
          "Request-Id: " + Id +
          "\r\nKey: llave\r\nDeadline-Ms: " + std::to_string(DeadlineMs) +
