Show that a stream without end hangs a host

Cause: while an engine's bytes are there and the caller takes them, StreamRun::forwardEvents() never returns to the event loop.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,110 +1,184 @@
-// A server runs an order and answers 503 without Not-Executed. The host passes
-// the 503 on, which promises the caller that the order has not run.
+// A model server in trouble sends bytes without end in the body of a stream.
+// The host reads and passes them on without a pause, and does nothing else.
 #include "../common-2/SmallFleet.h"
 
-#include <map>
-
 using namespace amaranth;
 using namespace amaranth::review;
 
 namespace {
 
 constexpr std::size_t HostCount = 3;
-constexpr int ServerCount = 5;
-constexpr int CallersPerHost = 4;
+constexpr int EngineCount = 3;
+constexpr int CallersPerHost = 6;
 constexpr Milliseconds Work{60};
 constexpr Milliseconds ContactTime{3000};
-constexpr Seconds LoadTime{8};
-/// The grey server fails so many of ten requests after it has run them.
-constexpr int FailuresOfTen = 4;
+constexpr Milliseconds SteadyLoad{3000};
+constexpr int OrderTimeoutMs = 1500;
+/// Time after the route's timeout until which an answer is expected.
+constexpr Milliseconds AnswerSlack{500};
+constexpr int StreamDeadlineMs = 12000;
+/// A caller abandons a stream after a gap without events of four times the
+/// objective (2200 ms), which is the longest of the three limits.
+constexpr Milliseconds StreamGap{8800};
+constexpr std::size_t BlockBytes = 65536;
 
-/// The runs of each request and of each order, which a caller may send more
-/// than once.
-struct Runs {
-  std::mutex Mutex_;
-  std::map<std::string, int> ByRequest_;
-  std::map<std::string, int> ByOrder_;
-};
+/// Reads a stream until its end or until \p Limit, and returns its bytes.
+std::uint64_t readStream(int Port, const std::string &Request,
+                         Milliseconds Limit) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  std::uint64_t Total = 0;
+  if (connect(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address) ==
+      0) {
+    send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+    SteadyTime End = SteadyClock::now() + Limit;
+    std::vector<char> Chunk(BlockBytes);
+    while (SteadyClock::now() < End) {
+      pollfd Poll{Socket, POLLIN, 0};
+      if (poll(&Poll, 1, 100) <= 0)
+        continue;
+      ssize_t Count = recv(Socket, Chunk.data(), Chunk.size(), 0);
+      if (Count <= 0)
+        break;
+      Total += static_cast<std::uint64_t>(Count);
+    }
+  }
+  close(Socket);
+  return Total;
+}
 
-bool isPromise(int Status) {
-  return Status == 429 || Status == 503 || Status == 408 || Status == 421;
+bool streamEvents(RawServerConnection &Connection, const RawRequest &Request) {
+  std::string Bytes = transport::statusLine(200) + ownFields(Request) +
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n";
+  for (int I = 1; I <= 40; ++I)
+    Bytes += transport::encodeChunk("id: " + std::to_string(I) +
+                                    "\ndata: " + std::string(65, 'x') + "\n\n");
+  Connection.write(Bytes + std::string(transport::LastChunk));
+  return true;
+}
+
+/// Sends the head of an answer and then bytes without end, until the connection
+/// is closed.
+bool streamWithoutEnd(RawServerConnection &Connection,
+                      const RawRequest &Request) {
+  Connection.write(transport::statusLine(200) + ownFields(Request) +
+                   "Content-Type: text/event-stream\r\n\r\n");
+  const std::string Block(BlockBytes, '\n');
+  while (!Connection.waitForClose(0))
+    Connection.write(Block);
+  return false;
 }
 
 Verdict run(Record &Log, const std::string &Folder) {
   StoreDouble Store;
-  Store.put("op/config", configuration({plainRoute("order-place", "/pedido/",
-                                                   "non_idempotent", "tienda")},
-                                       {{{"name", "tienda"}}}));
-  Runs Seen;
-  std::atomic<int> GreyAnswers{0};
+  json Stream =
+      plainRoute("customer-reply", "/respuesta/", "streaming", "taller-llm");
+  Stream["timeout_ms"] = StreamDeadlineMs;
+  Stream["target_latency_ms"] = 2200;
+  Stream["gap_aim_ms"] = 600;
+  json Orders =
+      plainRoute("order-place", "/pedido/", "non_idempotent", "tienda");
+  Orders["timeout_ms"] = OrderTimeoutMs;
+  Store.put("op/config",
+            configuration({Stream, Orders},
+                          {{{"name", "taller-llm"}}, {{"name", "tienda"}}}));
   std::vector<std::unique_ptr<Server>> Servers;
-  for (int I = 0; I < ServerCount; ++I)
+  for (int I = 0; I < EngineCount; ++I)
     Servers.push_back(std::make_unique<Server>(
-        Store, "i-" + std::to_string(I), "tienda",
+        Store, "i-engine-" + std::to_string(I), "taller-llm",
         [&, I](RawServerConnection &Connection, const RawRequest &Request) {
-          std::string Id = Request.field("Request-Id");
-          {
-            std::lock_guard Lock(Seen.Mutex_);
-            ++Seen.ByRequest_[Id];
-            ++Seen.ByOrder_[Request.Body_];
-          }
+          if (I > 0 || !hasTrouble())
+            return streamEvents(Connection, Request);
+          Log.add("i-engine-0 answers " + Request.field("Request-Id") +
+                  " without end");
+          bool Kept = streamWithoutEnd(Connection, Request);
+          Log.add("the connection of " + Request.field("Request-Id") +
+                  " to i-engine-0 is closed");
+          return Kept;
+        }));
+  for (int I = 0; I < 3; ++I)
+    Servers.push_back(std::make_unique<Server>(
+        Store, "i-order-" + std::to_string(I), "tienda",
+        [&](RawServerConnection &Connection, const RawRequest &Request) {
           sleepFor(Work);
-          bool Fails =
-              hasTrouble() && I == 0 && GreyAnswers++ % 10 < FailuresOfTen;
-          Log.add("i-" + std::to_string(I) + " ran " + Id + " order " +
-                  Request.Body_ + (Fails ? ", answers 503" : ""));
-          Connection.write(integration::rawAnswer(
-              Fails ? 503 : 200, ownFields(Request), std::string(800, 'x')));
+          Connection.write(integration::rawAnswer(200, ownFields(Request),
+                                                  std::string(800, 'x')));
           return true;
         }));
   Hosts Fleet(Store, HostCount, Folder);
   if (!Fleet.waitUntilReady(Seconds(20)))
     throw std::runtime_error("the hosts are not ready");
   sleepFor(ContactTime);
-  SteadyTime End = SteadyClock::now() + LoadTime;
+  std::atomic<bool> Stop{false};
   std::atomic<int> Served{0};
-  std::atomic<int> FalsePromises{0};
-  std::vector<std::thread> Callers;
-  for (std::size_t Host = 0; Host < HostCount; ++Host)
+  std::atomic<int> Unanswered{0};
+  std::atomic<int> AnsweredLate{0};
+  std::atomic<int> NotReady{0};
+  std::vector<std::thread> Threads;
+  for (std::size_t Host = 0; Host < HostCount; ++Host) {
     for (int I = 0; I < CallersPerHost; ++I)
-      Callers.emplace_back([&, Host, I] {
+      Threads.emplace_back([&, Host, I] {
         Caller Client(Fleet.callerPort(Host));
-        for (int N = 0; SteadyClock::now() < End; ++N) {
-          std::string Order = std::to_string(Host) + "-" + std::to_string(I) +
-                              "-" + std::to_string(N);
-          // One retry after a promise, on a new connection, with a new id.
-          for (int Attempt = 0; Attempt < 2; ++Attempt) {
-            std::string Id = "r" + Order + "-" + std::to_string(Attempt);
-            Answer Got =
-                Client.call(callerRequest("POST", "/pedido/a", Id, 1500, Order),
-                            Milliseconds(2000));
-            Log.add(Id + " status " + std::to_string(Got.Status_));
-            if (Got.Status_ == 200)
-              ++Served;
-            if (!isPromise(Got.Status_))
-              break;
-            Client.disconnect();
-            std::lock_guard Lock(Seen.Mutex_);
-            if (Seen.ByRequest_.count(Id) > 0) {
-              ++FalsePromises;
-              Log.add(Id + " was answered " + std::to_string(Got.Status_) +
-                      " and has run");
-            }
-          }
+        for (int N = 0; !Stop; ++N) {
+          std::string Id = "r" + std::to_string(Host) + "x" +
+                           std::to_string(I) + "x" + std::to_string(N);
+          SteadyTime SentAt = SteadyClock::now();
+          Answer Got = Client.call(callerRequest("POST", "/pedido/a", Id, 3000),
+                                   Milliseconds(OrderTimeoutMs) + AnswerSlack);
+          auto Took = std::chrono::duration_cast<Milliseconds>(
+              SteadyClock::now() - SentAt);
+          Log.add(Id + " host " + std::to_string(Host) + " status " +
+                  std::to_string(Got.Status_) + " after " +
+                  std::to_string(Took.count()) + " ms");
+          if (Got.Status_ == 200)
+            ++Served;
+          if (!Got.Complete_ && Took >= Milliseconds(OrderTimeoutMs))
+            ++Unanswered;
+          else if (Took >= Milliseconds(OrderTimeoutMs))
+            ++AnsweredLate;
         }
       });
-  for (std::thread &Thread : Callers)
+    Threads.emplace_back([&, Host] {
+      while (!Stop) {
+        sleepFor(Seconds(1));
+        if (Fleet.isReady(Host))
+          continue;
+        ++NotReady;
+        Log.add("host " + std::to_string(Host) +
+                " does not answer the readiness probe");
+      }
+    });
+  }
+  sleepFor(SteadyLoad);
+  std::vector<std::thread> Streams;
+  for (std::size_t Host = 0; Host < HostCount; ++Host)
+    for (int I = 0; I < EngineCount; ++I)
+      Streams.emplace_back([&, Host, I] {
+        std::string Id = "s" + std::to_string(Host) + "x" + std::to_string(I);
+        std::uint64_t Bytes = readStream(
+            Fleet.callerPort(Host),
+            callerRequest("POST", "/respuesta/a", Id, StreamDeadlineMs),
+            hasTrouble() ? StreamGap : Milliseconds(1000));
+        Log.add(Id + " read " + std::to_string(Bytes) + " bytes");
+      });
+  for (std::thread &Thread : Streams)
+    Thread.join();
+  sleepFor(Seconds(2));
+  Stop = true;
+  for (std::thread &Thread : Threads)
     Thread.join();
-  std::lock_guard Lock(Seen.Mutex_);
-  int Doubled = 0;
-  for (const auto &[Order, Count] : Seen.ByOrder_)
-    Doubled += Count > 1;
-  Log.state("served " + std::to_string(Served) + ", refused though run " +
-            std::to_string(FalsePromises) + ", orders that ran twice " +
-            std::to_string(Doubled));
+  Log.state("orders served " + std::to_string(Served) +
+            ", unanswered 0.5 s after their timeout " +
+            std::to_string(Unanswered) + ", answered in that 0.5 s " +
+            std::to_string(AnsweredLate) + ", probes of readiness failed " +
+            std::to_string(NotReady));
   if (Served == 0)
     return Verdict::CannotRun;
-  return FalsePromises > 0 ? Verdict::Broken : Verdict::Held;
+  return Unanswered > AnsweredLate ? Verdict::Broken : Verdict::Held;
 }
 
 } // namespace
