--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -15,7 +15,9 @@
 constexpr Milliseconds Work{150};
 /// The faulty server breaks off one answer in so many.
 constexpr int BreakOffEvery = 50;
-constexpr Seconds LoadTime{25};
+constexpr Seconds LoadTime{15};
+/// The faulty server breaks off answers in this part of the load only.
+constexpr Milliseconds TroubleTime{5500};
 /// A machine is in touch when it has run for this long (contact_ms).
 constexpr Milliseconds ContactTime{3000};
 /// LOST allows so many.
@@ -74,12 +76,13 @@
           return answerWhole(Connection, Request);
         }));
   std::atomic<int> FaultyAnswers{0};
+  std::atomic<bool> IsFaulty{false};
   Servers.push_back(std::make_unique<Server>(
       Store, "i-faulty", "tienda",
       [&](RawServerConnection &Connection, const RawRequest &Request) {
         std::string Id = Request.field("Request-Id");
         Seen.add(Id, false);
-        if (!hasTrouble() || ++FaultyAnswers % BreakOffEvery != 0)
+        if (!IsFaulty || ++FaultyAnswers % BreakOffEvery != 0)
           return answerWhole(Connection, Request);
         Log.add("i-faulty breaks off its answer to " + Id);
         return breakOff(Connection, Request);
@@ -90,6 +93,7 @@
   // Hosts find each other and come into touch.
   sleepFor(ContactTime);
   SteadyTime End = SteadyClock::now() + LoadTime;
+  IsFaulty = hasTrouble();
   std::atomic<int> Losses{0};
   std::atomic<int> Answered{0};
   std::vector<std::atomic<bool>> Ended(HostCount);
@@ -125,6 +129,8 @@
           Ended[Host] = true;
         }
       });
+  sleepFor(TroubleTime);
+  IsFaulty = false;
   for (std::thread &Thread : Callers)
     Thread.join();
   int EndedByThemselves = 0;
