--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -21,6 +21,10 @@
 /// objective (2200 ms), which is the longest of the three limits.
 constexpr Milliseconds StreamGap{8800};
 constexpr std::size_t BlockBytes = 65536;
+/// The number of the only answer of the faulty engine that has no end: one in
+/// so many.
+constexpr int EndlessAnswer = 50;
+constexpr Milliseconds StreamLoad{12000};
 
 /// Reads a stream until its end or until \p Limit, and returns its bytes.
 std::uint64_t readStream(int Port, const std::string &Request,
@@ -86,12 +90,13 @@
   Store.put("op/config",
             configuration({Stream, Orders},
                           {{{"name", "taller-llm"}}, {{"name", "tienda"}}}));
+  std::atomic<int> FaultyAnswers{0};
   std::vector<std::unique_ptr<Server>> Servers;
   for (int I = 0; I < EngineCount; ++I)
     Servers.push_back(std::make_unique<Server>(
         Store, "i-engine-" + std::to_string(I), "taller-llm",
         [&, I](RawServerConnection &Connection, const RawRequest &Request) {
-          if (I > 0 || !hasTrouble())
+          if (I > 0 || !hasTrouble() || ++FaultyAnswers != EndlessAnswer)
             return streamEvents(Connection, Request);
           Log.add("i-engine-0 answers " + Request.field("Request-Id") +
                   " without end");
@@ -155,15 +160,21 @@
   }
   sleepFor(SteadyLoad);
   std::vector<std::thread> Streams;
+  SteadyTime End = SteadyClock::now() + StreamLoad;
   for (std::size_t Host = 0; Host < HostCount; ++Host)
-    for (int I = 0; I < EngineCount; ++I)
+    for (int I = 0; I < 2; ++I)
       Streams.emplace_back([&, Host, I] {
-        std::string Id = "s" + std::to_string(Host) + "x" + std::to_string(I);
-        std::uint64_t Bytes = readStream(
-            Fleet.callerPort(Host),
-            callerRequest("POST", "/respuesta/a", Id, StreamDeadlineMs),
-            hasTrouble() ? StreamGap : Milliseconds(1000));
-        Log.add(Id + " read " + std::to_string(Bytes) + " bytes");
+        for (int N = 0; SteadyClock::now() < End; ++N) {
+          std::string Id = "s" + std::to_string(Host) + "x" +
+                           std::to_string(I) + "x" + std::to_string(N);
+          std::string Request =
+              callerRequest("POST", "/respuesta/a", Id, StreamDeadlineMs);
+          Request.insert(Request.find("\r\n") + 2, "Connection: close\r\n");
+          std::uint64_t Bytes =
+              readStream(Fleet.callerPort(Host), Request, StreamGap);
+          Log.add(Id + " read " + std::to_string(Bytes) + " bytes");
+          sleepFor(Milliseconds(100));
+        }
       });
   for (std::thread &Thread : Streams)
     Thread.join();
