--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -10,11 +10,13 @@
 namespace {
 
 constexpr std::size_t HostCount = 3;
-constexpr int ServerCount = 5;
+constexpr int ServerCount = 8;
 constexpr int CallersPerHost = 4;
 constexpr Milliseconds Work{60};
 constexpr Milliseconds ContactTime{3000};
 constexpr Seconds LoadTime{8};
+/// The grey server fails requests in this part of the load only.
+constexpr Milliseconds TroubleTime{6500};
 /// The grey server fails so many of ten requests after it has run them.
 constexpr int FailuresOfTen = 4;
 
@@ -37,6 +39,7 @@
                                        {{{"name", "tienda"}}}));
   Runs Seen;
   std::atomic<int> GreyAnswers{0};
+  std::atomic<bool> IsGrey{false};
   std::vector<std::unique_ptr<Server>> Servers;
   for (int I = 0; I < ServerCount; ++I)
     Servers.push_back(std::make_unique<Server>(
@@ -49,8 +52,7 @@
             ++Seen.ByOrder_[Request.Body_];
           }
           sleepFor(Work);
-          bool Fails =
-              hasTrouble() && I == 0 && GreyAnswers++ % 10 < FailuresOfTen;
+          bool Fails = IsGrey && I == 0 && GreyAnswers++ % 10 < FailuresOfTen;
           Log.add("i-" + std::to_string(I) + " ran " + Id + " order " +
                   Request.Body_ + (Fails ? ", answers 503" : ""));
           Connection.write(integration::rawAnswer(
@@ -62,6 +64,7 @@
     throw std::runtime_error("the hosts are not ready");
   sleepFor(ContactTime);
   SteadyTime End = SteadyClock::now() + LoadTime;
+  IsGrey = hasTrouble();
   std::atomic<int> Served{0};
   std::atomic<int> FalsePromises{0};
   std::vector<std::thread> Callers;
@@ -93,6 +96,8 @@
           }
         }
       });
+  sleepFor(TroubleTime);
+  IsGrey = false;
   for (std::thread &Thread : Callers)
     Thread.join();
   std::lock_guard Lock(Seen.Mutex_);
