Keep a partial last chunk from the parser

Callers saw their connections end without an answer: a target that broke off an empty chunked answer after "0 CR LF" ended the host that read it (SIGABRT), and with it all requests in progress. A caller that sent the last chunk of an empty body byte by byte did the same.

Cause: once Boost.Beast has seen the line of a last chunk, it asserts at its next call that at least five bytes are there. HttpReader passed on whatever was left, after a failed read and after each new byte.

The new tests of the reader and of a host end by SIGABRT without the fix. Parsing the same bytes again is not the cause by itself: the test also fails when each call has a byte more.

--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// The shortest end of a chunked message: "0" CR LF CR LF.
+constexpr std::size_t MinLastChunkBytes = 5;
+
 /// Chunked must be the only transfer coding: with any other, the end of the
 /// message is ambiguous.
 bool hasUnambiguousFraming(const HttpHead &Head, bool Chunked) {
@@ -68,12 +71,19 @@
   // The parser asserts that it gets no bytes after the end of a message.
   if (Input.empty() || State_ >= State::Complete)
     return State_;
+  // Nor does it take less than a whole last chunk once it has seen its line. In
+  // the body it leaves only chunk lines and trailers unconsumed, and none of
+  // these can be completed by fewer bytes.
+  if (State_ == State::Body && HasUnparsedInput_ &&
+      Input.size() < MinLastChunkBytes)
+    return State_;
   Started_ = true;
   boost::system::error_code Failure;
   std::size_t Consumed = Parser_->visit([&](auto &MessageParser) {
     return MessageParser.put(boost::asio::buffer(Input), Failure);
   });
   Input.erase(0, Consumed);
+  HasUnparsedInput_ = !Input.empty();
   if (Failure == http::error::header_limit)
     return State_ = State::HeadTooLarge;
   if (Failure == http::error::body_limit)
--- a/source/Transport/HttpReader.h
+++ b/source/Transport/HttpReader.h
@@ -72,6 +72,8 @@
   HttpHead Head_;
   State State_ = State::Head;
   bool Started_ = false;
+  /// The input begins with bytes that the parser has seen and not consumed.
+  bool HasUnparsedInput_ = false;
 };
 
 } // namespace amaranth::transport
--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -78,6 +78,53 @@
     CHECK_FALSE(Fleet.process(Host).waitExit(Milliseconds{200}));
 }
 
+// Rule LOST. Pattern: a target breaks off a chunked answer without content in
+// its last chunk. Guards against a process that ends, with all requests in
+// progress.
+TEST_CASE("platform: an answer broken off in its last chunk ends no process") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  std::atomic<bool> OrderStarted{false};
+  TargetDouble Desk(
+      Store, "i-1", "desk",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        if (Request.path() == "/order/whole") {
+          OrderStarted = true;
+          std::this_thread::sleep_for(Milliseconds{1000});
+          return answerDone(Connection, Request);
+        }
+        Connection.write(transport::statusLine(500) +
+                         validResponseFields(Request) +
+                         "Transfer-Encoding: chunked\r\n\r\n0\r\n");
+        return false;
+      });
+  PlatformFleet Fleet(Store, 1);
+  PlatformAnswer Order;
+  std::thread Caller(
+      [&] { Order = Fleet.call(0, platformRequest("POST", "/order/whole")); });
+  CHECK(eventually([&] { return OrderStarted.load(); }, Seconds{3}));
+  CHECK(Fleet.call(0, platformRequest("POST", "/order/1")).Status_ == 502);
+  Caller.join();
+  CHECK(Order.Status_ == 200);
+  CHECK_FALSE(Fleet.process(0).waitExit(Milliseconds{200}));
+}
+
+// The same from the other side: a caller sends the last chunk of a request
+// without content byte by byte.
+TEST_CASE("platform: a caller's last chunk in parts ends no process") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  TargetDouble Desk(Store, "i-1", "desk", answerDone);
+  PlatformFleet Fleet(Store, 1);
+  std::string Request = platformRequest("POST", "/order/1");
+  Request.erase(Request.find("Content-Length:"));
+  Request += "Transfer-Encoding: chunked\r\n\r\n";
+  PlatformAnswer Answer = Fleet.callInParts(
+      0, {Request, "0", "\r", "\n", "\r", "\n"}, Milliseconds{50});
+  CHECK(Answer.Status_ == 200);
+  CHECK_FALSE(Fleet.process(0).waitExit(Milliseconds{200}));
+}
+
 // Guards against a connection that is closed without an answer because the
 // target's answer states an enormous length.
 TEST_CASE("platform: a request whose answer states an enormous length is "
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -30,6 +30,8 @@
 constexpr int SmallBuffer = 4096;
 constexpr int SmallSegment = 1000;
 
+constexpr int IsEnabled = 1;
+
 int connectTo(int Port, bool SmallBuffers = false) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (SmallBuffers) {
@@ -262,13 +264,22 @@
                                             const std::string &Request,
                                             std::size_t FirstBytes,
                                             Milliseconds Pause) {
+  return callInParts(
+      Host, {Request.substr(0, FirstBytes), Request.substr(FirstBytes)}, Pause);
+}
+
+PlatformAnswer PlatformFleet::callInParts(std::size_t Host,
+                                          const std::vector<std::string> &Parts,
+                                          Milliseconds Pause) {
   int Socket = connectTo(Hosts_.at(Host).CallerPort_);
   if (Socket < 0)
     return {};
-  send(Socket, Request.data(), FirstBytes, MSG_NOSIGNAL);
-  std::this_thread::sleep_for(Pause);
-  send(Socket, Request.data() + FirstBytes, Request.size() - FirstBytes,
-       MSG_NOSIGNAL);
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &IsEnabled, sizeof IsEnabled);
+  for (std::size_t I = 0; I < Parts.size(); ++I) {
+    if (I > 0)
+      std::this_thread::sleep_for(Pause);
+    send(Socket, Parts[I].data(), Parts[I].size(), MSG_NOSIGNAL);
+  }
   return readAnswer(Socket);
 }
 
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -83,6 +83,10 @@
   /// The same with a pause after the first \p FirstBytes of the request.
   PlatformAnswer callWithPause(std::size_t Host, const std::string &Request,
                                std::size_t FirstBytes, Milliseconds Pause);
+  /// The same for a request in \p Parts, with a pause between each two.
+  PlatformAnswer callInParts(std::size_t Host,
+                             const std::vector<std::string> &Parts,
+                             Milliseconds Pause);
   /// Sends a request and reads the answer through small buffers: up to
   /// \p BytesPerRead, then a pause, and so on. After \p SlowTime the rest is
   /// read at once.
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -101,6 +101,62 @@
   CHECK(*Reader.head().find("request-id") == "r");
 }
 
+namespace {
+
+/// Messages without content that end in a last chunk.
+std::vector<std::string> emptyChunkedMessages() {
+  std::vector<std::string> Messages;
+  for (const char *Head : {"HTTP/1.1 500 Failed\r\n", "POST /a HTTP/1.1\r\n"})
+    for (const char *LastChunk :
+         {"0\r\n\r\n", "00\r\n\r\n", "0;x=y\r\n\r\n", "0\r\nT: t\r\n\r\n"})
+      Messages.push_back(std::string(Head) +
+                         "Transfer-Encoding: chunked\r\n\r\n" + LastChunk);
+  return Messages;
+}
+
+HttpReader readerFor(const std::string &Message) {
+  return Message[0] == 'H' ? responseReader() : requestReader();
+}
+
+} // namespace
+
+// Rule LOST. Pattern: a peer breaks off within the last chunk of a message
+// without content, or sends it in small parts. Guards against an assertion of
+// the parser, which ends the process with all its requests.
+TEST_CASE("http reader: a last chunk that arrives in parts ends no process") {
+  for (const std::string &Message : emptyChunkedMessages())
+    for (std::size_t Part = 1; Part < Message.size(); ++Part) {
+      CAPTURE(Message, Part);
+      HttpReader Reader = readerFor(Message);
+      std::string Input = Message.substr(0, Part);
+      Reader.feed(Input);
+      // The same bytes again, as after a read that failed.
+      CHECK(Reader.feed(Input) < State::Complete);
+      for (std::size_t Next = Part; Next + 1 < Message.size(); ++Next) {
+        Input += Message[Next];
+        CHECK(Reader.feed(Input) < State::Complete);
+      }
+      Input += Message.back();
+      CHECK(Reader.feed(Input) == State::Complete);
+      CHECK(Reader.takeBody().empty());
+      CHECK(Input.empty());
+    }
+}
+
+// Guards against a message that was broken off in its last chunk and counts as
+// complete.
+TEST_CASE("http reader: a last chunk that is broken off completes nothing") {
+  for (const std::string &Message : emptyChunkedMessages())
+    for (std::size_t Part = 1; Part < Message.size(); ++Part) {
+      CAPTURE(Message, Part);
+      HttpReader Reader = readerFor(Message);
+      std::string Input = Message.substr(0, Part);
+      Reader.feed(Input);
+      Reader.feed(Input);
+      CHECK(Reader.onEndOfStream() == State::Malformed);
+    }
+}
+
 // Guards against a crash on damaged bytes.
 TEST_CASE("http reader: damaged messages end in a state") {
   std::mt19937 Random(3);
