Let other tasks run while a peer sends without end

Callers got no answer, and readiness probes neither, from a host that passed on a stream of newlines without end, until the stream's caller left after 8.8 s.

Cause: the event loop has one thread, and the task of the stream never waited. TcpLink::readSome() returns at once while bytes are there, and CallerWriter::write() while the caller takes them. EventStream made each step slow: it searched all remaining bytes for each event.

The new tests fail before: a timer of 50 ms beside such a read fires only at its end (1 s), an order beside such a stream is answered after 5.0 s, 1 MB of newlines is split in 5.0 s (0.02 s now).

readSome() now returns to the loop between two reads that find bytes at once, so that timers and all other tasks run after 16 KB at the latest. Every reader of the request path, the store and the peers uses it.

--- a/source/Serving/EventStream.cpp
+++ b/source/Serving/EventStream.cpp
@@ -26,30 +26,32 @@
   return std::nullopt;
 }
 
-/// Length of the first event including its blank line, or 0 if the event is
-/// incomplete.
-std::size_t eventLength(std::string_view Bytes) {
-  std::size_t LfEnd = Bytes.find("\n\n");
-  std::size_t CrLfEnd = Bytes.find("\r\n\r\n");
-  std::size_t AfterLf = LfEnd == Bytes.npos ? Bytes.npos : LfEnd + 2;
-  std::size_t AfterCrLf = CrLfEnd == Bytes.npos ? Bytes.npos : CrLfEnd + 4;
-  std::size_t End = std::min(AfterLf, AfterCrLf);
-  return End == Bytes.npos ? 0 : End;
+/// Whether \p Bytes, which end with a line feed, end with a blank line.
+bool endsWithBlankLine(std::string_view Bytes) {
+  auto EndsWith = [Bytes](std::string_view End) {
+    return Bytes.size() >= End.size() &&
+           Bytes.substr(Bytes.size() - End.size()) == End;
+  };
+  return EndsWith("\n\n") || EndsWith("\r\n\r\n");
 }
 
 } // namespace
 
 std::string EventStream::addBytes(const std::string &Bytes) {
+  std::size_t Unscanned = Pending_.size();
   Pending_ += Bytes;
   std::string NewEvents;
-  std::size_t Consumed = 0;
+  std::string_view Unread = Pending_;
   for (;;) {
-    std::string_view Unread = std::string_view(Pending_).substr(Consumed);
-    std::size_t Length = eventLength(Unread);
-    if (Length == 0)
+    std::size_t LineEnd = Unread.find('\n', Unscanned);
+    if (LineEnd == Unread.npos)
       break;
-    std::string_view Event = Unread.substr(0, Length);
-    Consumed += Length;
+    Unscanned = LineEnd + 1;
+    std::string_view Event = Unread.substr(0, Unscanned);
+    if (!endsWithBlankLine(Event))
+      continue;
+    Unread.remove_prefix(Event.size());
+    Unscanned = 0;
     std::optional<std::uint64_t> Id = eventId(Event);
     if (Id && LastReturnedId_ && *Id <= *LastReturnedId_)
       continue;
@@ -57,7 +59,7 @@
       LastReturnedId_ = Id;
     NewEvents.append(Event);
   }
-  Pending_.erase(0, Consumed);
+  Pending_.erase(0, Pending_.size() - Unread.size());
   HasReturnedEvents_ = HasReturnedEvents_ || !NewEvents.empty();
   return NewEvents;
 }
--- a/source/Transport/Loop.cpp
+++ b/source/Transport/Loop.cpp
@@ -3,6 +3,7 @@
 #include "Support/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -39,6 +40,11 @@
   co_await Timer.async_wait(Token);
 }
 
+Awaitable<void> yield(Loop &Executor) {
+  auto Token = asio::use_awaitable;
+  co_await asio::post(Executor, Token);
+}
+
 Wakeup::Wakeup(Loop &Executor) : Timer_(Executor) {}
 
 void Wakeup::notify() {
--- a/source/Transport/Loop.h
+++ b/source/Transport/Loop.h
@@ -30,6 +30,10 @@
 /// Suspends the calling task for \p Time.
 Awaitable<void> pause(Loop &Executor, Milliseconds Duration);
 
+/// Lets the other tasks that are ready, and the timers, run before the calling
+/// task continues.
+Awaitable<void> yield(Loop &Executor);
+
 /// Wakes one waiting task. A notification without a waiter is kept for the
 /// next wait.
 class Wakeup final {
--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -160,30 +160,31 @@
 }
 
 Awaitable<LinkStatus> TcpLink::readSome() {
-  std::size_t OldSize = Input_.size();
-  Input_.resize(OldSize + ReadSize);
-  error_code Failure;
-  std::size_t Count = Socket_.read_some(
-      asio::buffer(Input_.data() + OldSize, ReadSize), Failure);
-  if (Failure == asio::error::would_block ||
-      Failure == asio::error::try_again) {
-    Input_.resize(OldSize);
+  if (HasReadAtOnce_)
+    co_await yield(Loop_);
+  error_code Failure = readNow();
+  HasReadAtOnce_ = Failure != asio::error::would_block;
+  // The deadline may have passed while the other tasks ran.
+  while (Failure == asio::error::would_block && !TimedOut_) {
     Failure.clear();
     auto Token = asio::redirect_error(asio::use_awaitable, Failure);
     co_await Socket_.async_wait(tcp::socket::wait_read, Token);
-    Count = 0;
-    if (!Failure) {
-      OldSize = Input_.size();
-      Input_.resize(OldSize + ReadSize);
-      Count = Socket_.read_some(asio::buffer(Input_.data() + OldSize, ReadSize),
-                                Failure);
-    }
+    if (!Failure)
+      Failure = readNow();
   }
-  if (Input_.size() >= OldSize)
-    Input_.resize(OldSize + Count);
   co_return statusOf(Failure);
 }
 
+error_code TcpLink::readNow() {
+  std::size_t OldSize = Input_.size();
+  Input_.resize(OldSize + ReadSize);
+  error_code Failure;
+  std::size_t Count = Socket_.read_some(
+      asio::buffer(Input_.data() + OldSize, ReadSize), Failure);
+  Input_.resize(OldSize + Count);
+  return Failure;
+}
+
 Awaitable<LinkStatus> TcpLink::write(const std::string &Bytes) {
   error_code Failure;
   // Most messages fit into the socket's buffer, so that waiting is rarely
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -55,7 +55,9 @@
   void clearDeadline();
 
   Awaitable<bool> connect(boost::asio::ip::tcp::endpoint Peer);
-  /// Waits for bytes and appends them to input().
+  /// Waits for bytes and appends them to input(). Lets other tasks run between
+  /// two reads that find bytes at once, so that a peer that sends without end
+  /// does not occupy the loop.
   Awaitable<LinkStatus> readSome();
   /// Writes all of \p Bytes, which must live until the end of the call.
   Awaitable<LinkStatus> write(const std::string &Bytes);
@@ -99,6 +101,8 @@
   enum class Peeked { Nothing, Bytes, End };
 
   Peeked peek();
+  /// Reads what the socket holds now and appends it to input().
+  boost::system::error_code readNow();
   void configure();
   void setOption(int Level, int Name, int Value);
   void armWatch();
@@ -114,6 +118,7 @@
   std::uint64_t WatchGeneration_ = 0;
   AtDeadline DeadlineAction_ = AtDeadline::Close;
   bool TimedOut_ = false;
+  bool HasReadAtOnce_ = false; ///< The last read did not wait.
 };
 
 } // namespace amaranth::transport
--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -142,6 +142,49 @@
   CHECK(Desk.requests() == 1);
 }
 
+// Rule CONFIG. Pattern: a target in trouble sends a stream without end, faster
+// than the host can pass it on. Guards against a host that does nothing else
+// until the caller leaves.
+TEST_CASE("platform: a stream without end holds up no other request") {
+  constexpr Seconds StreamTime{5};
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  std::atomic<bool> HasStarted{false};
+  TargetDouble Engine(
+      Store, "i-1", "engine",
+      [&](RawServerConnection &Connection, const RawRequest &Request) {
+        Connection.write(streamHead(Request) + "\r\n");
+        const std::string Block(65536, '\n');
+        while (!Connection.waitForClose(0)) {
+          Connection.write(Block);
+          HasStarted = true;
+        }
+        return false;
+      });
+  TargetDouble Desk(Store, "i-2", "desk", answerDone);
+  PlatformFleet Fleet(Store, 1);
+  std::size_t StreamBytes = 0;
+  std::thread Caller([&] {
+    StreamBytes =
+        Fleet.callAndDiscard(0, platformRequest("POST", "/once/1"), StreamTime);
+  });
+  CHECK(eventually([&] { return HasStarted.load(); }, Seconds{3}));
+  SteadyTime LastCall = SteadyClock::now() + StreamTime - Seconds{2};
+  int Orders = 0;
+  while (SteadyClock::now() < LastCall) {
+    SteadyTime SentAt = SteadyClock::now();
+    CHECK(Fleet.call(0, platformRequest("POST", "/order/1")).Status_ == 200);
+    CHECK(Fleet.isReady(0));
+    CHECK(SteadyClock::now() - SentAt < Seconds{1});
+    ++Orders;
+    std::this_thread::sleep_for(Milliseconds{50});
+  }
+  Caller.join();
+  CHECK(Orders > 10);
+  // The stream was passed on all the while.
+  CHECK(StreamBytes > 1024 * 1024);
+}
+
 // Rule LOST. Guards against a process that exceeds the memory of its machine
 // because an answer to a stage call is long and costly to decode.
 TEST_CASE("platform: a stage answer of nested lists does not fill the memory") {
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -283,6 +283,26 @@
   return readAnswer(Socket);
 }
 
+std::size_t PlatformFleet::callAndDiscard(std::size_t Host,
+                                          const std::string &Request,
+                                          Milliseconds Limit) {
+  int Socket = connectTo(Hosts_.at(Host).CallerPort_);
+  if (Socket < 0)
+    return 0;
+  send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+  SteadyTime End = SteadyClock::now() + Limit;
+  std::size_t Bytes = 0;
+  std::vector<char> Chunk(65536);
+  while (SteadyClock::now() < End) {
+    ssize_t Count = recv(Socket, Chunk.data(), Chunk.size(), 0);
+    if (Count <= 0)
+      break;
+    Bytes += static_cast<std::size_t>(Count);
+  }
+  close(Socket);
+  return Bytes;
+}
+
 PlatformAnswer PlatformFleet::callSlowly(std::size_t Host,
                                          const std::string &Request,
                                          std::size_t BytesPerRead,
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -87,6 +87,10 @@
   PlatformAnswer callInParts(std::size_t Host,
                              const std::vector<std::string> &Parts,
                              Milliseconds Pause);
+  /// Sends a request, and reads and discards what arrives until the end of the
+  /// answer's connection, for \p Limit at most. Returns the number of bytes.
+  std::size_t callAndDiscard(std::size_t Host, const std::string &Request,
+                             Milliseconds Limit);
   /// Sends a request and reads the answer through small buffers: up to
   /// \p BytesPerRead, then a pause, and so on. After \p SlowTime the rest is
   /// read at once.
--- a/tests/Serving/EventStreamTest.cpp
+++ b/tests/Serving/EventStreamTest.cpp
@@ -1,8 +1,11 @@
 #include "Serving/EventStream.h"
 
+#include "Support/Time.h"
+
 #include <catch2/catch.hpp>
 
-using amaranth::serving::EventStream;
+using namespace amaranth;
+using serving::EventStream;
 
 // Guards against forwarding an incomplete event.
 TEST_CASE("event stream: only whole events are returned") {
@@ -48,3 +51,33 @@
   Stream.discardPartialEvent();
   CHECK(Stream.pendingBytes() == 0);
 }
+
+// Pattern: a server in trouble sends short events without end. Guards against
+// a search through all bytes that are left for each event, which keeps the
+// event loop from other requests.
+TEST_CASE("event stream: the time to split events grows with their bytes") {
+  const std::string Bytes(1024 * 1024, '\n');
+  EventStream Stream;
+  SteadyTime StartedAt = SteadyClock::now();
+  CHECK(Stream.addBytes(Bytes) == Bytes);
+  CHECK(SteadyClock::now() - StartedAt < Seconds{1});
+}
+
+// Guards against an event that is split differently when its bytes arrive in
+// other parts, with either kind of line end.
+TEST_CASE("event stream: the division of the bytes makes no difference") {
+  const std::string Bytes = "\n\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+                            "\r\n\r\n\n\ndata: c\r\n\n\nda";
+  const std::string Whole = Bytes.substr(0, Bytes.size() - 3);
+  for (std::size_t First = 0; First < Bytes.size(); ++First)
+    for (std::size_t Second = First; Second < Bytes.size(); ++Second) {
+      CAPTURE(First, Second);
+      EventStream Stream;
+      std::string Events = Stream.addBytes(Bytes.substr(0, First));
+      Events += Stream.addBytes(Bytes.substr(First, Second - First));
+      Events += Stream.addBytes(Bytes.substr(Second));
+      REQUIRE(Events == Whole);
+      REQUIRE(Stream.pendingBytes() == 3);
+      REQUIRE(Stream.lastEventId() == 2);
+    }
+}
--- a/tests/Transport/TcpLinkTest.cpp
+++ b/tests/Transport/TcpLinkTest.cpp
@@ -1,4 +1,5 @@
 #include "Transport/TcpLink.h"
+#include "Transport/LoopbackPeer.h"
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -28,6 +29,19 @@
   Status = co_await Link->write(Bytes);
 }
 
+/// Reads until \p End and spends \p Work on each read.
+Awaitable<void> readUntil(Loop &Executor, tcp::endpoint Peer, SteadyTime End,
+                          Milliseconds Work) {
+  auto Link = std::make_shared<TcpLink>(Executor);
+  bool Connected = co_await Link->connect(Peer);
+  LinkStatus Status = Connected ? LinkStatus::Ok : LinkStatus::Reset;
+  while (Status == LinkStatus::Ok && SteadyClock::now() < End) {
+    Status = co_await Link->readSome();
+    Link->input().clear();
+    std::this_thread::sleep_for(Work);
+  }
+}
+
 Awaitable<void> failAfter(Loop &Executor, Milliseconds Delay) {
   co_await pause(Executor, Delay);
   throw std::runtime_error("not foreseen");
@@ -66,6 +80,30 @@
   CHECK(Read == Bytes.size());
 }
 
+// Pattern: a server in trouble sends bytes without end. Guards against a task
+// that reads them without a pause, so that no timer and no other task runs.
+TEST_CASE("tcp link: a peer that sends without end leaves room for others") {
+  constexpr Milliseconds ReadTime{1000};
+  Loop Executor;
+  testing::LoopbackPeer Peer([](testing::PeerConnection &Connection) {
+    const std::string Block(256 * 1024, 'x');
+    while (Connection.write(Block)) {
+    }
+  });
+  std::optional<SteadyTime> OtherFinishedAt;
+  auto Other = [&]() -> Awaitable<void> {
+    co_await pause(Executor, Milliseconds{50});
+    OtherFinishedAt = SteadyClock::now();
+  };
+  SteadyTime End = SteadyClock::now() + ReadTime;
+  startTask(Executor, readUntil(Executor, *parseEndpoint(Peer.address()), End,
+                                Milliseconds{1}));
+  startTask(Executor, Other());
+  Executor.run();
+  REQUIRE(OtherFinishedAt);
+  CHECK(*OtherFinishedAt < End - ReadTime / 2);
+}
+
 // Pattern: an unexpected error while one connection is served. Guards against
 // an error that ends the process, and with it all other connections.
 TEST_CASE("loop: a connection's task that fails ends alone") {
