Do not pass on a target's 503 for a request that has run

Callers got 503 for orders that had run. They take 503 as the promise that a request has not run, sent the orders again, and these ran twice.

Cause: a target states "not run" with Not-Executed only (or 421), but its 408, 429 or 503 without that field went to the caller unchanged, and the caller cannot see the difference.

Such failures are now answered with 502, which promises nothing, and without the target's signature.

--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -197,9 +197,8 @@
 
 Awaitable<void> PlainRun::answerFailure() {
   if (Failure_) {
-    Scope_.Reason_ = "target_failed";
-    co_await sendTargetAnswer(Scope_, std::move(Failure_->Head_),
-                              std::move(Failure_->Body_));
+    co_await sendTargetFailure(Scope_, std::move(Failure_->Head_),
+                               std::move(Failure_->Body_));
     co_return;
   }
   co_await sendUnservedAnswer(Scope_, PossibleRuns_ > 0);
--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -15,6 +15,12 @@
 /// Retry-After of a request for which no target was available.
 constexpr Milliseconds RetryAfterNoTarget{250};
 
+/// Whether \p Status tells callers that the request has not run and never will,
+/// so that they may send any request again.
+bool promisesNotRun(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 /// Names the prompt parts that the target was running, so that the logs of all
 /// hosts show which part its crashes have in common.
 void logLostConnection(const RequestScope &Scope, const std::string &Target,
@@ -111,6 +117,20 @@
   Scope.CloseAfterAnswer_ = Close || Written != LinkStatus::Ok;
 }
 
+Awaitable<void> sendTargetFailure(RequestScope &Scope,
+                                  transport::HttpHead FromTarget,
+                                  std::string Body) {
+  if (promisesNotRun(FromTarget.Status_) && !Scope.mayRunAgain()) {
+    std::string Reason = "the target failed with status " +
+                         std::to_string(FromTarget.Status_) +
+                         "; the request may have run";
+    co_await sendOwnAnswer(Scope, 502, Reason, std::nullopt);
+    co_return;
+  }
+  Scope.Reason_ = "target_failed";
+  co_await sendTargetAnswer(Scope, std::move(FromTarget), std::move(Body));
+}
+
 void recordStatement(EntryContext &Context, const TargetExchange &Exchange) {
   if (!Exchange.hasTargetsAnswer())
     return;
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -85,6 +85,12 @@
   bool isIdempotent() const {
     return Route_->Kind_ == state::RequestKind::Idempotent;
   }
+
+  /// Whether the request may run more than once.
+  bool mayRunAgain() const {
+    return isIdempotent() || (Route_->Kind_ == state::RequestKind::Stream &&
+                              Route_->IsResumable_);
+  }
 };
 
 /// Writes an answer to the caller, and waits until its connection has taken the
@@ -112,6 +118,13 @@
                                             transport::HttpHead FromTarget,
                                             std::string Body);
 
+/// Passes on a failure of a target that may have run the request. Statuses that
+/// promise the caller that it has not run are replaced by 502 if it must not
+/// run again.
+transport::Awaitable<void> sendTargetFailure(RequestScope &Scope,
+                                             transport::HttpHead FromTarget,
+                                             std::string Body);
+
 /// Records what the target has stated about itself in its answer.
 void recordStatement(EntryContext &Context, const TargetExchange &Exchange);
 /// Records how a target responded after \p Time to a request of \p Cost, in
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -455,10 +455,9 @@
                 Exchange.reply().Signed_ && !HeadWritten_;
   if (!Usable || (Status >= 500 && mayTryAgain()))
     co_return Step::TryAgain;
-  Scope_.Reason_ = "target_failed";
   std::string Body = Exchange.takeBody();
   transport::HttpHead Head = Exchange.head();
-  co_await sendTargetAnswer(Scope_, Head, Body);
+  co_await sendTargetFailure(Scope_, Head, Body);
   co_return Step::Finished;
 }
 
