Take an answer that was reset during the upload as incomplete

Callers could get a part of an answer as the whole: where a target answered a long upload at once, without a length, sent part of the body and reset the connection while the upload was being written.

Cause: the system reports a reset once. The failed write got the report, and the reads after it saw an orderly end, which completes an answer without a length.

Evidence: the new test of an exchange fails before with the state Complete; it passes with Broken. With a length the same answer is whole before and after.

After a failed write TcpLink now reports the end of the connection as a reset. Reading on after a failed write stays, so that an early answer with a length or in chunks is still returned.

--- a/source/Transport/TcpLink.cpp
+++ b/source/Transport/TcpLink.cpp
@@ -172,7 +172,12 @@
     if (!Failure)
       Failure = readNow();
   }
-  co_return statusOf(Failure);
+  LinkStatus Status = statusOf(Failure);
+  // The system reports a reset once. If a write got the report, reads see an
+  // orderly end after the bytes that had arrived.
+  if (Status == LinkStatus::End && HasWriteFailed_)
+    Status = LinkStatus::Reset;
+  co_return Status;
 }
 
 error_code TcpLink::readNow() {
@@ -198,6 +203,7 @@
         asio::buffer(Bytes.data() + Written, Bytes.size() - Written);
     co_await asio::async_write(Socket_, Unwritten, Token);
   }
+  HasWriteFailed_ = HasWriteFailed_ || Failure;
   co_return statusOf(Failure);
 }
 
@@ -206,6 +212,7 @@
   Count = Socket_.write_some(asio::buffer(Bytes.data(), Bytes.size()), Failure);
   if (Failure == asio::error::would_block || Failure == asio::error::try_again)
     Failure.clear();
+  HasWriteFailed_ = HasWriteFailed_ || Failure;
   return statusOf(Failure);
 }
 
--- a/source/Transport/TcpLink.h
+++ b/source/Transport/TcpLink.h
@@ -18,7 +18,8 @@
 /// How a read or write ended.
 enum class LinkStatus {
   Ok,
-  End,      ///< The peer closed its side in order.
+  /// The peer closed its side in order. Not reported after a failed write.
+  End,
   Reset,    ///< The connection broke.
   TimedOut, ///< The link's deadline passed; see AtDeadline.
   Closed,   ///< Closed by this process.
@@ -118,6 +119,7 @@
   std::uint64_t WatchGeneration_ = 0;
   AtDeadline DeadlineAction_ = AtDeadline::Close;
   bool TimedOut_ = false;
+  bool HasWriteFailed_ = false;
   bool HasReadAtOnce_ = false; ///< The last read did not wait.
 };
 
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -275,6 +275,29 @@
   }
 }
 
+// Rule MIXED. Pattern: a target answers a long upload before it has read it,
+// without a length, and resets the connection while the upload is still being
+// written. Guards against the part of the answer that counts as the whole.
+TEST_CASE("target exchange: an answer reset during the upload is whole only by "
+          "its length") {
+  bool HasLength = GENERATE(false, true);
+  CAPTURE(HasLength);
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+  const std::string Framing = HasLength ? "Content-Length: 4\r\n\r\n" : "\r\n";
+  // Larger than the buffers of both sides.
+  std::string Request = "POST / HTTP/1.1\r\nRequest-Id: r1\r\n\r\n" +
+                        std::string(64 * 1024 * 1024, 'x');
+  Fixture F([&](PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write(Head + Framing + "part");
+    std::this_thread::sleep_for(Milliseconds{100});
+  });
+  transport::startTask(F.Loop_, F.run(Request, "r1", Seconds{20}));
+  F.Loop_.run();
+  CHECK(F.State_ ==
+        (HasLength ? ExchangeState::Complete : ExchangeState::Broken));
+}
+
 // Pattern: servers in trouble send bytes without end, until the caller closes.
 // Guards against exchanges that read on for ever and against memory that grows
 // with what they read, also for many at once.
