Take a status that does not exist, or an interim one, as no answer

Callers could get an answer with the status 000, and an interim answer (1xx) that names their request as the final one, with an empty body.

Cause: the parser accepts any three digits, and TargetExchange took any head with the request's id for the answer.

HttpReader takes a response with a status outside 100 to 599 as malformed, so that the caller gets 502 or the answer of another target. Interim answers are skipped, as many as answers to other requests. A host answers 502 for all four kinds of request to such a target.

--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t MaxAnswerHead = 32 * 1024;
 /// A connection is closed after this many foreign answers.
 constexpr int MaxForeignAnswers = 4;
+constexpr int MinFinalStatus = 200;
 
 std::unique_ptr<HttpReader> newReader(std::size_t MaxBody) {
   return std::make_unique<HttpReader>(HttpReader::Kind::Response, MaxAnswerHead,
@@ -87,9 +88,7 @@
       continue;
     }
     Reply_ = Edge_.readReply(Reader_->head());
-    bool IsOwnAnswer = RequestId_.empty() || Reply_.RequestId_ == RequestId_ ||
-                       (Reply_.RequestId_.empty() && Reply_.NotExecuted_);
-    if (IsOwnAnswer) {
+    if (isOwnAnswer()) {
       State_ = ExchangeState::Answering;
       if (Reader_->state() == HttpReader::State::Complete)
         finish();
@@ -111,6 +110,14 @@
   co_return reject();
 }
 
+bool TargetExchange::isOwnAnswer() const {
+  // Interim answers precede the final one.
+  if (Reader_->head().Status_ < MinFinalStatus)
+    return false;
+  return RequestId_.empty() || Reply_.RequestId_ == RequestId_ ||
+         (Reply_.RequestId_.empty() && Reply_.NotExecuted_);
+}
+
 Awaitable<LinkStatus> TargetExchange::skipBody() {
   LinkStatus Status = LinkStatus::Ok;
   std::size_t SkippedBytes = 0;
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -88,7 +88,10 @@
 private:
   transport::Awaitable<ExchangeState> readHead();
   void logSent(Milliseconds ConnectTime, SteadyTime Deadline) const;
-  /// Reads the rest of an answer to another request, and discards it.
+  /// Whether the head that has arrived is that of the final answer to this
+  /// request.
+  bool isOwnAnswer() const;
+  /// Reads the rest of an answer that is not isOwnAnswer(), and discards it.
   transport::Awaitable<transport::LinkStatus> skipBody();
   /// Parses the bytes that have arrived. False if they are unusable or too
   /// many.
@@ -110,8 +113,9 @@
   protocol::TargetReply Reply_;
   std::string Body_;
   ExchangeState State_ = ExchangeState::NotSent;
-  bool SkippedForeign_ = false; ///< A foreign answer arrived on the connection.
-  bool IsReusable_ = false;     ///< The connection can carry another request.
+  /// An answer that is not isOwnAnswer() arrived on the connection.
+  bool SkippedForeign_ = false;
+  bool IsReusable_ = false; ///< The connection can carry another request.
   bool Stopped_ = false;
 };
 
--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -16,6 +16,11 @@
 /// The shortest end of a chunked message: "0" CR LF CR LF.
 constexpr std::size_t MinLastChunkBytes = 5;
 
+/// The status codes that HTTP defines. Other numbers of three digits are no
+/// answer.
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+
 /// Chunked must be the only transfer coding: with any other, the end of the
 /// message is ambiguous.
 bool hasUnambiguousFraming(const HttpHead &Head, bool Chunked) {
@@ -124,7 +129,10 @@
     Head_.Method_ = std::string(Request->get().method_string());
     Head_.Target_ = std::string(Request->get().target());
   } else {
-    Head_.Status_ = std::get_if<1>(&Parser_->Variant_)->get().result_int();
+    unsigned Status = std::get_if<1>(&Parser_->Variant_)->get().result_int();
+    if (Status < MinStatus || Status > MaxStatus)
+      State_ = State::Malformed;
+    Head_.Status_ = static_cast<int>(Status);
   }
   Parser_->visit([&](auto &MessageParser) {
     for (const auto &Field : MessageParser.get())
--- a/tests/Integration/Platform/FailureStatusTest.cpp
+++ b/tests/Integration/Platform/FailureStatusTest.cpp
@@ -62,3 +62,25 @@
   CHECK(Answer.Body_ == "failed");
   CHECK(Answer.Head_.find("Response-Signature") != nullptr);
 }
+
+// Rule MIXED. Guards against an answer whose status does not exist that callers
+// get as an answer.
+TEST_CASE("platform: a status that does not exist is not passed on") {
+  StoreDouble Store;
+  Store.put("op/config", platformConfiguration());
+  auto AnswerNoStatus = [](RawServerConnection &Connection,
+                           const RawRequest &Request) {
+    Connection.write("HTTP/1.1 000 OK\r\n" + validResponseFields(Request) +
+                     "Content-Length: 4\r\n\r\ndone");
+    return true;
+  };
+  TargetDouble Desk(Store, "i-1", "desk", AnswerNoStatus);
+  TargetDouble Engine(Store, "i-2", "engine", AnswerNoStatus);
+  PlatformFleet Fleet(Store, 1);
+  for (const char *Path : {"/order/1", "/look/1", "/once/1", "/draft/1"}) {
+    CAPTURE(Path);
+    PlatformAnswer Answer = Fleet.call(0, platformRequest("POST", Path));
+    CHECK(Answer.Status_ == 502);
+    CHECK(Answer.Head_.find("Response-Signature") == nullptr);
+  }
+}
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -81,6 +81,26 @@
   CHECK(Unframed.takeBody() == "abc");
 }
 
+// Rule MIXED. Pattern: a server in trouble sends a status that does not exist.
+// Guards against a caller that gets it as an answer.
+TEST_CASE("http reader: a status that does not exist is no answer") {
+  for (const char *Status : {"000", "099", "600", "999"}) {
+    CAPTURE(Status);
+    HttpReader Reader = responseReader();
+    CHECK(feedAll(Reader, "HTTP/1.1 " + std::string(Status) +
+                              " OK\r\nContent-Length: 1\r\n\r\nx") ==
+          State::Malformed);
+  }
+  for (int Status : {100, 200, 421, 599}) {
+    CAPTURE(Status);
+    HttpReader Reader = responseReader();
+    CHECK(feedAll(Reader, "HTTP/1.1 " + std::to_string(Status) +
+                              " OK\r\nContent-Length: 0\r\n\r\n") ==
+          State::Complete);
+    CHECK(Reader.head().Status_ == Status);
+  }
+}
+
 // Guards against a different result when bytes come one at a time.
 TEST_CASE("http reader: the division of the bytes makes no difference") {
   const std::string Message =
