--- a/tests/Serving/EventStreamTest.cpp
+++ b/tests/Serving/EventStreamTest.cpp
@@ -68,16 +68,18 @@
 TEST_CASE("event stream: the division of the bytes makes no difference") {
   const std::string Bytes = "\n\n\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
                             "\r\n\r\n\n\ndata: c\r\n\n\nda";
-  const std::string Whole = Bytes.substr(0, Bytes.size() - 3);
-  for (std::size_t First = 0; First < Bytes.size(); ++First)
-    for (std::size_t Second = First; Second < Bytes.size(); ++Second) {
-      CAPTURE(First, Second);
+  const std::string IncompleteEvent = "\nda";
+  const std::string WholeEvents =
+      Bytes.substr(0, Bytes.size() - IncompleteEvent.size());
+  for (std::size_t Cut1 = 0; Cut1 < Bytes.size(); ++Cut1)
+    for (std::size_t Cut2 = Cut1; Cut2 < Bytes.size(); ++Cut2) {
+      CAPTURE(Cut1, Cut2);
       EventStream Stream;
-      std::string Events = Stream.addBytes(Bytes.substr(0, First));
-      Events += Stream.addBytes(Bytes.substr(First, Second - First));
-      Events += Stream.addBytes(Bytes.substr(Second));
-      REQUIRE(Events == Whole);
-      REQUIRE(Stream.pendingBytes() == 3);
+      std::string ReturnedEvents = Stream.addBytes(Bytes.substr(0, Cut1));
+      ReturnedEvents += Stream.addBytes(Bytes.substr(Cut1, Cut2 - Cut1));
+      ReturnedEvents += Stream.addBytes(Bytes.substr(Cut2));
+      REQUIRE(ReturnedEvents == WholeEvents);
+      REQUIRE(Stream.pendingBytes() == IncompleteEvent.size());
       REQUIRE(Stream.lastEventId() == 2);
     }
 }
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -302,20 +302,20 @@
 // not exist, that a caller gets as the answer to its request.
 TEST_CASE("target exchange: only a final answer answers a request") {
   const std::string Fields = " Status\r\nRequest-Id: r1\r\n";
-  const std::string Interim = "HTTP/1.1 103" + Fields + "\r\n";
+  const std::string InterimAnswer = "HTTP/1.1 103" + Fields + "\r\n";
   Fixture F([&](PeerConnection &Connection) {
     Connection.readHead();
-    Connection.write(Interim + answer("r1", "done"));
+    Connection.write(InterimAnswer + answer("r1", "done"));
   });
   F.exchange("r1");
   CHECK(F.State_ == ExchangeState::Complete);
   CHECK(F.Body_ == "done");
-  Fixture Invalid([&](PeerConnection &Connection) {
+  Fixture WithoutStatus([&](PeerConnection &Connection) {
     Connection.readHead();
     Connection.write("HTTP/1.1 000" + Fields + "Content-Length: 1\r\n\r\nx");
   });
-  Invalid.exchange("r1");
-  CHECK(Invalid.State_ == ExchangeState::Unusable);
+  WithoutStatus.exchange("r1");
+  CHECK(WithoutStatus.State_ == ExchangeState::Unusable);
 }
 
 // Pattern: servers in trouble send bytes without end, until the caller closes.
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -134,47 +134,47 @@
   return Messages;
 }
 
-HttpReader readerFor(const std::string &Message) {
-  return Message[0] == 'H' ? responseReader() : requestReader();
+/// Calls \p Check for each message and each length at which it is divided, with
+/// a reader that was given the bytes before twice, as after a read that failed.
+/// The bytes that the reader has left are in the second argument.
+template <typename F> void forEachDivision(F &&Check) {
+  for (const std::string &Message : emptyChunkedMessages())
+    for (std::size_t Length = 1; Length < Message.size(); ++Length) {
+      CAPTURE(Message, Length);
+      HttpReader Reader =
+          Message[0] == 'H' ? responseReader() : requestReader();
+      std::string UnreadBytes = Message.substr(0, Length);
+      Reader.feed(UnreadBytes);
+      CHECK(Reader.feed(UnreadBytes) < State::Complete);
+      Check(Reader, UnreadBytes, Message.substr(Length));
+    }
 }
 
 } // namespace
 
-// Rule LOST. Pattern: a peer breaks off within the last chunk of a message
-// without content, or sends it in small parts. Guards against an assertion of
-// the parser, which ends the process with all its requests.
+// Rule LOST. Pattern: a peer sends the last chunk of a message without content
+// in small parts. Guards against an assertion of the parser, which ends the
+// process with all its requests.
 TEST_CASE("http reader: a last chunk that arrives in parts ends no process") {
-  for (const std::string &Message : emptyChunkedMessages())
-    for (std::size_t Part = 1; Part < Message.size(); ++Part) {
-      CAPTURE(Message, Part);
-      HttpReader Reader = readerFor(Message);
-      std::string Input = Message.substr(0, Part);
-      Reader.feed(Input);
-      // The same bytes again, as after a read that failed.
-      CHECK(Reader.feed(Input) < State::Complete);
-      for (std::size_t Next = Part; Next + 1 < Message.size(); ++Next) {
-        Input += Message[Next];
-        CHECK(Reader.feed(Input) < State::Complete);
-      }
-      Input += Message.back();
-      CHECK(Reader.feed(Input) == State::Complete);
-      CHECK(Reader.takeBody().empty());
-      CHECK(Input.empty());
+  forEachDivision([](HttpReader &Reader, std::string &UnreadBytes,
+                     const std::string &RestOfMessage) {
+    for (std::size_t I = 0; I < RestOfMessage.size(); ++I) {
+      UnreadBytes += RestOfMessage[I];
+      bool IsLastByte = I + 1 == RestOfMessage.size();
+      CHECK((Reader.feed(UnreadBytes) == State::Complete) == IsLastByte);
+      CHECK(Reader.state() <= State::Complete);
     }
+    CHECK(Reader.takeBody().empty());
+    CHECK(UnreadBytes.empty());
+  });
 }
 
-// Guards against a message that was broken off in its last chunk and counts as
-// complete.
+// Pattern: a peer breaks off within that last chunk. Guards against a message
+// that counts as complete, and against the same assertion.
 TEST_CASE("http reader: a last chunk that is broken off completes nothing") {
-  for (const std::string &Message : emptyChunkedMessages())
-    for (std::size_t Part = 1; Part < Message.size(); ++Part) {
-      CAPTURE(Message, Part);
-      HttpReader Reader = readerFor(Message);
-      std::string Input = Message.substr(0, Part);
-      Reader.feed(Input);
-      Reader.feed(Input);
-      CHECK(Reader.onEndOfStream() == State::Malformed);
-    }
+  forEachDivision([](HttpReader &Reader, std::string &, const std::string &) {
+    CHECK(Reader.onEndOfStream() == State::Malformed);
+  });
 }
 
 // Guards against a crash on damaged bytes.
--- a/tests/Transport/TcpLinkTest.cpp
+++ b/tests/Transport/TcpLinkTest.cpp
@@ -90,18 +90,18 @@
     while (Connection.write(Block)) {
     }
   });
-  std::optional<SteadyTime> OtherFinishedAt;
-  auto Other = [&]() -> Awaitable<void> {
+  std::optional<SteadyTime> TimerFiredAt;
+  auto WaitForTimer = [&]() -> Awaitable<void> {
     co_await pause(Executor, Milliseconds{50});
-    OtherFinishedAt = SteadyClock::now();
+    TimerFiredAt = SteadyClock::now();
   };
   SteadyTime End = SteadyClock::now() + ReadTime;
   startTask(Executor, readUntil(Executor, *parseEndpoint(Peer.address()), End,
                                 Milliseconds{1}));
-  startTask(Executor, Other());
+  startTask(Executor, WaitForTimer());
   Executor.run();
-  REQUIRE(OtherFinishedAt);
-  CHECK(*OtherFinishedAt < End - ReadTime / 2);
+  REQUIRE(TimerFiredAt);
+  CHECK(*TimerFiredAt < End - ReadTime / 2);
 }
 
 // Pattern: an unexpected error while one connection is served. Guards against
