Close the connections of the review's stand-ins with a reset where asked

The stand-ins sent an orderly end before the reset, so that an answer without a length looked complete.

--- a/review/support-3/Support.cpp
+++ b/review/support-3/Support.cpp
@@ -347,7 +347,7 @@
     if (!Request.Complete_ || !Handle_(*Open, Request))
       break;
   }
-  Open->shutDown();
+  // The connection closes with the last reference to it.
   std::lock_guard Lock(Mutex_);
   Connections_.remove(Open);
 }
