--- a/review/support-3/Support.cpp
+++ b/review/support-3/Support.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -705,6 +706,8 @@
   Process_ = fork();
   if (Process_ != 0)
     return;
+  // The host ends with the case, however that ends.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   int File = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(File, STDOUT_FILENO);
   dup2(File, STDERR_FILENO);
