--- a/review/support-3/Support.cpp
+++ b/review/support-3/Support.cpp
@@ -161,6 +161,11 @@
              : 0;
 }
 
+Connection::Connection(int Socket) : Socket_(Socket) {
+  static std::atomic<std::uint64_t> Last{0};
+  Number_ = ++Last;
+}
+
 Connection::~Connection() { close(Socket_); }
 
 bool Connection::receive(Clock::time_point Until) {
--- a/review/support-3/Support.h
+++ b/review/support-3/Support.h
@@ -72,7 +72,7 @@
 /// One end of a TCP connection; used by one thread, except for shutDown().
 class Connection final {
 public:
-  explicit Connection(int Socket) : Socket_(Socket) {}
+  explicit Connection(int Socket);
   ~Connection();
   Connection(const Connection &) = delete;
   Connection &operator=(const Connection &) = delete;
@@ -87,12 +87,15 @@
   bool hasPeerClosed();
   /// Ends operations in progress in other threads.
   void shutDown();
+  /// A number that no other connection has.
+  std::uint64_t number() const { return Number_; }
 
 private:
   bool receive(Clock::time_point Until);
   void readBody(Message &Target, Clock::time_point Until);
 
   int Socket_;
+  std::uint64_t Number_;
   std::string Input_;
 };
 
