Log what the store answered and the era and revision that were read

Cause: store_lost did not tell a refused call from one without an answer, and no line showed the revision or the era of what was read afterwards, so that a short outage and a store that came back from a copy looked the same.

Nothing acts on the era yet.

--- a/source/Protocol/PlatformStore.h
+++ b/source/Protocol/PlatformStore.h
@@ -36,6 +36,9 @@
   std::vector<StoreItem> Items_;
   /// Revision of the store, after which a watch continues.
   std::uint64_t Revision_ = 0;
+  /// Counts the times that the store was restored from an older copy; 0 if the
+  /// store did not state it. Revisions of different eras cannot be compared.
+  std::uint64_t Era_ = 0;
 };
 
 struct StoreLease {
--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -29,13 +29,14 @@
   UpToDate_ = UpToDate_ && Active;
 }
 
-void StoreFollower::setConnected(bool Connected) {
+void StoreFollower::setConnected(bool Connected, StoreStatus Status) {
   UpToDate_ = UpToDate_ && Connected;
   if (Connected == Connected_)
     return;
   Connected_ = Connected;
   LogEvent(LogLevel::Info, Connected ? "store_back" : "store_lost")
-      .field("prefix", Settings_.Prefix_);
+      .field("prefix", Settings_.Prefix_)
+      .field("status", toString(Status));
   Listener_.onStoreConnected(Settings_.Prefix_, Connected);
 }
 
@@ -45,7 +46,7 @@
     std::string Prefix = Settings_.Prefix_;
     StoreItems Current = co_await Store_.range(Prefix);
     if (Current.Status_ != StoreStatus::Ok) {
-      setConnected(false);
+      setConnected(false, Current.Status_);
       if (HasItems_ && !Active_) {
         co_await waitUntilActive();
         RetryDelay = Settings_.MinRetryDelay_;
@@ -57,7 +58,12 @@
     }
     RetryDelay = Settings_.MinRetryDelay_;
     HasItems_ = true;
-    setConnected(true);
+    setConnected(true, Current.Status_);
+    LogEvent(LogLevel::Info, "store_read")
+        .field("prefix", Settings_.Prefix_)
+        .field("items", Current.Items_.size())
+        .field("revision", Current.Revision_)
+        .field("era", Current.Era_);
     Listener_.onStoreRange(Settings_.Prefix_, Current.Items_,
                            Current.Revision_);
     UpToDate_ = Active_;
@@ -67,7 +73,7 @@
       continue;
     }
     if (WatchEnd != StoreStatus::Compacted)
-      setConnected(false);
+      setConnected(false, WatchEnd);
     LogEvent(LogLevel::Info, "watch_ended")
         .field("prefix", Settings_.Prefix_)
         .field("status", toString(WatchEnd));
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -61,7 +61,8 @@
   /// continue, or Ok when this follower was made inactive.
   transport::Awaitable<protocol::StoreStatus> watch(std::uint64_t Revision);
   transport::Awaitable<void> waitUntilActive();
-  void setConnected(bool Connected);
+  /// \p Status is the result of the call that shows it.
+  void setConnected(bool Connected, protocol::StoreStatus Status);
 
   transport::Loop &Loop_;
   protocol::PlatformStore &Store_;
