--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -69,7 +69,8 @@
       Permits_(Context_, Peers_, *this, Settings.Host_),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
                *this, Permits_),
-      Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
+      Codec_(Codec), OperatorRecords_(Context_, Permits_, Codec),
+      Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
       Processor_(Settings.ProcessorShare_), Placement_(Settings.Host_),
@@ -296,68 +297,6 @@
                             SteadyClock::now());
 }
 
-void EntryHost::applyConfiguration(const StoreItem &Item) {
-  if (Item.Removed_)
-    return;
-  auto Decoded = capture([&] { return Codec_.readConfiguration(Item.Value_); });
-  if (!Decoded) {
-    LogEvent(LogLevel::Error, "configuration_rejected")
-        .field("revision", Item.Revision_)
-        .field("error", Decoded.error().Message_);
-    return;
-  }
-  state::RoutingTable Table = std::move(*Decoded);
-  Table.Revision_ = Item.Revision_;
-  LogEvent(LogLevel::Info, "configuration_taken")
-      .field("version", Table.Version_)
-      .field("revision", Table.Revision_)
-      .field("routes", Table.Routes_.size());
-  LatestTable_ = std::make_shared<const state::RoutingTable>(std::move(Table));
-  Permits_.pace().targets().onConfiguration(LatestTable_);
-  if (OperatorRecordsLoaded_)
-    Context_.Table_ = LatestTable_;
-}
-
-void EntryHost::applyOperatorRecord(const StoreItem &Item) {
-  if (Item.Key_ == Codec_.configurationKey())
-    applyConfiguration(Item);
-  else if (std::optional<std::string> DataCentre =
-               Codec_.evacuatedDataCentre(Item.Key_))
-    applyEvacuation(*DataCentre, Item);
-}
-
-void EntryHost::applyEvacuation(const std::string &DataCentre,
-                                const StoreItem &Item) {
-  coordination::TargetNotices &Notices = Context_.Notices_;
-  if (DataCentre.empty()) {
-    if (!Item.Removed_ && Notices.noteIrregular(Item.Key_))
-      LogEvent(LogLevel::Warn, "evacuation_without_data_centre")
-          .field("key", Item.Key_)
-          .field("irregular", Notices.irregularCount());
-    return;
-  }
-  if (!Notices.setEvacuated(DataCentre, !Item.Removed_))
-    return;
-  LogEvent(LogLevel::Info, Item.Removed_ ? "evacuation_ended" : "evacuated")
-      .field("data_centre", DataCentre)
-      .field("revision", Item.Revision_);
-  if (Item.Removed_)
-    Permits_.pace().targets().onDataCentreReturned(DataCentre,
-                                                   SteadyClock::now());
-  if (!Item.Removed_ && TargetsLoaded_)
-    reportUnknownDataCentre(DataCentre);
-}
-
-void EntryHost::reportUnknownDataCentre(const std::string &DataCentre) {
-  // The evacuation stays in force for targets that register there later.
-  coordination::TargetNotices &Notices = Context_.Notices_;
-  if (!Context_.Targets_.hasTargetIn(DataCentre) &&
-      Notices.noteIrregular("evacuation of " + DataCentre))
-    LogEvent(LogLevel::Warn, "evacuation_of_unknown_data_centre")
-        .field("data_centre", DataCentre)
-        .field("irregular", Notices.irregularCount());
-}
-
 void EntryHost::applyTarget(const StoreItem &Item) {
   coordination::TargetChange Change;
   Change.Id_ = Item.Key_.substr(Codec_.targetPrefix().size());
@@ -422,19 +361,16 @@
     else if (Prefix == HostPrefix)
       applyHost(Item);
     else
-      applyOperatorRecord(Item);
+      OperatorRecords_.apply(Item);
   }
 }
 
 void EntryHost::onRecordsComplete(const std::string &Prefix) {
-  if (Prefix == Codec_.operatorPrefix()) {
-    OperatorRecordsLoaded_ = true;
-    Context_.Table_ = LatestTable_;
-  }
+  if (Prefix == Codec_.operatorPrefix())
+    OperatorRecords_.onComplete();
   if (Prefix == Codec_.targetPrefix() && !TargetsLoaded_) {
     TargetsLoaded_ = true;
-    for (const std::string &DataCentre : Context_.Notices_.evacuated())
-      reportUnknownDataCentre(DataCentre);
+    OperatorRecords_.onTargetsLoaded();
     Permits_.pace().targets().onRecordsComplete();
   }
   acceptCallersWhenReady();
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -10,6 +10,7 @@
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
 #include "Serving/HostRegistration.h"
+#include "Serving/OperatorRecords.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageClient.h"
@@ -69,13 +70,6 @@
   protocol::QueueState queueState(const std::string &Service) override;
 
 private:
-  void applyConfiguration(const protocol::StoreItem &Item);
-  /// Applies a key of the operators: configuration or evacuation.
-  void applyOperatorRecord(const protocol::StoreItem &Item);
-  void applyEvacuation(const std::string &DataCentre,
-                       const protocol::StoreItem &Item);
-  /// Logs an evacuation of a data centre in which no target is registered.
-  void reportUnknownDataCentre(const std::string &DataCentre);
   void applyTarget(const protocol::StoreItem &Item);
   void applyHost(const protocol::StoreItem &Item);
   /// Whether the configuration and the targets are known, so that requests can
@@ -102,6 +96,7 @@
   SendPermits Permits_;
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
+  OperatorRecords OperatorRecords_;
   StageClient Stages_;
   coordination::UndeliveredReports UndeliveredReports_;
   std::map<std::string, protocol::QueueState> FleetWork_;
@@ -119,10 +114,6 @@
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
   bool TargetsLoaded_ = false;
-  /// The newest configuration. It is used once all keys of the operators are
-  /// known: evacuations are in force for the first request.
-  state::RoutingTablePtr LatestTable_;
-  bool OperatorRecordsLoaded_ = false;
 };
 
 } // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/OperatorRecords.cpp
@@ -0,0 +1,82 @@
+#include "Serving/OperatorRecords.h"
+
+#include "Support/Log.h"
+
+namespace amaranth::serving {
+
+using protocol::StoreItem;
+
+void OperatorRecords::apply(const StoreItem &Item) {
+  if (Item.Key_ == Codec_.configurationKey())
+    applyConfiguration(Item);
+  else if (std::optional<std::string> DataCentre =
+               Codec_.evacuatedDataCentre(Item.Key_))
+    applyEvacuation(*DataCentre, Item);
+}
+
+void OperatorRecords::onComplete() {
+  IsComplete_ = true;
+  Context_.Table_ = LatestTable_;
+}
+
+void OperatorRecords::onTargetsLoaded() {
+  TargetsLoaded_ = true;
+  for (const std::string &DataCentre : Context_.Notices_.evacuated())
+    reportUnknownDataCentre(DataCentre);
+}
+
+void OperatorRecords::applyConfiguration(const StoreItem &Item) {
+  if (Item.Removed_)
+    return;
+  auto Decoded = capture([&] { return Codec_.readConfiguration(Item.Value_); });
+  if (!Decoded) {
+    LogEvent(LogLevel::Error, "configuration_rejected")
+        .field("revision", Item.Revision_)
+        .field("error", Decoded.error().Message_);
+    return;
+  }
+  state::RoutingTable Table = std::move(*Decoded);
+  Table.Revision_ = Item.Revision_;
+  LogEvent(LogLevel::Info, "configuration_taken")
+      .field("version", Table.Version_)
+      .field("revision", Table.Revision_)
+      .field("routes", Table.Routes_.size());
+  LatestTable_ = std::make_shared<const state::RoutingTable>(std::move(Table));
+  Permits_.pace().targets().onConfiguration(LatestTable_);
+  if (IsComplete_)
+    Context_.Table_ = LatestTable_;
+}
+
+void OperatorRecords::applyEvacuation(const std::string &DataCentre,
+                                      const StoreItem &Item) {
+  coordination::TargetNotices &Notices = Context_.Notices_;
+  if (DataCentre.empty()) {
+    if (!Item.Removed_ && Notices.noteIrregular(Item.Key_))
+      LogEvent(LogLevel::Warn, "evacuation_without_data_centre")
+          .field("key", Item.Key_)
+          .field("irregular", Notices.irregularCount());
+    return;
+  }
+  if (!Notices.setEvacuated(DataCentre, !Item.Removed_))
+    return;
+  LogEvent(LogLevel::Info, Item.Removed_ ? "evacuation_ended" : "evacuated")
+      .field("data_centre", DataCentre)
+      .field("revision", Item.Revision_);
+  if (Item.Removed_)
+    Permits_.pace().targets().onDataCentreReturned(DataCentre,
+                                                   SteadyClock::now());
+  if (!Item.Removed_ && TargetsLoaded_)
+    reportUnknownDataCentre(DataCentre);
+}
+
+void OperatorRecords::reportUnknownDataCentre(const std::string &DataCentre) {
+  // The evacuation stays in force for targets that register there later.
+  coordination::TargetNotices &Notices = Context_.Notices_;
+  if (!Context_.Targets_.hasTargetIn(DataCentre) &&
+      Notices.noteIrregular("evacuation of " + DataCentre))
+    LogEvent(LogLevel::Warn, "evacuation_of_unknown_data_centre")
+        .field("data_centre", DataCentre)
+        .field("irregular", Notices.irregularCount());
+}
+
+} // namespace amaranth::serving
