Order the store's records by era, then by revision

Cause: the store comes back from an older copy after a drill and gives revisions out again. StoreMirror and TargetRegistry kept the record with the higher revision, also against a complete read after a 410, and watchers passed on only what they had kept. All changes were ignored until the revisions had passed those given out before. The new unit tests need the interfaces of this change; what they check did not hold before, because nothing read the era.

A mirror enters a later era with a complete list only, and ignores changes and lists of another one, so that late answers and relays undo nothing. An era that is not stated, or invalid, counts as the known one.

--- a/source/Coordination/Targets/TargetRegistry.cpp
+++ b/source/Coordination/Targets/TargetRegistry.cpp
@@ -9,15 +9,50 @@
 TargetRegistry::TargetRegistry(TargetRegistrySettings Settings)
     : Settings_(Settings) {}
 
-void TargetRegistry::apply(const TargetChange &Change, SteadyTime Now) {
+bool TargetRegistry::isOutdated(const Entry &Target,
+                                const TargetChange &Change) {
+  if (Change.Era_ != 0 && Change.Era_ < Target.Era_)
+    return true;
+  if (isFromLaterEra(Target, Change))
+    return false;
+  return Change.Revision_ < Target.Revision_ ||
+         (Change.Revision_ == Target.Revision_ && !Target.RemoveAt_ &&
+          Target.Revision_ != 0);
+}
+
+bool TargetRegistry::isFromLaterEra(const Entry &Target,
+                                    const TargetChange &Change) {
+  // An era that was never stated counts as the first one.
+  return Change.Era_ > std::max<std::uint64_t>(Target.Era_, 1);
+}
+
+bool TargetRegistry::apply(const TargetChange &Change, SteadyTime Now) {
   Entry &Target = Records_[Change.Id_];
-  if (Change.Revision_ < Target.Revision_ ||
-      (Change.Revision_ == Target.Revision_ && !Target.RemoveAt_ &&
-       Target.Revision_ != 0))
-    return;
+  if (isOutdated(Target, Change))
+    return false;
+  bool IsRestored = isFromLaterEra(Target, Change);
+  if (IsRestored && Change.Record_ && Target.RemovedIncarnation_ &&
+      Change.Record_->Incarnation_ <= *Target.RemovedIncarnation_) {
+    SteadyTime AppliesAt = Now + Settings_.ReappearanceDelay_;
+    auto [Withheld, IsNew] =
+        Withheld_.try_emplace(Change.Id_, WithheldChange{Change, AppliesAt});
+    if (!IsNew)
+      Withheld->second.Change_ = Change;
+    return false;
+  }
+  Withheld_.erase(Change.Id_);
+  Target.Revision_ = Change.Revision_;
+  Target.Era_ = std::max(Target.Era_, Change.Era_);
+  Target.ChangedAt_ = Now;
   if (!Change.Record_) {
-    remove(Target, Change.Revision_, Now);
-    return;
+    remove(Target, Now);
+    return true;
+  }
+  // Without a restore, a lower start time comes from a clock that was set back.
+  if (IsRestored && Target.Record_ && Change.Record_->Incarnation_ != 0 &&
+      Change.Record_->Incarnation_ < Target.Record_->Incarnation_) {
+    Target.RemoveAt_.reset();
+    return false;
   }
   // If the incarnation is unknown, a record that was removed and returns counts
   // as a new registration.
@@ -28,18 +63,15 @@
       Target.Record_->Incarnation_ == Change.Record_->Incarnation_;
   if (Target.Record_)
     ByService_[Target.Record_->Service_].erase(Change.Id_);
-  Target.Revision_ = Change.Revision_;
   Target.Record_ = Change.Record_;
   Target.Record_->IsDraining_ = Target.Record_->IsDraining_ || WasLeaving;
   Target.RemoveAt_.reset();
-  Target.ChangedAt_ = Now;
+  Target.RemovedIncarnation_.reset();
   ByService_[Target.Record_->Service_].insert(Change.Id_);
+  return true;
 }
 
-void TargetRegistry::remove(Entry &Target, std::uint64_t Revision,
-                            SteadyTime Now) {
-  Target.Revision_ = Revision;
-  Target.ChangedAt_ = Now;
+void TargetRegistry::remove(Entry &Target, SteadyTime Now) {
   if (!Target.Record_)
     return;
   if (DisconnectedAt_ || Now < GracePeriodEnd_) {
@@ -47,11 +79,37 @@
       Target.RemoveAt_ = std::max(GracePeriodEnd_, Now);
     return;
   }
+  dropRecord(Target);
+}
+
+void TargetRegistry::dropRecord(Entry &Target) {
   ByService_[Target.Record_->Service_].erase(Target.Record_->Id_);
+  Target.RemovedIncarnation_ = Target.Record_->Incarnation_;
   Target.Record_.reset();
   Target.RemoveAt_.reset();
 }
 
+void TargetRegistry::onStoreRestored(SteadyTime Now) {
+  GracePeriodEnd_ = Now + Settings_.ReturnGracePeriod_;
+  for (auto &[Id, Target] : Records_)
+    if (Target.RemoveAt_)
+      Target.RemoveAt_ = GracePeriodEnd_;
+}
+
+std::vector<TargetChange> TargetRegistry::takeReappeared(SteadyTime Now) {
+  std::vector<TargetChange> Due;
+  for (auto It = Withheld_.begin(); It != Withheld_.end();) {
+    if (Now < It->second.AppliesAt_) {
+      ++It;
+      continue;
+    }
+    Records_[It->first].RemovedIncarnation_.reset();
+    Due.push_back(std::move(It->second.Change_));
+    It = Withheld_.erase(It);
+  }
+  return Due;
+}
+
 void TargetRegistry::onStoreDisconnected(SteadyTime Now) {
   if (!DisconnectedAt_)
     DisconnectedAt_ = Now;
@@ -73,9 +131,7 @@
   for (auto It = Records_.begin(); It != Records_.end();) {
     Entry &Target = It->second;
     if (!DisconnectedAt_ && Target.RemoveAt_ && Now >= *Target.RemoveAt_) {
-      ByService_[Target.Record_->Service_].erase(It->first);
-      Target.Record_.reset();
-      Target.RemoveAt_.reset();
+      dropRecord(Target);
       Target.ChangedAt_ = Now;
       Removed.push_back(It->first);
     }
--- a/source/Coordination/Targets/TargetRegistry.h
+++ b/source/Coordination/Targets/TargetRegistry.h
@@ -28,6 +28,9 @@
   /// How long a removal is remembered, so that an older copy from a peer does
   /// not restore the record.
   Milliseconds RemovalRetention_{60000};
+  /// A removed record that a restored store holds again gets no work for this
+  /// long. If its target has ended, the store removes the record meanwhile.
+  Milliseconds ReappearanceDelay_{4800};
 };
 
 /// A changed record, with the store's revision of the change.
@@ -36,16 +39,28 @@
   std::uint64_t Revision_ = 0;
   /// Empty if the record was removed or cannot be parsed.
   std::optional<state::TargetRecord> Record_;
+  std::uint64_t Era_ = 0; ///< The store's era that gave out Revision_.
 };
 
-/// Keeps the newest record of each target by the store's revision, whether it
-/// comes from the store or from a peer. A target that was leaving once counts
-/// as leaving until it registers with a new incarnation.
+/// Keeps the newest record of each target by the store's era and revision,
+/// whether it comes from the store or from a peer. A target that was leaving
+/// once counts as leaving until it registers with a new incarnation.
+///
+/// A store that was restored from a copy holds older records until the targets
+/// have written theirs again. Such a record neither replaces one of a later
+/// incarnation nor brings back a target that was removed.
 class TargetRegistry final {
 public:
   explicit TargetRegistry(TargetRegistrySettings Settings = {});
 
-  void apply(const TargetChange &Change, SteadyTime Now);
+  /// False if the change is older than what is known, or withheld.
+  bool apply(const TargetChange &Change, SteadyTime Now);
+  /// The store was restored from a copy: records that it lacks are kept as
+  /// missing for ReturnGracePeriod_. Call before the records are applied.
+  void onStoreRestored(SteadyTime Now);
+  /// Returns the changes that were withheld and are due; apply them. Call
+  /// often.
+  std::vector<TargetChange> takeReappeared(SteadyTime Now);
   /// The store has stopped, or resumed, answering. While it does not answer and
   /// for ReturnGracePeriod_ after that, removed records are kept as missing.
   void onStoreDisconnected(SteadyTime Now);
@@ -72,13 +87,25 @@
     /// Set while the record is missing from the store but still in use.
     std::optional<SteadyTime> RemoveAt_;
     SteadyTime ChangedAt_;
+    std::uint64_t Era_ = 0;
+    /// Of the record that was removed last.
+    std::optional<std::int64_t> RemovedIncarnation_;
+  };
+  struct WithheldChange {
+    TargetChange Change_;
+    SteadyTime AppliesAt_;
   };
 
-  void remove(Entry &Target, std::uint64_t Revision, SteadyTime Now);
+  /// Whether \p Change is older than what is known, or the same.
+  static bool isOutdated(const Entry &Target, const TargetChange &Change);
+  static bool isFromLaterEra(const Entry &Target, const TargetChange &Change);
+  void remove(Entry &Target, SteadyTime Now);
+  void dropRecord(Entry &Target);
 
   TargetRegistrySettings Settings_;
   std::map<std::string, Entry> Records_;
   std::map<std::string, std::set<std::string>> ByService_;
+  std::map<std::string, WithheldChange> Withheld_; ///< By target.
   /// Set while the store does not answer.
   std::optional<SteadyTime> DisconnectedAt_;
   SteadyTime GracePeriodEnd_{};
--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -103,6 +103,7 @@
   records @1 :List(Record);
   complete @2 :Bool;    # records has all records as of the revision
   revision @3 :UInt64;
+  era @4 :UInt64;       # of the store, for all records; 0 if it is not known
 }
 
 struct Record {
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -205,7 +205,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b843466040b44cf, 2, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b843466040b44cf, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1543,6 +1543,8 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline  ::uint64_t getEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1591,6 +1593,9 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4532,6 +4537,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StoreRecords::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StoreRecords::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreRecords::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Record::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -236,6 +236,7 @@
     Encoded.setPrefix(Source.Prefix_);
     Encoded.setComplete(Source.Complete_);
     Encoded.setRevision(Source.Revision_);
+    Encoded.setEra(Source.Era_);
     auto List = Encoded.initRecords(Source.Items_.size());
     for (unsigned I = 0; I < Source.Items_.size(); ++I)
       write(Source.Items_[I], List[I]);
@@ -426,8 +427,11 @@
     Decoded.Prefix_ = text(Records.getPrefix());
     Decoded.Complete_ = Records.getComplete();
     Decoded.Revision_ = Records.getRevision();
-    for (auto Record : Records.getRecords())
+    Decoded.Era_ = Records.getEra();
+    for (auto Record : Records.getRecords()) {
       Decoded.Items_.push_back(read(Record));
+      Decoded.Items_.back().Era_ = Decoded.Era_;
+    }
     return Decoded;
   }
   case Which::SUSPECTS:
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -127,6 +127,8 @@
   std::vector<StoreItem> Items_;
   bool Complete_ = false; ///< Items_ has all records as of Revision_.
   std::uint64_t Revision_ = 0;
+  /// The store's era that all records are of; 0 if it is not known.
+  std::uint64_t Era_ = 0;
 };
 
 /// Inputs that may crash targets.
--- a/source/Protocol/PlatformStore.cpp
+++ b/source/Protocol/PlatformStore.cpp
@@ -12,6 +12,8 @@
     return "ambiguous";
   case StoreStatus::Compacted:
     return "compacted";
+  case StoreStatus::EraChanged:
+    return "era_changed";
   case StoreStatus::LeaseNotFound:
     return "lease_gone";
   case StoreStatus::Conflict:
--- a/source/Protocol/PlatformStore.h
+++ b/source/Protocol/PlatformStore.h
@@ -16,6 +16,7 @@
   Unavailable, ///< The call had no effect, or a read was not answered.
   Ambiguous,   ///< A write was not answered; it may have taken effect.
   Compacted, ///< The changes that a watch needs were discarded; read the range.
+  EraChanged,    ///< The store was restored from a copy; read the range.
   LeaseNotFound, ///< The lease does not exist any more.
   Conflict,      ///< A condition did not hold.
   Invalid,       ///< The store refused the call.
@@ -29,6 +30,8 @@
   std::string Value_;
   std::uint64_t Revision_ = 0;
   bool Removed_ = false;
+  /// The store's era (see StoreItems) that gave out the revision.
+  std::uint64_t Era_ = 0;
 };
 
 struct StoreItems {
--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -98,6 +98,8 @@
     // stopped answering, which is noticed with a delay.
     RegistrySettings.ShortInterruption_ =
         2 * Host.HeartbeatPeriod_ - Host.shortWatchTime() - Host.watchSlack();
+    // The store removes a record after three intervals without a heartbeat.
+    RegistrySettings.ReappearanceDelay_ = 4 * Host.HeartbeatPeriod_;
     return RegistrySettings;
   }
   static coordination::SuspectRegistrySettings suspectSettings() {
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -301,6 +301,7 @@
   coordination::TargetChange Change;
   Change.Id_ = Item.Key_.substr(Codec_.targetPrefix().size());
   Change.Revision_ = Item.Revision_;
+  Change.Era_ = Item.Era_;
   if (!Item.Removed_) {
     auto Decoded =
         capture([&] { return Codec_.readTarget(Item.Key_, Item.Value_); });
@@ -311,8 +312,13 @@
           .field("key", Item.Key_)
           .field("error", Decoded.error().Message_);
   }
+  applyTargetChange(Change);
+}
+
+void EntryHost::applyTargetChange(const coordination::TargetChange &Change) {
   SteadyTime Now = SteadyClock::now();
-  Context_.Targets_.apply(Change, Now);
+  if (!Context_.Targets_.apply(Change, Now))
+    return;
   coordination::TargetNotices &Notices = Context_.Notices_;
   if (Change.Record_)
     Notices.onRecord(*Change.Record_, Now);
@@ -321,7 +327,7 @@
   else
     Notices.onRemoved(Change.Id_);
   if (Change.Record_ && !Change.Record_->InvalidField_.empty() &&
-      Notices.noteIrregular(Item.Key_))
+      Notices.noteIrregular(Codec_.targetPrefix() + Change.Id_))
     LogEvent(LogLevel::Warn, "target_field_ignored")
         .field("target", Change.Id_)
         .field("field", Change.Record_->InvalidField_)
@@ -376,6 +382,11 @@
   acceptCallersWhenReady();
 }
 
+void EntryHost::onRecordsRestored(const std::string &Prefix) {
+  if (Prefix == Codec_.targetPrefix())
+    Context_.Targets_.onStoreRestored(SteadyClock::now());
+}
+
 void EntryHost::onStoreConnected(const std::string &Prefix,
                                  bool /*Connected*/) {
   // Peers then elect other watchers, or stop looking for one, at once.
@@ -390,6 +401,9 @@
     SteadyTime Now = SteadyClock::now();
     for (const std::string &Id : Context_.Targets_.expire(Now))
       Context_.Notices_.onRemoved(Id);
+    for (const coordination::TargetChange &Change :
+         Context_.Targets_.takeReappeared(Now))
+      applyTargetChange(Change);
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -58,6 +58,7 @@
   onRecordsChanged(const std::string &Prefix,
                    const std::vector<protocol::StoreItem> &Changes) override;
   void onRecordsComplete(const std::string &Prefix) override;
+  void onRecordsRestored(const std::string &Prefix) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
   // DispatcherRouter
   std::string findDispatcher(const std::string &Service) const override;
@@ -71,6 +72,7 @@
 
 private:
   void applyTarget(const protocol::StoreItem &Item);
+  void applyTargetChange(const coordination::TargetChange &Change);
   void applyHost(const protocol::StoreItem &Item);
   /// Whether the configuration and the targets are known, so that requests can
   /// be routed.
--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -45,6 +45,9 @@
   for (;;) {
     std::string Prefix = Settings_.Prefix_;
     StoreItems Current = co_await Store_.range(Prefix);
+    if (Current.Status_ == StoreStatus::Ok &&
+        Listener_.isOutdated(Prefix, Current.Era_))
+      Current.Status_ = StoreStatus::EraChanged;
     if (Current.Status_ != StoreStatus::Ok) {
       setConnected(false, Current.Status_);
       if (HasItems_ && !Active_) {
@@ -64,19 +67,23 @@
         .field("items", Current.Items_.size())
         .field("revision", Current.Revision_)
         .field("era", Current.Era_);
-    Listener_.onStoreRange(Settings_.Prefix_, Current.Items_,
-                           Current.Revision_);
+    Listener_.onStoreRange(Settings_.Prefix_, Current.Items_, Current.Revision_,
+                           Current.Era_);
     UpToDate_ = Active_;
-    StoreStatus WatchEnd = co_await watch(Current.Revision_);
+    StoreStatus WatchEnd = co_await watch(Current.Revision_, Current.Era_);
     if (WatchEnd == StoreStatus::Ok) {
       co_await waitUntilActive();
       continue;
     }
-    if (WatchEnd != StoreStatus::Compacted)
+    if (WatchEnd != StoreStatus::Compacted &&
+        WatchEnd != StoreStatus::EraChanged)
       setConnected(false, WatchEnd);
     LogEvent(LogLevel::Info, "watch_ended")
         .field("prefix", Settings_.Prefix_)
         .field("status", toString(WatchEnd));
+    // Bounds the reads of a store that states the era in some answers only.
+    if (WatchEnd == StoreStatus::EraChanged)
+      co_await transport::pause(Loop_, Settings_.MinRetryDelay_);
   }
 }
 
@@ -85,13 +92,17 @@
   co_await Activated_.wait(NoDeadline);
 }
 
-Awaitable<StoreStatus> StoreFollower::watch(std::uint64_t Revision) {
+Awaitable<StoreStatus> StoreFollower::watch(std::uint64_t Revision,
+                                            std::uint64_t Era) {
   while (Active_) {
     std::string Prefix = Settings_.Prefix_;
     StoreItems Changes =
         co_await Store_.watch(Prefix, Revision, Settings_.WatchTime_);
     if (Changes.Status_ != StoreStatus::Ok)
       co_return Changes.Status_;
+    // Also if the revision exists in the new era: the changes up to it differ.
+    if (Changes.Era_ != 0 && Changes.Era_ != Era)
+      co_return StoreStatus::EraChanged;
     UpToDate_ = Active_;
     if (!Changes.Items_.empty())
       Listener_.onStoreChanges(Settings_.Prefix_, Changes.Items_);
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -27,10 +27,14 @@
 class StoreListener {
 public:
   virtual ~StoreListener() = default;
-  /// All items, read at \p Revision.
+  /// Whether an answer of \p Era comes from before the last known restore of
+  /// the store.
+  virtual bool isOutdated(const std::string &Prefix,
+                          std::uint64_t Era) const = 0;
+  /// All items, read at \p Revision of \p Era.
   virtual void onStoreRange(const std::string &Prefix,
                             const std::vector<protocol::StoreItem> &Items,
-                            std::uint64_t Revision) = 0;
+                            std::uint64_t Revision, std::uint64_t Era) = 0;
   virtual void
   onStoreChanges(const std::string &Prefix,
                  const std::vector<protocol::StoreItem> &Items) = 0;
@@ -57,9 +61,10 @@
 
 private:
   transport::Awaitable<void> follow();
-  /// Watches for changes after a revision. Returns why the watch cannot
-  /// continue, or Ok when this follower was made inactive.
-  transport::Awaitable<protocol::StoreStatus> watch(std::uint64_t Revision);
+  /// Watches for changes after a revision of \p Era. Returns why the watch
+  /// cannot continue, or Ok when this follower was made inactive.
+  transport::Awaitable<protocol::StoreStatus> watch(std::uint64_t Revision,
+                                                    std::uint64_t Era);
   transport::Awaitable<void> waitUntilActive();
   /// \p Status is the result of the call that shows it.
   void setConnected(bool Connected, protocol::StoreStatus Status);
--- a/source/Serving/StoreReplica.cpp
+++ b/source/Serving/StoreReplica.cpp
@@ -4,6 +4,7 @@
 #include "Support/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace amaranth::serving {
 
@@ -46,14 +47,55 @@
     Followed.Follower_->start();
 }
 
-StoreReplica::FollowedPrefix *
-StoreReplica::findFollowedPrefix(const std::string &Prefix) {
-  for (FollowedPrefix &Followed : FollowedPrefixes_)
+const StoreReplica::FollowedPrefix *
+StoreReplica::findFollowedPrefix(const std::string &Prefix) const {
+  for (const FollowedPrefix &Followed : FollowedPrefixes_)
     if (Followed.Prefix_ == Prefix)
       return &Followed;
   return nullptr;
 }
 
+StoreReplica::FollowedPrefix *
+StoreReplica::findFollowedPrefix(const std::string &Prefix) {
+  return const_cast<FollowedPrefix *>(
+      std::as_const(*this).findFollowedPrefix(Prefix));
+}
+
+bool StoreReplica::isOutdated(const std::string &Prefix,
+                              std::uint64_t Era) const {
+  return findFollowedPrefix(Prefix)->Mirror_.isOutdated(Era);
+}
+
+protocol::StoreRecords
+StoreReplica::allRecords(const FollowedPrefix &Followed) {
+  protocol::StoreRecords Records;
+  Records.Prefix_ = Followed.Prefix_;
+  Records.Items_ = Followed.Mirror_.items();
+  Records.Complete_ = true;
+  Records.Revision_ = Followed.Mirror_.revision();
+  Records.Era_ = Followed.Mirror_.era();
+  return Records;
+}
+
+std::vector<StoreItem>
+StoreReplica::applyList(FollowedPrefix &Followed,
+                        const std::vector<StoreItem> &Items,
+                        std::uint64_t Revision, std::uint64_t Era) {
+  coordination::StoreMirror &Mirror = Followed.Mirror_;
+  if (Mirror.isRestored(Era)) {
+    LogEvent(LogLevel::Warn, "store_restored")
+        .field("prefix", Followed.Prefix_)
+        .field("era_before", Mirror.era())
+        .field("era", Era)
+        .field("revision_before", Mirror.revision())
+        .field("revision", Revision);
+    Listener_.onRecordsRestored(Followed.Prefix_);
+  }
+  std::vector<StoreItem> Changes = Mirror.replace(Items, Revision, Era);
+  Listener_.onRecordsChanged(Followed.Prefix_, Changes);
+  return Changes;
+}
+
 void StoreReplica::electWatchers() {
   if (SteadyClock::now() - StartedAt_ < FirstElectionDelay)
     return;
@@ -127,11 +169,7 @@
     return;
   DiffersSince_.erase(Entry);
   for (const FollowedPrefix *Followed : DifferingPrefixes) {
-    protocol::StoreRecords Records;
-    Records.Prefix_ = Followed->Prefix_;
-    Records.Items_ = Followed->Mirror_.items();
-    Records.Complete_ = true;
-    Records.Revision_ = Followed->Mirror_.revision();
+    protocol::StoreRecords Records = allRecords(*Followed);
     LogEvent(LogLevel::Info, "records_sent")
         .field("host", State.Host_)
         .field("prefix", Followed->Prefix_)
@@ -140,13 +178,20 @@
   }
 }
 
-void StoreReplica::relayChanges(const std::string &Prefix,
+void StoreReplica::relayChanges(const FollowedPrefix &Followed,
                                 const std::vector<StoreItem> &Changes) {
-  if (!Watching_ || Changes.empty())
+  if (Changes.empty())
     return;
   protocol::StoreRecords Records;
-  Records.Prefix_ = Prefix;
+  Records.Prefix_ = Followed.Prefix_;
   Records.Items_ = Changes;
+  Records.Era_ = Followed.Mirror_.era();
+  relay(std::move(Records));
+}
+
+void StoreReplica::relay(protocol::StoreRecords Records) {
+  if (!Watching_)
+    return;
   FleetMessage Message = std::move(Records);
   Peers_.forEachServing([&](const HostState &Peer) {
     if (!Peer.ReadsStore_ && passesChangesTo(Peer.Host_))
@@ -170,31 +215,37 @@
   FollowedPrefix *Followed = findFollowedPrefix(Records.Prefix_);
   if (!Followed)
     return;
-  Listener_.onRecordsChanged(
-      Records.Prefix_,
-      Records.Complete_
-          ? Followed->Mirror_.replace(Records.Items_, Records.Revision_)
-          : Followed->Mirror_.apply(Records.Items_));
-  if (Records.Complete_)
-    Listener_.onRecordsComplete(Records.Prefix_);
+  if (!Records.Complete_) {
+    Listener_.onRecordsChanged(Records.Prefix_,
+                               Followed->Mirror_.apply(Records.Items_));
+    return;
+  }
+  if (Followed->Mirror_.isOutdated(Records.Era_))
+    return;
+  applyList(*Followed, Records.Items_, Records.Revision_, Records.Era_);
+  Listener_.onRecordsComplete(Records.Prefix_);
 }
 
 void StoreReplica::onStoreRange(const std::string &Prefix,
                                 const std::vector<StoreItem> &Items,
-                                std::uint64_t Revision) {
-  std::vector<StoreItem> Changes =
-      findFollowedPrefix(Prefix)->Mirror_.replace(Items, Revision);
-  Listener_.onRecordsChanged(Prefix, Changes);
-  relayChanges(Prefix, Changes);
+                                std::uint64_t Revision, std::uint64_t Era) {
+  FollowedPrefix &Followed = *findFollowedPrefix(Prefix);
+  bool IsRestored = Followed.Mirror_.isRestored(Era);
+  std::vector<StoreItem> Changes = applyList(Followed, Items, Revision, Era);
+  // Other hosts cannot apply changes to the records of the era before.
+  if (IsRestored)
+    relay(allRecords(Followed));
+  else
+    relayChanges(Followed, Changes);
   Listener_.onRecordsComplete(Prefix);
 }
 
 void StoreReplica::onStoreChanges(const std::string &Prefix,
                                   const std::vector<StoreItem> &Items) {
-  std::vector<StoreItem> Changes =
-      findFollowedPrefix(Prefix)->Mirror_.apply(Items);
+  FollowedPrefix &Followed = *findFollowedPrefix(Prefix);
+  std::vector<StoreItem> Changes = Followed.Mirror_.apply(Items);
   Listener_.onRecordsChanged(Prefix, Changes);
-  relayChanges(Prefix, Changes);
+  relayChanges(Followed, Changes);
 }
 
 void StoreReplica::onStoreConnected(const std::string &Prefix, bool Connected) {
--- a/source/Serving/StoreReplica.h
+++ b/source/Serving/StoreReplica.h
@@ -27,6 +27,10 @@
                    const std::vector<protocol::StoreItem> &Changes) = 0;
   /// The records of \p Prefix are complete.
   virtual void onRecordsComplete(const std::string &Prefix) = 0;
+  /// The store was restored from an older copy. Follow: onRecordsChanged() with
+  /// all records of the copy and removals of those that it lacks, then
+  /// onRecordsComplete().
+  virtual void onRecordsRestored(const std::string &Prefix) = 0;
   /// The store has stopped, or resumed, answering the calls for \p Prefix.
   virtual void onStoreConnected(const std::string &Prefix, bool Connected) = 0;
 };
@@ -61,7 +65,8 @@
   // StoreListener
   void onStoreRange(const std::string &Prefix,
                     const std::vector<protocol::StoreItem> &Items,
-                    std::uint64_t Revision) override;
+                    std::uint64_t Revision, std::uint64_t Era) override;
+  bool isOutdated(const std::string &Prefix, std::uint64_t Era) const override;
   void onStoreChanges(const std::string &Prefix,
                       const std::vector<protocol::StoreItem> &Items) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
@@ -73,12 +78,21 @@
     std::unique_ptr<StoreFollower> Follower_;
   };
 
+  const FollowedPrefix *findFollowedPrefix(const std::string &Prefix) const;
   FollowedPrefix *findFollowedPrefix(const std::string &Prefix);
+  /// Applies a complete list to the copy and reports the changes; returns them.
+  std::vector<protocol::StoreItem>
+  applyList(FollowedPrefix &Followed,
+            const std::vector<protocol::StoreItem> &Items,
+            std::uint64_t Revision, std::uint64_t Era);
+  /// All records of a prefix, for a host that may have none of them.
+  static protocol::StoreRecords allRecords(const FollowedPrefix &Followed);
   /// Whether this host is the watcher that passes changes on to \p Host.
   bool passesChangesTo(const std::string &Host) const;
-  /// Sends changes to the hosts that do not watch the store, each of which gets
+  /// Sends records to the hosts that do not watch the store, each of which gets
   /// them from one watcher.
-  void relayChanges(const std::string &Prefix,
+  void relay(protocol::StoreRecords Records);
+  void relayChanges(const FollowedPrefix &Followed,
                     const std::vector<protocol::StoreItem> &Changes);
 
   EntryContext &Context_;
--- a/tests/Coordination/Targets/TargetRegistryTest.cpp
+++ b/tests/Coordination/Targets/TargetRegistryTest.cpp
@@ -119,3 +119,79 @@
   Registry.apply(removal("t", 7), Now);
   CHECK(Registry.serving("other").empty());
 }
+
+namespace {
+
+TargetChange inEra(std::uint64_t Era, TargetChange Change) {
+  Change.Era_ = Era;
+  return Change;
+}
+
+} // namespace
+
+// Guards against ignoring targets that register or drain after the store was
+// restored from a copy, because their records have lower revisions.
+TEST_CASE("target registry: records of a later era are newer") {
+  TargetRegistry Registry;
+  Registry.apply(inEra(1, change("t", 90)), Now);
+  Registry.onStoreRestored(Now);
+  CHECK(Registry.apply(inEra(2, change("t", 5, true)), Now));
+  CHECK(Registry.find("t") == nullptr);
+  CHECK_FALSE(Registry.apply(inEra(1, change("t", 95, false, 2)), Now));
+  CHECK(Registry.find("t") == nullptr);
+}
+
+// Guards against requests for a draining target, and for an earlier process of
+// a target, because the copy has an older entry.
+TEST_CASE("target registry: an older copy does not undo what was known") {
+  TargetRegistry Registry;
+  Registry.apply(inEra(1, change("draining", 50, true)), Now);
+  Registry.apply(inEra(1, change("restarted", 60, false, 9)), Now);
+  Registry.onStoreRestored(Now);
+  Registry.apply(inEra(2, change("draining", 5)), Now);
+  CHECK_FALSE(Registry.apply(inEra(2, change("restarted", 6, true, 3)), Now));
+  CHECK(Registry.find("draining") == nullptr);
+  REQUIRE(Registry.find("restarted") != nullptr);
+  CHECK(Registry.find("restarted")->Incarnation_ == 9);
+  // The target has written its record again.
+  CHECK(Registry.apply(inEra(2, change("restarted", 7, true, 9)), Now));
+  CHECK(Registry.find("restarted") == nullptr);
+}
+
+// Guards against dropping sound targets that registered after the copy was
+// made, and against keeping those that ended during the restore.
+TEST_CASE("target registry: records that the copy lacks are kept for a while") {
+  TargetRegistry Registry;
+  Registry.apply(inEra(1, change("alive", 50)), Now);
+  Registry.apply(inEra(1, change("ended", 51)), Now);
+  Registry.onStoreRestored(Now);
+  Registry.apply(inEra(2, removal("alive", 9)), Now);
+  Registry.apply(inEra(2, removal("ended", 9)), Now);
+  CHECK(Registry.serving("s").size() == 2);
+  Registry.apply(inEra(2, change("alive", 10)), Now + Seconds{1});
+  CHECK(Registry.expire(Now + Seconds{2}) == std::vector<std::string>{"ended"});
+  CHECK(Registry.find("alive") != nullptr);
+}
+
+// Guards against requests for a target that has left, because the copy still
+// has its record, and against ignoring one that was only silent for a while.
+TEST_CASE(
+    "target registry: a removed target that reappears has to prove alive") {
+  TargetRegistry Registry;
+  for (const char *Id : {"left", "silent", "new"}) {
+    Registry.apply(inEra(1, change(Id, 50)), Now);
+    Registry.apply(inEra(1, removal(Id, 51)), Now);
+  }
+  Registry.onStoreRestored(Now);
+  CHECK_FALSE(Registry.apply(inEra(2, change("left", 5)), Now));
+  CHECK_FALSE(Registry.apply(inEra(2, change("silent", 6)), Now));
+  CHECK(Registry.apply(inEra(2, change("new", 7, false, 2)), Now));
+  CHECK(Registry.serving("s").size() == 1);
+  Registry.apply(inEra(2, removal("left", 8)), Now + Seconds{3});
+  CHECK(Registry.takeReappeared(Now + Seconds{4}).empty());
+  std::vector<TargetChange> Due = Registry.takeReappeared(Now + Seconds{5});
+  REQUIRE(Due.size() == 1);
+  CHECK(Registry.apply(Due[0], Now + Seconds{5}));
+  CHECK(Registry.find("silent") != nullptr);
+  CHECK(Registry.find("left") == nullptr);
+}
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -121,11 +121,13 @@
         PieceStatus::NoCapacity);
 
   StoreRecords Records{
-      "op/", {{"op/k", std::string("\0\xff", 2), 9, true}}, true, 12};
+      "op/", {{"op/k", std::string("\0\xff", 2), 9, true}}, true, 12, 3};
   StoreRecords ReadRecords = roundTrip(Records);
   CHECK(ReadRecords.Items_.at(0).Value_ == Records.Items_[0].Value_);
   CHECK(ReadRecords.Items_.at(0).Removed_);
   CHECK(ReadRecords.Complete_);
+  CHECK(ReadRecords.Era_ == 3);
+  CHECK(ReadRecords.Items_.at(0).Era_ == 3);
 
   SuspectRequests Suspects{{{"digest", {"t1", "t2"}, true}}};
   CHECK(roundTrip(Suspects).Inputs_.at(0).CrashedTargets_.size() == 2);
--- a/tests/Serving/StoreFollowerTest.cpp
+++ b/tests/Serving/StoreFollowerTest.cpp
@@ -17,6 +17,7 @@
     ++Ranges_;
     StoreItems Items;
     Items.Status_ = Status_;
+    Items.Era_ = RangeEra_;
     co_return Items;
   }
   Awaitable<StoreItems> watch(std::string, std::uint64_t,
@@ -26,6 +27,7 @@
     co_await transport::pause(Loop_, WatchTime);
     StoreItems Changes;
     Changes.Status_ = Status_;
+    Changes.Era_ = WatchEra_;
     co_return Changes;
   }
   Awaitable<StoreLease> grantLease(Milliseconds) override {
@@ -43,6 +45,8 @@
 
   transport::Loop &Loop_;
   StoreStatus Status_ = StoreStatus::Ok;
+  std::uint64_t RangeEra_ = 1;
+  std::uint64_t WatchEra_ = 1;
   int Ranges_ = 0;
   int Watches_ = 0;
 };
@@ -60,13 +64,19 @@
     Settings.MaxRetryDelay_ = Milliseconds{2};
     return Settings;
   }
+  bool isOutdated(const std::string &, std::uint64_t Era) const override {
+    return Era != 0 && Era < Era_;
+  }
   void onStoreRange(const std::string &, const std::vector<StoreItem> &,
-                    std::uint64_t) override {}
+                    std::uint64_t, std::uint64_t Era) override {
+    Era_ = Era;
+  }
   void onStoreChanges(const std::string &,
                       const std::vector<StoreItem> &) override {}
   void onStoreConnected(const std::string &, bool) override {}
   void run() { Loop_.run_for(Milliseconds{30}); }
 
+  std::uint64_t Era_ = 0;
   transport::Loop Loop_;
   CountingStore Store_{Loop_};
   StoreFollower Follower_{Loop_, Store_, *this, testSettings()};
@@ -113,3 +123,45 @@
   Host.run();
   CHECK_FALSE(Host.Follower_.connected());
 }
+
+// Guards against a watch that goes on after the store was restored from a copy
+// whose revisions have caught up: it lacks the changes up to its revision.
+TEST_CASE("store follower: an answer of another era makes it read again") {
+  FollowingHost Host;
+  Host.Follower_.setActive(true);
+  Host.run();
+  int RangesBefore = Host.Store_.Ranges_;
+  Host.Store_.RangeEra_ = 2;
+  Host.Store_.WatchEra_ = 2;
+  Host.run();
+  CHECK(Host.Store_.Ranges_ == RangesBefore + 1);
+  CHECK(Host.Era_ == 2);
+  CHECK(Host.Follower_.isUpToDate());
+}
+
+// Guards against records from before a restore that arrive late, as the answer
+// to a call that was made then.
+TEST_CASE("store follower: an answer of an earlier era is not used") {
+  FollowingHost Host;
+  Host.Era_ = 2;
+  Host.Follower_.setActive(true);
+  Host.run();
+  CHECK(Host.Era_ == 2);
+  CHECK_FALSE(Host.Follower_.isUpToDate());
+  Host.Store_.RangeEra_ = 2;
+  Host.Store_.WatchEra_ = 2;
+  Host.run();
+  CHECK(Host.Follower_.isUpToDate());
+}
+
+// Guards against reading without pause from a store that states its era in some
+// answers only.
+TEST_CASE("store follower: answers of different eras do not cause more reads") {
+  FollowingHost Host;
+  Host.Store_.RangeEra_ = 0;
+  Host.Store_.WatchEra_ = 4;
+  Host.Follower_.setActive(true);
+  Host.run();
+  CHECK(Host.Store_.Ranges_ <= 17); // one in 2 ms
+  CHECK(Host.Store_.Watches_ > 1);
+}
