Keep the operators' newer records when the store holds older ones

Callers would see a step back after a restore of the store: a route or key that was gone comes back, and an evacuated data centre gets requests, until the operators have written their records again.

Cause: the copy is older than what is in force. A configuration of a lower version never replaces a higher one (configuration_outdated), and an evacuation that the copy lacks is kept for 10 s.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -383,8 +383,12 @@
 }
 
 void EntryHost::onRecordsRestored(const std::string &Prefix) {
-  if (Prefix == Codec_.targetPrefix())
-    Context_.Targets_.onStoreRestored(SteadyClock::now());
+  SteadyTime Now = SteadyClock::now();
+  if (Prefix == Codec_.operatorPrefix()) {
+    OperatorRecords_.onStoreRestored(Now);
+  } else if (Prefix == Codec_.targetPrefix()) {
+    Context_.Targets_.onStoreRestored(Now);
+  }
 }
 
 void EntryHost::onStoreConnected(const std::string &Prefix,
@@ -404,6 +408,7 @@
     for (const coordination::TargetChange &Change :
          Context_.Targets_.takeReappeared(Now))
       applyTargetChange(Change);
+    OperatorRecords_.expire(Now);
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
--- a/source/Serving/OperatorRecords.cpp
+++ b/source/Serving/OperatorRecords.cpp
@@ -16,6 +16,7 @@
 
 void OperatorRecords::onComplete() {
   IsComplete_ = true;
+  IsRestoring_ = false;
   Context_.Table_ = LatestTable_;
 }
 
@@ -36,6 +37,13 @@
     return;
   }
   state::RoutingTable Table = std::move(*Decoded);
+  if (LatestTable_ && Table.Version_ < LatestTable_->Version_) {
+    LogEvent(LogLevel::Warn, "configuration_outdated")
+        .field("version", Table.Version_)
+        .field("revision", Item.Revision_)
+        .field("version_in_force", LatestTable_->Version_);
+    return;
+  }
   Table.Revision_ = Item.Revision_;
   LogEvent(LogLevel::Info, "configuration_taken")
       .field("version", Table.Version_)
@@ -57,18 +65,47 @@
           .field("irregular", Notices.irregularCount());
     return;
   }
-  if (!Notices.setEvacuated(DataCentre, !Item.Removed_))
+  if (Item.Removed_) {
+    if (IsRestoring_)
+      MissingEvacuations_.insert(DataCentre);
+    else
+      endEvacuation(DataCentre, Item.Revision_);
+    return;
+  }
+  MissingEvacuations_.erase(DataCentre);
+  if (!Notices.setEvacuated(DataCentre, true))
     return;
-  LogEvent(LogLevel::Info, Item.Removed_ ? "evacuation_ended" : "evacuated")
+  LogEvent(LogLevel::Info, "evacuated")
       .field("data_centre", DataCentre)
       .field("revision", Item.Revision_);
-  if (Item.Removed_)
-    Permits_.pace().targets().onDataCentreReturned(DataCentre,
-                                                   SteadyClock::now());
-  if (!Item.Removed_ && TargetsLoaded_)
+  if (TargetsLoaded_)
     reportUnknownDataCentre(DataCentre);
 }
 
+void OperatorRecords::endEvacuation(const std::string &DataCentre,
+                                    std::uint64_t Revision) {
+  MissingEvacuations_.erase(DataCentre);
+  if (!Context_.Notices_.setEvacuated(DataCentre, false))
+    return;
+  LogEvent(LogLevel::Info, "evacuation_ended")
+      .field("data_centre", DataCentre)
+      .field("revision", Revision);
+  Permits_.pace().targets().onDataCentreReturned(DataCentre,
+                                                 SteadyClock::now());
+}
+
+void OperatorRecords::onStoreRestored(SteadyTime Now) {
+  IsRestoring_ = true;
+  RewrittenBy_ = Now + RewriteTime;
+}
+
+void OperatorRecords::expire(SteadyTime Now) {
+  if (MissingEvacuations_.empty() || Now < RewrittenBy_)
+    return;
+  for (const std::string &DataCentre : std::set(MissingEvacuations_))
+    endEvacuation(DataCentre, LatestTable_ ? LatestTable_->Revision_ : 0);
+}
+
 void OperatorRecords::reportUnknownDataCentre(const std::string &DataCentre) {
   // The evacuation stays in force for targets that register there later.
   coordination::TargetNotices &Notices = Context_.Notices_;
--- a/source/Serving/OperatorRecords.h
+++ b/source/Serving/OperatorRecords.h
@@ -8,19 +8,34 @@
 #include "Serving/EntryContext.h"
 #include "Serving/SendPermits.h"
 
+#include <cstdint>
+#include <set>
 #include <string>
 
 namespace amaranth::serving {
 
 /// Puts the operators' records in force. The configuration is used once all
 /// records are known: evacuations are in force for the first request.
+///
+/// A store that was restored from a copy holds older records until the
+/// operators have written theirs again. A configuration of a lower version
+/// never replaces the one in force, and evacuations that the copy lacks are
+/// kept for RewriteTime.
 class OperatorRecords final {
 public:
   OperatorRecords(EntryContext &Context, SendPermits &Permits,
                   const protocol::RecordCodec &Codec)
       : Context_(Context), Permits_(Permits), Codec_(Codec) {}
 
+  /// Time within which operators write records again that a restored store
+  /// lacks.
+  static constexpr Milliseconds RewriteTime{10000};
+
   void apply(const protocol::StoreItem &Item);
+  /// The store was restored from a copy. Call before its records are applied.
+  void onStoreRestored(SteadyTime Now);
+  /// Ends evacuations that were not written again. Call often.
+  void expire(SteadyTime Now);
   /// All records are known.
   void onComplete();
   /// All targets are known: reports evacuations of data centres without any.
@@ -30,6 +45,7 @@
   void applyConfiguration(const protocol::StoreItem &Item);
   void applyEvacuation(const std::string &DataCentre,
                        const protocol::StoreItem &Item);
+  void endEvacuation(const std::string &DataCentre, std::uint64_t Revision);
   /// Logs an evacuation of a data centre in which no target is registered.
   void reportUnknownDataCentre(const std::string &DataCentre);
 
@@ -39,6 +55,12 @@
   state::RoutingTablePtr LatestTable_; ///< The newest configuration.
   bool IsComplete_ = false;
   bool TargetsLoaded_ = false;
+  /// The records of a restored store are being applied.
+  bool IsRestoring_ = false;
+  /// End of the time in which records that are missing may be written again.
+  SteadyTime RewrittenBy_{};
+  /// Evacuated data centres whose records are missing since a restore.
+  std::set<std::string> MissingEvacuations_;
 };
 
 } // namespace amaranth::serving
