Register again after the store was restored from a copy

Cause: leases granted after the copy are gone, and their ids are given out again. A host learned that at its next renewal, or not at all if the id was another host's by then: it renewed that lease, and its own registration was missing for hosts that start. Records of suspect parts were missing too.

A host drops its lease when it learns of the restore and registers again at a random moment within 5 s; the hosts elected for suspect parts write their records again.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -388,6 +388,9 @@
     OperatorRecords_.onStoreRestored(Now);
   } else if (Prefix == Codec_.targetPrefix()) {
     Context_.Targets_.onStoreRestored(Now);
+  } else {
+    Registration_.onStoreRestored();
+    SuspectExchange_.onStoreRestored();
   }
 }
 
--- a/source/Serving/HostRegistration.h
+++ b/source/Serving/HostRegistration.h
@@ -16,6 +16,9 @@
   Milliseconds LeaseTime_{20000};
   Milliseconds RenewPeriod_{5000};
   Milliseconds RetryPeriod_{500};
+  /// After a restore of the store, hosts register again within this time; at
+  /// once, they would exceed its limit for writes.
+  Milliseconds RestoreSpread_{5000};
 };
 
 /// Keeps this host's key in the store under a lease, so that other hosts can
@@ -27,6 +30,9 @@
                    HostRegistrationSettings Settings = {});
 
   void start();
+  /// The store was restored from an older copy: the lease may be unknown, or
+  /// its id may be given out to another host.
+  void onStoreRestored();
 
 private:
   transport::Awaitable<void> keepRegistered();
@@ -38,6 +44,9 @@
   std::string Value_;
   HostRegistrationSettings Settings_;
   std::uint64_t Lease_ = 0;
+  std::uint64_t Restores_ = 0; ///< Number of restores so far.
+  SteadyTime RegisterAt_{};    ///< Not before.
+  transport::Wakeup Changed_;
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/SuspectExchange.cpp
+++ b/source/Serving/SuspectExchange.cpp
@@ -40,6 +40,10 @@
   InformedPeers_.erase(Host);
 }
 
+void SuspectExchange::onStoreRestored() {
+  recordChanges(Context_.SuspectParts_.suspects(SteadyClock::now()));
+}
+
 void SuspectExchange::merge(const protocol::SuspectRequests &FromPeer) {
   for (const protocol::SuspectInput &Input : FromPeer.Inputs_)
     Context_.Suspects_.merge(Input);
--- a/source/Serving/SuspectExchange.h
+++ b/source/Serving/SuspectExchange.h
@@ -27,6 +27,9 @@
 
   void onPeerState(const protocol::HostState &State);
   void onPeerLost(const std::string &Host);
+  /// The store was restored from an older copy: writes the records of suspect
+  /// parts again.
+  void onStoreRestored();
   void merge(const protocol::SuspectRequests &FromPeer);
   void merge(const protocol::SuspectParts &FromPeer);
 
