Let the store double of the integration tests return from an earlier copy

Cause: the double never lost what it had acknowledged and stated no era, so that no test could show what hosts do after a restore of the store.

Change: copy(), goAway() and comeBack() restore the contents of an earlier moment: revisions, history and leases go back and are given out again, Store-Era is in all answers and rises by one, and a watch from a revision that the store does not have gets 410. Watches that wait through a restore end at once or go on. Transactions and renewals with an unknown lease get 404. An answer can be computed before a restore and delivered after it, and the era can be stated wrongly.

--- a/tests/Integration/Platform/StoreDouble.cpp
+++ b/tests/Integration/Platform/StoreDouble.cpp
@@ -3,15 +3,15 @@
 #include "Support/Digest.h"
 #include "Support/Time.h"
 
+#include <stdexcept>
+
 namespace amaranth::integration {
 
 using nlohmann::json;
 
 namespace {
 
-std::string jsonAnswer(int Status, const json &Body) {
-  return rawAnswer(Status, "Content-Type: application/json\r\n", Body.dump());
-}
+constexpr int LeaseTimeMs = 20000;
 
 std::string decodePercent(const std::string &Text) {
   std::string Result;
@@ -57,12 +57,14 @@
 
 void StoreDouble::write(const std::string &Key, const std::string &Value,
                         bool Removed) {
-  Change NewChange{Key, ++Revision_, Removed, Value};
+  if (IsAway_)
+    throw std::logic_error("the store is away");
+  Change NewChange{Key, ++Contents_.Revision_, Removed, Value};
   if (Removed)
-    Items_.erase(Key);
+    Contents_.Items_.erase(Key);
   else
-    Items_[Key] = NewChange;
-  History_.push_back(NewChange);
+    Contents_.Items_[Key] = NewChange;
+  Contents_.History_.push_back(NewChange);
   Changed_.notify_all();
 }
 
@@ -111,6 +113,63 @@
   Changed_.notify_all();
 }
 
+StoreDouble::Copy StoreDouble::copy() {
+  std::lock_guard Lock(Mutex_);
+  return Contents_;
+}
+
+void StoreDouble::goAway() {
+  std::lock_guard Lock(Mutex_);
+  IsAway_ = true;
+}
+
+void StoreDouble::comeBack() {
+  std::lock_guard Lock(Mutex_);
+  IsAway_ = false;
+  Changed_.notify_all();
+}
+
+void StoreDouble::comeBack(const Copy &Earlier, WaitingWatches Waiting) {
+  std::lock_guard Lock(Mutex_);
+  IsAway_ = false;
+  Contents_ = Earlier;
+  Waiting_ = Waiting;
+  ++Era_;
+  Changed_.notify_all();
+}
+
+void StoreDouble::setEraFields(std::optional<std::vector<std::string>> Values) {
+  std::lock_guard Lock(Mutex_);
+  EraFields_ = std::move(Values);
+}
+
+void StoreDouble::holdAnswer(std::size_t Host, const std::string &Call,
+                             const std::string &Prefix) {
+  std::lock_guard Lock(Mutex_);
+  Held_ = HeldAnswer{Host, Call, Prefix};
+}
+
+bool StoreDouble::isAnswerHeld() {
+  std::lock_guard Lock(Mutex_);
+  return Held_ && Held_->IsHeld_;
+}
+
+void StoreDouble::deliverHeldAnswer() {
+  std::lock_guard Lock(Mutex_);
+  Held_.reset();
+  Changed_.notify_all();
+}
+
+void StoreDouble::delayIfHeld(std::size_t Host, const std::string &Call,
+                              const std::string &Prefix,
+                              std::unique_lock<std::mutex> &Lock) {
+  if (!Held_ || Held_->IsHeld_ || Held_->Host_ != Host ||
+      Held_->Call_ != Call || Held_->Prefix_ != Prefix)
+    return;
+  Held_->IsHeld_ = true;
+  Changed_.wait(Lock, [this] { return IsStopping_ || !Held_; });
+}
+
 bool StoreDouble::isSilent(std::size_t Host, SteadyTime OpenedAt) const {
   return SilentHosts_.contains(Host) || OpenedAt <= SilentIfOpenedBy_;
 }
@@ -130,13 +189,33 @@
   return Result;
 }
 
-std::string StoreDouble::range(const std::string &Prefix) {
+std::string StoreDouble::eraFields() const {
+  std::string Fields;
+  for (const std::string &Value :
+       EraFields_.value_or(std::vector{std::to_string(Era_)}))
+    Fields += "Store-Era: " + Value + "\r\n";
+  return Fields;
+}
+
+std::string StoreDouble::statusAnswer(int Status) const {
+  return rawAnswer(Status, eraFields(), "");
+}
+
+std::string StoreDouble::jsonAnswer(const json &Body) const {
+  return rawAnswer(200, "Content-Type: application/json\r\n" + eraFields(),
+                   Body.dump());
+}
+
+std::string StoreDouble::range(std::size_t Host, const std::string &Prefix,
+                               std::unique_lock<std::mutex> &Lock) {
   json Items = json::array();
-  for (const auto &[Key, Item] : Items_)
+  for (const auto &[Key, Item] : Contents_.Items_)
     if (Key.rfind(Prefix, 0) == 0)
       Items.push_back(toJson(Item));
-  return jsonAnswer(
-      200, {{"items", Items}, {"truncated", false}, {"as_of", Revision_}});
+  std::string Answer = jsonAnswer(
+      {{"items", Items}, {"truncated", false}, {"as_of", Contents_.Revision_}});
+  delayIfHeld(Host, "kv-range", Prefix, Lock);
+  return Answer;
 }
 
 std::optional<std::string> StoreDouble::watch(std::size_t Host,
@@ -147,53 +226,82 @@
   Milliseconds Wait(std::stoll(Request.queryParameter("wait_ms")));
   json Events = json::array();
   std::unique_lock Lock(Mutex_);
+  if (IsAway_ && !isSilent(Host, OpenedAt))
+    return statusAnswer(503);
   int SilencesBefore = Silences_[Prefix];
+  std::uint64_t EraBefore = Era_;
   auto Position = Watchers_[Prefix].insert(Host);
   auto IsSilent = [&] {
     return Silences_[Prefix] != SilencesBefore || isSilent(Host, OpenedAt);
   };
+  auto LacksRevision = [&] {
+    return After > Contents_.Revision_ &&
+           (Era_ == EraBefore || Waiting_ == WaitingWatches::End);
+  };
   Changed_.wait_for(Lock, Wait, [&] {
-    for (const Change &Event : History_)
+    for (const Change &Event : Contents_.History_)
       if (Event.Revision_ > After && Event.Key_.rfind(Prefix, 0) == 0)
         Events.push_back(toJson(Event));
-    return IsStopping_ || IsDown_ || IsSilent() || !Events.empty();
+    return IsStopping_ || IsDown_ || IsSilent() || LacksRevision() ||
+           !Events.empty();
   });
   Watchers_[Prefix].erase(Position);
   if (IsSilent())
     return std::nullopt;
   if (IsDown_)
-    return rawAnswer(503, "", "");
-  return jsonAnswer(200, {{"events", Events}, {"as_of", Revision_}});
+    return statusAnswer(503);
+  if (LacksRevision())
+    return statusAnswer(410);
+  std::string Answer =
+      jsonAnswer({{"events", Events}, {"as_of", Contents_.Revision_}});
+  if (!Events.empty())
+    delayIfHeld(Host, "kv-watch", Prefix, Lock);
+  return Answer;
 }
 
 std::string StoreDouble::transact(const std::string &Body) {
   json Call = json::parse(Body);
+  for (const json &Write : Call.at("set_keys")) {
+    std::uint64_t Lease = Write.value("lease", std::uint64_t{0});
+    if (Lease != 0 && !Contents_.Leases_.contains(Lease))
+      return statusAnswer(404);
+  }
   for (const json &Write : Call.at("set_keys"))
     write(Write.at("key"), Write.at("value"), false);
-  return jsonAnswer(200, {{"revision", Revision_}});
+  return jsonAnswer({{"revision", Contents_.Revision_}});
+}
+
+std::string StoreDouble::keepLease(const std::string &Id) {
+  if (!Contents_.Leases_.contains(std::stoull(Id)))
+    return statusAnswer(404);
+  return jsonAnswer({{"ttl_ms", LeaseTimeMs}});
 }
 
 std::optional<std::string> StoreDouble::answer(std::size_t Host,
                                                SteadyTime OpenedAt,
                                                const RawRequest &Request) {
+  const std::string KeepCall = "kv-keep/";
   std::string Call =
       Request.path().substr(std::string("/amaranthcourse/").size());
   if (Call == "kv-watch")
     return watch(Host, OpenedAt, Request);
-  std::lock_guard Lock(Mutex_);
+  std::unique_lock Lock(Mutex_);
   if (isSilent(Host, OpenedAt))
     return std::nullopt;
-  if (IsDown_)
-    return rawAnswer(503, "", "");
+  if (IsDown_ || IsAway_)
+    return statusAnswer(503);
   if (Call == "kv-range")
-    return range(decodePercent(Request.queryParameter("prefix")));
+    return range(Host, decodePercent(Request.queryParameter("prefix")), Lock);
   if (Call == "kv-txn")
     return transact(Request.Body_);
-  if (Call == "kv-lease")
-    return jsonAnswer(200, {{"lease", ++LastLease_}, {"ttl_ms", 20000}});
-  if (Call.rfind("kv-keep/", 0) == 0)
-    return jsonAnswer(200, {{"ttl_ms", 20000}});
-  return rawAnswer(404, "", "");
+  if (Call == "kv-lease") {
+    Contents_.Leases_.insert(++Contents_.LastLease_);
+    return jsonAnswer(
+        {{"lease", Contents_.LastLease_}, {"ttl_ms", LeaseTimeMs}});
+  }
+  if (Call.rfind(KeepCall, 0) == 0)
+    return keepLease(Call.substr(KeepCall.size()));
+  return statusAnswer(404);
 }
 
 } // namespace amaranth::integration
