Tell hosts that start after a restore of the store what is in force

Cause: a host that starts between the store's return and the operators' next write reads the copy only. It served its older configuration, accepted a key that had been removed, and sent to a target that had reported draining.

For 10 s after a restore, one elected peer of each host sends it the configuration and the evacuations in force, and notices of the targets that are draining or whose record is withheld.

--- a/source/Coordination/Targets/TargetRegistry.cpp
+++ b/source/Coordination/Targets/TargetRegistry.cpp
@@ -165,6 +165,16 @@
   return HasRecord ? &*Found->second.Record_ : nullptr;
 }
 
+std::vector<TargetRecord> TargetRegistry::leaving() const {
+  std::vector<TargetRecord> Leaving;
+  for (const auto &[Id, Target] : Records_)
+    if (Target.Record_ && Target.Record_->IsDraining_)
+      Leaving.push_back(*Target.Record_);
+  for (const auto &[Id, Withheld] : Withheld_)
+    Leaving.push_back(*Withheld.Change_.Record_);
+  return Leaving;
+}
+
 bool TargetRegistry::hasTargetIn(const std::string &DataCentre) const {
   return std::any_of(Records_.begin(), Records_.end(), [&](const auto &Item) {
     return Item.second.Record_ &&
--- a/source/Coordination/Targets/TargetRegistry.h
+++ b/source/Coordination/Targets/TargetRegistry.h
@@ -78,6 +78,8 @@
   const state::TargetRecord *findRecord(const std::string &Id) const;
   /// Whether a target of \p DataCentre is registered.
   bool hasTargetIn(const std::string &DataCentre) const;
+  /// Records of targets that are draining, or whose record is withheld.
+  std::vector<state::TargetRecord> leaving() const;
   std::size_t size() const { return Records_.size(); }
 
 private:
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -76,6 +76,7 @@
       Processor_(Settings.ProcessorShare_), Placement_(Settings.Host_),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
+      RestoreExchange_(Context_, Peers_, OperatorRecords_),
       Incarnation_(std::random_device{}() | 1ULL),
       SuspectRecords_(Executor, Store, Context_.SuspectParts_),
       Replica_(Context_, Store, Peers_, *this,
@@ -145,6 +146,7 @@
 void EntryHost::onPeerState(const HostState &State) {
   Replica_.onPeerState(State);
   SuspectExchange_.onPeerState(State);
+  RestoreExchange_.onPeerState(State);
   if (!State.Serving_)
     PlacementAt_ = {};
   Context_.EngineMemory_.onPeerReport(State.Host_, State.Engines_,
@@ -202,7 +204,10 @@
       Dispatcher_.releaseResult(Result);
   } else if (const auto *Records =
                  std::get_if<protocol::StoreRecords>(&Message)) {
-    Replica_.merge(*Records);
+    if (Records->Prefix_ == RestoreExchange::InForcePrefix)
+      RestoreExchange_.merge(*Records);
+    else
+      Replica_.merge(*Records);
     acceptCallersWhenReady();
   } else if (const auto *Suspects =
                  std::get_if<protocol::SuspectRequests>(&Message)) {
@@ -386,6 +391,7 @@
   SteadyTime Now = SteadyClock::now();
   if (Prefix == Codec_.operatorPrefix()) {
     OperatorRecords_.onStoreRestored(Now);
+    RestoreExchange_.onStoreRestored(Now);
   } else if (Prefix == Codec_.targetPrefix()) {
     Context_.Targets_.onStoreRestored(Now);
   } else {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -12,6 +12,7 @@
 #include "Serving/HostRegistration.h"
 #include "Serving/OperatorRecords.h"
 #include "Serving/PeerMesh.h"
+#include "Serving/RestoreExchange.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageClient.h"
 #include "Serving/StageDispatcher.h"
@@ -111,6 +112,7 @@
   coordination::CallerPlacement Placement_;
   SteadyTime PlacementAt_{}; ///< When Placement_ was updated.
   HostRegistration Registration_;
+  RestoreExchange RestoreExchange_;
   std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
   SuspectPartRecords SuspectRecords_;
--- a/source/Serving/OperatorRecords.cpp
+++ b/source/Serving/OperatorRecords.cpp
@@ -50,6 +50,7 @@
       .field("revision", Table.Revision_)
       .field("routes", Table.Routes_.size());
   LatestTable_ = std::make_shared<const state::RoutingTable>(std::move(Table));
+  LatestConfiguration_ = Item;
   Permits_.pace().targets().onConfiguration(LatestTable_);
   if (IsComplete_)
     Context_.Table_ = LatestTable_;
@@ -73,6 +74,7 @@
     return;
   }
   MissingEvacuations_.erase(DataCentre);
+  Evacuations_[DataCentre] = Item;
   if (!Notices.setEvacuated(DataCentre, true))
     return;
   LogEvent(LogLevel::Info, "evacuated")
@@ -85,6 +87,7 @@
 void OperatorRecords::endEvacuation(const std::string &DataCentre,
                                     std::uint64_t Revision) {
   MissingEvacuations_.erase(DataCentre);
+  Evacuations_.erase(DataCentre);
   if (!Context_.Notices_.setEvacuated(DataCentre, false))
     return;
   LogEvent(LogLevel::Info, "evacuation_ended")
@@ -99,6 +102,31 @@
   RewrittenBy_ = Now + RewriteTime;
 }
 
+std::vector<StoreItem> OperatorRecords::inForce() const {
+  std::vector<StoreItem> Items;
+  if (LatestTable_)
+    Items.push_back(LatestConfiguration_);
+  for (const auto &[DataCentre, Item] : Evacuations_)
+    Items.push_back(Item);
+  return Items;
+}
+
+void OperatorRecords::mergeInForce(const std::vector<StoreItem> &Items,
+                                   SteadyTime Now) {
+  for (const StoreItem &Item : Items) {
+    std::optional<std::string> DataCentre =
+        Codec_.evacuatedDataCentre(Item.Key_);
+    if (DataCentre && !Evacuations_.contains(*DataCentre)) {
+      apply(Item);
+      MissingEvacuations_.insert(*DataCentre);
+      RewrittenBy_ = Now + RewriteTime;
+    }
+    bool IsConfiguration = Item.Key_ == Codec_.configurationKey();
+    if (IsConfiguration && Item.Value_ != LatestConfiguration_.Value_)
+      applyConfiguration(Item);
+  }
+}
+
 void OperatorRecords::expire(SteadyTime Now) {
   if (MissingEvacuations_.empty() || Now < RewrittenBy_)
     return;
--- a/source/Serving/OperatorRecords.h
+++ b/source/Serving/OperatorRecords.h
@@ -9,8 +9,10 @@
 #include "Serving/SendPermits.h"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace amaranth::serving {
 
@@ -34,6 +36,12 @@
   void apply(const protocol::StoreItem &Item);
   /// The store was restored from a copy. Call before its records are applied.
   void onStoreRestored(SteadyTime Now);
+  /// The configuration and the evacuations in force, as records.
+  std::vector<protocol::StoreItem> inForce() const;
+  /// Applies what is in force on another host that has seen a restore.
+  /// Evacuations end if the operators do not write them again.
+  void mergeInForce(const std::vector<protocol::StoreItem> &Items,
+                    SteadyTime Now);
   /// Ends evacuations that were not written again. Call often.
   void expire(SteadyTime Now);
   /// All records are known.
@@ -52,7 +60,10 @@
   EntryContext &Context_;
   SendPermits &Permits_;
   const protocol::RecordCodec &Codec_;
-  state::RoutingTablePtr LatestTable_; ///< The newest configuration.
+  state::RoutingTablePtr LatestTable_;      ///< The newest configuration.
+  protocol::StoreItem LatestConfiguration_; ///< The record of LatestTable_.
+  /// Records of the evacuations in force, by data centre.
+  std::map<std::string, protocol::StoreItem> Evacuations_;
   bool IsComplete_ = false;
   bool TargetsLoaded_ = false;
   /// The records of a restored store are being applied.
