--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -121,6 +121,7 @@
 }
 
 void TargetDouble::publishState(const char *State) {
+  State_ = State;
   Store_.put("servers/" + Id_, {{"service", Service_},
                                 {"address", address()},
                                 {"zone", Zone_},
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -32,6 +32,8 @@
   const std::string &id() const { return Id_; }
   std::string address() const { return Server_->address(); }
   void setDraining();
+  /// Writes its record once more.
+  void writeAgain() { publishState(State_); }
   /// Registers again with a later start time.
   void restart();
   int requests() const { return Requests_; }
@@ -46,6 +48,7 @@
   std::atomic<int> Requests_{0};
   std::unique_ptr<RawServer> Server_;
   int Born_ = 1;
+  const char *State_ = "ready";
 };
 
 /// Header fields of a valid answer to \p Request.
