--- a/tests/Integration/Platform/StoreRestoreTest.cpp
+++ b/tests/Integration/Platform/StoreRestoreTest.cpp
@@ -193,8 +193,7 @@
 // Rule CONFIG. Guards against a configuration that is ignored because its
 // revision is lower than those known from before a restore of the store.
 TEST_CASE("platform: a configuration written after a restore of the store is "
-          "in force",
-          "[.][known-red]") {
+          "in force") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -211,8 +210,7 @@
 // Rule DRAIN. Guards against the record of a draining target that is ignored
 // because its revision is lower than those known from before a restore.
 TEST_CASE("platform: a target that drains after a restore of the store gets "
-          "no request",
-          "[.][known-red]") {
+          "no request") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -230,8 +228,7 @@
 // watch waits through a restore and ends with changes of the new era, whose
 // revisions have risen above that of the watch before.
 TEST_CASE("platform: watches that wait through a restore of the store lose no "
-          "change",
-          "[.][known-red]") {
+          "change") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -284,8 +281,7 @@
 
 // Rules CONFIG, DRAIN. Guards against a second restore, to revisions below
 // those of the first, after which changes are ignored.
-TEST_CASE("platform: changes after two restores of the store are followed",
-          "[.][known-red]") {
+TEST_CASE("platform: changes after two restores of the store are followed") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -308,8 +304,7 @@
 // Rule CONFIG. Guards against an answer with changes of the old era that
 // arrives after a restore and undoes, or hides, the changes of the new one.
 TEST_CASE("platform: a late answer of the store from before its restore does "
-          "not undo a configuration",
-          "[.][known-red]") {
+          "not undo a configuration") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -336,8 +331,7 @@
 // Rule DRAIN. Guards against a late answer of the old era with a record that
 // says that a target is ready, which drains in the new era.
 TEST_CASE("platform: a late answer of the store from before its restore does "
-          "not return a draining target",
-          "[.][known-red]") {
+          "not return a draining target") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -360,8 +354,7 @@
 // Rules CONFIG, DRAIN. Guards against a host that starts after a restore and
 // uses the older records of the store, although its peers know newer ones.
 TEST_CASE("platform: a host that starts after a restore of the store uses the "
-          "records that its peers know",
-          "[.][known-red]") {
+          "records that its peers know") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -379,8 +372,7 @@
 // Rule CONFIG. Guards against a host whose first complete read, of the old era,
 // arrives after a restore, and which ignores what is written then.
 TEST_CASE("platform: a host that starts during a restore of the store follows "
-          "later changes",
-          "[.][known-red]") {
+          "later changes") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
@@ -440,8 +432,7 @@
 // has ended meanwhile, and stays in use for ever because no removal of its
 // record follows.
 TEST_CASE("platform: a target that is missing from a restored store for good "
-          "is gone",
-          "[.][known-red]") {
+          "is gone") {
   RestoredPlatform Setup;
   PlatformFleet Fleet(Setup.Store_, HostCount);
   waitUntilRead(Setup.Store_);
