--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -124,8 +124,10 @@
   Store_.put("servers/" + Id_, {{"service", Service_},
                                 {"address", address()},
                                 {"zone", Zone_},
+                                {"version", "v1"},
                                 {"slots", 8},
                                 {"state", State},
+                                {"cold_remaining_ms", 0},
                                 {"born", Born_},
                                 {"sequence", 1}});
 }
--- a/tests/Integration/Platform/PlatformRulesTest.cpp
+++ b/tests/Integration/Platform/PlatformRulesTest.cpp
@@ -212,8 +212,8 @@
   Platform Setup;
   auto Record = [](const std::string &Address, const std::string &Slots) {
     return R"({"service":"desk","address":")" + Address +
-           R"(","zone":"a","state":"ready","born":1,"sequence":1,"slots":)" +
-           Slots + "}";
+           R"(","zone":"a","version":"v1","state":"ready","born":1,)" +
+           R"("cold_remaining_ms":0,"sequence":1,"slots":)" + Slots + "}";
   };
   std::size_t Depth = 300000;
   const std::vector<std::string> OddValues = {
--- a/tests/Integration/Platform/TargetPaceTest.cpp
+++ b/tests/Integration/Platform/TargetPaceTest.cpp
@@ -55,6 +55,7 @@
     Store.put("servers/" + Id, {{"service", Service},
                                 {"address", Server_.address()},
                                 {"zone", Zone},
+                                {"version", "v1"},
                                 {"slots", 8},
                                 {"state", "ready"},
                                 {"cold_remaining_ms", Stated.count()},
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -136,7 +136,8 @@
     return capture([&] { return Codec.readTarget("servers/i-1", Value); });
   };
   auto Valid = Decode(R"({"service":"s","address":"10.0.0.1:80","zone":"a",
-    "slots":64,"state":"draining","born":1700000000000,"sequence":4})");
+    "version":"v1","slots":64,"state":"draining","cold_remaining_ms":0,
+    "born":1700000000000,"sequence":4})");
   REQUIRE(Valid);
   CHECK(Valid->Id_ == "i-1");
   CHECK(Valid->IsDraining_);
