Keep what is known of a target when its record becomes unreadable

Requests were refused with 503 while an entry of another writer stood under the key of the only target of a service. A target that had stated in an answer that it leaves got requests again once its own record was back (DRAIN).

Cause: applyTarget() passed a record that cannot be read on like a removal. The target left the routing, and TargetNotices forgot what it had stated, so that its own next record counted as a new registration.

Such a record now changes nothing: the one before holds until a readable record replaces it or the key is removed. The log line comes once for each key and counts irregular statements, as other writers may write often.

--- a/source/Coordination/Targets/TargetRegistry.h
+++ b/source/Coordination/Targets/TargetRegistry.h
@@ -34,7 +34,7 @@
 struct TargetChange {
   std::string Id_;
   std::uint64_t Revision_ = 0;
-  /// Empty if the record was removed or cannot be parsed.
+  /// Empty if the record was removed.
   std::optional<state::TargetRecord> Record_;
 };
 
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -365,12 +365,17 @@
   if (!Item.Removed_) {
     auto Decoded =
         capture([&] { return Codec_.readTarget(Item.Key_, Item.Value_); });
-    if (Decoded)
-      Change.Record_ = *Decoded;
-    else
-      LogEvent(LogLevel::Warn, "target_record_unreadable")
-          .field("key", Item.Key_)
-          .field("error", Decoded.error().Message_);
+    if (!Decoded) {
+      // Written by another writer: the target's own record holds until it is
+      // replaced by a readable one or removed.
+      if (Context_.Notices_.noteIrregular("record " + Item.Key_))
+        LogEvent(LogLevel::Warn, "target_record_unreadable")
+            .field("key", Item.Key_)
+            .field("error", Decoded.error().Message_)
+            .field("irregular", Context_.Notices_.irregularCount());
+      return;
+    }
+    Change.Record_ = *Decoded;
   }
   SteadyTime Now = SteadyClock::now();
   Context_.Targets_.apply(Change, Now);
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -134,6 +134,8 @@
 
 void TargetDouble::setDraining() { publishState("draining"); }
 
+void TargetDouble::setReady() { publishState("ready"); }
+
 void TargetDouble::restart() {
   ++Born_;
   publishState("ready");
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -32,6 +32,8 @@
   const std::string &id() const { return Id_; }
   std::string address() const { return Server_->address(); }
   void setDraining();
+  /// Writes the record of a ready target, with the same start time.
+  void setReady();
   /// Registers again with a later start time.
   void restart();
   int requests() const { return Requests_; }
