Keep the address of a peer when its registration is invalid

Cause: addOrUpdatePeer() stored any text as the address of a host. The task that keeps the connection ends at an address that cannot be parsed, and a later valid registration does not start it again while the host is known. Callers see this only if both hosts have invalid registrations of each other, as a ping brings the address too.

An address that is not IP:PORT is now refused and logged (host_record_unreadable, peer_address_invalid), and the known one stays.

Test: "peer mesh: an invalid address does not replace a valid one" failed before: no further connection, and the host was forgotten.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -409,8 +409,11 @@
     return;
   if (Item.Removed_)
     Peers_.markUnlisted(Host);
-  else
-    Peers_.addOrUpdatePeer(Host, Item.Value_);
+  else if (!Peers_.addOrUpdatePeer(Host, Item.Value_) &&
+           Context_.Notices_.noteIrregular("record " + Item.Key_))
+    LogEvent(LogLevel::Warn, "host_record_unreadable")
+        .field("key", Item.Key_)
+        .field("irregular", Context_.Notices_.irregularCount());
 }
 
 void EntryHost::onRecordsChanged(const std::string &Prefix,
--- a/source/Serving/PeerMesh.cpp
+++ b/source/Serving/PeerMesh.cpp
@@ -56,19 +56,22 @@
   return true;
 }
 
-void PeerMesh::addOrUpdatePeer(const std::string &Host,
+bool PeerMesh::addOrUpdatePeer(const std::string &Host,
                                const std::string &Address) {
+  if (!transport::parseEndpoint(Address))
+    return false;
   auto Found = Peers_.find(Host);
   if (Found != Peers_.end()) {
     Found->second->Listed_ = true;
     Found->second->Address_ = Address;
-    return;
+    return true;
   }
   auto NewPeer = std::make_shared<Peer>();
   NewPeer->Host_ = Host;
   NewPeer->Address_ = Address;
   Peers_[Host] = NewPeer;
   transport::startTask(Loop_, keepConnected(NewPeer));
+  return true;
 }
 
 void PeerMesh::markUnlisted(const std::string &Host) {
@@ -194,8 +197,13 @@
 void PeerMesh::handleMessage(const SessionPtr &PeerSession,
                              const FleetMessage &Message) {
   if (const auto *Ping = std::get_if<protocol::Ping>(&Message)) {
+    bool IsFirst = PeerSession->Host_.empty();
     PeerSession->Host_ = Ping->State_.Host_;
-    addOrUpdatePeer(Ping->State_.Host_, Ping->State_.PeerAddress_);
+    if (!addOrUpdatePeer(Ping->State_.Host_, Ping->State_.PeerAddress_) &&
+        IsFirst)
+      LogEvent(LogLevel::Warn, "peer_address_invalid")
+          .field("host", Ping->State_.Host_)
+          .field("address", Ping->State_.PeerAddress_);
     protocol::Pong OwnPong{Listener_.ownState()};
     enqueue(PeerSession, FleetMessage(std::move(OwnPong)));
     Listener_.onPeerState(Ping->State_);
--- a/source/Serving/PeerMesh.h
+++ b/source/Serving/PeerMesh.h
@@ -50,8 +50,9 @@
 
   /// Starts accepting peers. False if the address cannot be used.
   bool start();
-  /// Adds a host, or changes its address, and stays connected to it.
-  void addOrUpdatePeer(const std::string &Host, const std::string &Address);
+  /// Adds a host, or changes its address, and stays connected to it. Returns
+  /// false, and changes nothing, if \p Address is not IP:PORT.
+  bool addOrUpdatePeer(const std::string &Host, const std::string &Address);
   /// The store no longer lists the host. It is removed once it stops answering.
   void markUnlisted(const std::string &Host);
 
