Ignore a target's record with a service that the configuration lacks

Requests were refused with 503 while an otherwise whole entry of another writer with an unknown service stood under the key of the only target. A target that had stated that it leaves got requests again after its own record was back, if that entry had another "born" (DRAIN).

Cause: the record replaced the target's own, so that the target belonged to a service that nothing is routed to, and its notices ended with the new incarnation.

A record of a registered target that names a service which the configuration lacks is now set aside, and the one before holds. It is used when a later configuration names its service: targets write their record again only when it changes.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -5,6 +5,7 @@
 
 #include <ctime>
 #include <random>
+#include <utility>
 
 namespace amaranth::serving {
 
@@ -358,7 +359,19 @@
         .field("irregular", Notices.irregularCount());
 }
 
+bool EntryHost::namesUnknownService(const state::TargetRecord &Record) const {
+  const state::TargetRecord *Known = Context_.Targets_.findRecord(Record.Id_);
+  return Known && LatestTable_ && LatestTable_->findService(Known->Service_) &&
+         !LatestTable_->findService(Record.Service_);
+}
+
+void EntryHost::applyDeferredTargets() {
+  for (const auto &[Key, Item] : std::exchange(DeferredTargets_, {}))
+    applyTarget(Item);
+}
+
 void EntryHost::applyTarget(const StoreItem &Item) {
+  DeferredTargets_.erase(Item.Key_);
   coordination::TargetChange Change;
   Change.Id_ = Item.Key_.substr(Codec_.targetPrefix().size());
   Change.Revision_ = Item.Revision_;
@@ -375,6 +388,15 @@
             .field("irregular", Context_.Notices_.irregularCount());
       return;
     }
+    if (namesUnknownService(*Decoded)) {
+      if (Context_.Notices_.noteIrregular("service of " + Item.Key_))
+        LogEvent(LogLevel::Warn, "target_service_unknown")
+            .field("key", Item.Key_)
+            .field("service", Decoded->Service_)
+            .field("irregular", Context_.Notices_.irregularCount());
+      DeferredTargets_[Item.Key_] = Item;
+      return;
+    }
     Change.Record_ = *Decoded;
   }
   SteadyTime Now = SteadyClock::now();
@@ -432,6 +454,8 @@
     else
       applyOperatorRecord(Item);
   }
+  if (Prefix == Codec_.operatorPrefix())
+    applyDeferredTargets();
 }
 
 void EntryHost::onRecordsComplete(const std::string &Prefix) {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -76,6 +76,10 @@
                        const protocol::StoreItem &Item);
   /// Logs an evacuation of a data centre in which no target is registered.
   void reportUnknownDataCentre(const std::string &DataCentre);
+  /// Whether a record of a registered target names a service that the
+  /// configuration does not have.
+  bool namesUnknownService(const state::TargetRecord &Record) const;
+  void applyDeferredTargets();
   void applyTarget(const protocol::StoreItem &Item);
   void applyHost(const protocol::StoreItem &Item);
   /// Whether the configuration and the targets are known, so that requests can
@@ -123,6 +127,9 @@
   /// known: evacuations are in force for the first request.
   state::RoutingTablePtr LatestTable_;
   bool OperatorRecordsLoaded_ = false;
+  /// By key: records of registered targets that name a service that the
+  /// configuration does not have. They are used if a later one has it.
+  std::map<std::string, protocol::StoreItem> DeferredTargets_;
 };
 
 } // namespace amaranth::serving
--- a/tests/Integration/Platform/OddRecordTest.cpp
+++ b/tests/Integration/Platform/OddRecordTest.cpp
@@ -27,10 +27,17 @@
   NoBorn.erase("born");
   nlohmann::json OtherState = Whole;
   OtherState["state"] = "resting";
+  nlohmann::json OtherService = Whole;
+  OtherService["service"] = "nowhere";
   nlohmann::json FewFields{
       {"service", "desk"}, {"address", Address}, {"state", "ready"}};
-  return {
-      FewFields.dump(), NoBorn.dump(), OtherState.dump(), "[]", "\xff\xfe", ""};
+  return {FewFields.dump(),
+          NoBorn.dump(),
+          OtherState.dump(),
+          OtherService.dump(),
+          "[]",
+          "\xff\xfe",
+          ""};
 }
 
 /// Sends requests to all hosts in turn for \p Time. Returns how many were not
@@ -88,6 +95,35 @@
   }));
 }
 
+// Guards against a target that stays unused because its record arrived before
+// the configuration that names its service.
+TEST_CASE("platform: an odd record of an unknown service is used once known") {
+  StoreDouble Store;
+  nlohmann::json Configuration = platformConfiguration();
+  Store.put("op/config", Configuration);
+  TargetDouble Moving(Store, "i-1", "desk", answerDone);
+  PlatformFleet Fleet(Store, Hosts);
+  CHECK(sendFor(Fleet, SpreadTime / 4) == 0);
+  Store.put("servers/i-1", {{"service", "counter"},
+                            {"address", Moving.address()},
+                            {"zone", "a"},
+                            {"version", "v1"},
+                            {"slots", 8},
+                            {"state", "ready"},
+                            {"cold_remaining_ms", 0},
+                            {"born", 2},
+                            {"sequence", 1}});
+  CHECK(sendFor(Fleet, SpreadTime / 4) == 0);
+  std::string Text = Configuration.dump();
+  for (std::size_t At = 0; (At = Text.find("\"desk\"", At)) != Text.npos;)
+    Text.replace(At, 6, "\"counter\"");
+  Configuration = nlohmann::json::parse(Text);
+  Configuration["version"] = 1000;
+  Store.put("op/config", Configuration);
+  std::this_thread::sleep_for(SpreadTime);
+  CHECK(sendFor(Fleet, SpreadTime / 4) == 0);
+}
+
 // Rule DRAIN. Guards against requests to a target that has stated in an answer
 // that it leaves, after an odd record was taken for its removal and its own
 // record for a new registration.
