--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/SettingsFile.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -128,6 +129,33 @@
   CHECK(Decoded->findAccount("k3") == nullptr);
 }
 
+// Guards against a configuration without its parts that replaces a whole one:
+// it would have no routes, and without accounts it would admit any caller.
+TEST_CASE("record codec: a configuration without its parts is rejected") {
+  platform::RecordCodec Codec;
+  const auto Whole = nlohmann::json::parse(Configuration);
+  auto IsRead = [&](const nlohmann::json &Value) {
+    return static_cast<bool>(
+        capture([&] { return Codec.readConfiguration(Value.dump()); }));
+  };
+  CHECK(IsRead(Whole));
+  for (const char *Name : {"version", "routes", "services"}) {
+    INFO(Name);
+    nlohmann::json Changed = Whole;
+    Changed.erase(Name);
+    CHECK_FALSE(IsRead(Changed));
+    for (const char *Value : {"null", "\"x\"", "{}", "true"}) {
+      Changed[Name] = nlohmann::json::parse(Value);
+      CHECK_FALSE(IsRead(Changed));
+    }
+  }
+  nlohmann::json Changed = Whole;
+  Changed["tenants"] = "t";
+  CHECK_FALSE(IsRead(Changed));
+  Changed.erase("tenants");
+  CHECK(IsRead(Changed));
+}
+
 // Guards against using records that are not valid target records, such as those
 // of other writers.
 TEST_CASE("record codec: invalid target records are rejected") {
