Take an answer without the request's id for no answer to it

Orders ran at two targets (TWICE): a target in trouble sent "400, Not-Executed" without an id, late, ahead of its answer to the next order, and the host sent that order to another target as well.

Cause: isOwnAnswer() accepted any answer with Not-Executed that has no id. Hosts always send an id and targets echo it, refusals included, so that an answer without it is a remainder of something else.

Such an answer is now skipped like one with another id: the request's own answer counts, and the connection is not used again. If none comes, the request may have run.

--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -114,8 +114,9 @@
   // Interim answers precede the final one.
   if (Reader_->head().Status_ < MinFinalStatus)
     return false;
-  return RequestId_.empty() || Reply_.RequestId_ == RequestId_ ||
-         (Reply_.RequestId_.empty() && Reply_.NotExecuted_);
+  // Targets echo the id in each answer, refusals included. One without it may
+  // be a remainder of an earlier exchange and says nothing about this request.
+  return RequestId_.empty() || Reply_.RequestId_ == RequestId_;
 }
 
 Awaitable<LinkStatus> TargetExchange::skipBody() {
