Reject a response head that holds a second status line

Callers got the status of one answer with the signature and body of another: orders that the target had refused with 500 were answered 200 (MIXED). With the begin of a refusal an order ran at two targets (TWICE).

Cause: a target in trouble breaks an answer off within a header line, and its next answer follows. The parser reads both as one head: the second status line becomes the end of a field, and the request's id comes from the second.

A response whose reason phrase or a field holds a status line is now malformed, in every reader of responses. The request on the connection may have run, and the connection is closed.

--- a/source/Transport/HttpReader.cpp
+++ b/source/Transport/HttpReader.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <limits>
+#include <string_view>
 #include <variant>
 
 namespace amaranth::transport {
@@ -27,6 +28,25 @@
   return Head.count("transfer-encoding") == 0 || Chunked;
 }
 
+/// Whether \p Text has the begin of a status line, such as "HTTP/1.1 200". A
+/// response that was broken off and the one after it are otherwise read as one,
+/// with the status of the first and the fields of the second.
+bool holdsStatusLine(std::string_view Text) {
+  constexpr std::string_view Version = "HTTP/1.";
+  constexpr std::string_view Digits = "0123456789";
+  // The minor version, a space and three digits.
+  constexpr std::size_t RestBytes = 5;
+  for (std::size_t At = Text.find(Version); At != Text.npos;
+       At = Text.find(Version, At + 1)) {
+    std::string_view Rest = Text.substr(At + Version.size(), RestBytes);
+    if (Rest.size() == RestBytes && Rest[1] == ' ' &&
+        Digits.find(Rest[0]) != Digits.npos &&
+        Rest.find_first_not_of(Digits, 2) == Rest.npos)
+      return true;
+  }
+  return false;
+}
+
 } // namespace
 
 /// A string that grows with the bytes that arrive. http::string_body reserves
@@ -129,8 +149,12 @@
     Head_.Method_ = std::string(Request->get().method_string());
     Head_.Target_ = std::string(Request->get().target());
   } else {
-    unsigned Status = std::get_if<1>(&Parser_->Variant_)->get().result_int();
-    if (Status < MinStatus || Status > MaxStatus)
+    const auto &Response = std::get_if<1>(&Parser_->Variant_)->get();
+    unsigned Status = Response.result_int();
+    bool HoldsOther = holdsStatusLine(Response.reason());
+    for (const auto &Field : Response)
+      HoldsOther = HoldsOther || holdsStatusLine(Field.value());
+    if (Status < MinStatus || Status > MaxStatus || HoldsOther)
       State_ = State::Malformed;
     Head_.Status_ = static_cast<int>(Status);
   }
--- a/tests/Transport/HttpReaderTest.cpp
+++ b/tests/Transport/HttpReaderTest.cpp
@@ -101,6 +101,31 @@
   }
 }
 
+// Rules MIXED, TWICE. Pattern: a server in trouble begins an answer that
+// belongs to no request, and its next answer follows. Guards against a caller
+// that gets the status of the one with the fields and body of the other.
+TEST_CASE("http reader: two heads in one are no answer") {
+  const std::string Broken =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+      "Date: Mon, 07 Dec 2026 10:00:00 GMT\r\nX-A: b\r\n";
+  const std::string Whole =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 1\r\n\r\nx";
+  for (std::size_t Length = 1; Length <= Broken.size(); ++Length) {
+    CAPTURE(Broken.substr(0, Length));
+    HttpReader Reader = responseReader();
+    CHECK(feedAll(Reader, Broken.substr(0, Length) + Whole) ==
+          State::Malformed);
+  }
+  for (const char *Value : {"HTTP/1.1", "1.1 proxy", "HTTP/1.1 gateway",
+                            "HTTP/2 200", "HTTP/1.1 20", ""}) {
+    CAPTURE(Value);
+    HttpReader Reader = responseReader();
+    CHECK(feedAll(Reader, "HTTP/1.1 200 OK\r\nVia: " + std::string(Value) +
+                              "\r\nContent-Length: 0\r\n\r\n") ==
+          State::Complete);
+  }
+}
+
 // Guards against a different result when bytes come one at a time.
 TEST_CASE("http reader: the division of the bytes makes no difference") {
   const std::string Message =
