--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -5,6 +5,7 @@
 
 #include <ctime>
 #include <random>
+#include <utility>
 
 namespace amaranth::serving {
 
@@ -302,7 +303,20 @@
                             SteadyClock::now());
 }
 
+bool EntryHost::namesUnknownService(const state::TargetRecord &Record) const {
+  const state::TargetRecord *Known = Context_.Targets_.findRecord(Record.Id_);
+  const state::RoutingTablePtr &Table = OperatorRecords_.latestTable();
+  return Known && Table && Table->findService(Known->Service_) &&
+         !Table->findService(Record.Service_);
+}
+
+void EntryHost::applyDeferredTargets() {
+  for (const auto &[Key, Item] : std::exchange(DeferredTargets_, {}))
+    applyTarget(Item);
+}
+
 void EntryHost::applyTarget(const StoreItem &Item) {
+  DeferredTargets_.erase(Item.Key_);
   coordination::TargetChange Change;
   Change.Id_ = Item.Key_.substr(Codec_.targetPrefix().size());
   Change.Revision_ = Item.Revision_;
@@ -310,12 +324,26 @@
   if (!Item.Removed_) {
     auto Decoded =
         capture([&] { return Codec_.readTarget(Item.Key_, Item.Value_); });
-    if (Decoded)
-      Change.Record_ = *Decoded;
-    else
-      LogEvent(LogLevel::Warn, "target_record_unreadable")
-          .field("key", Item.Key_)
-          .field("error", Decoded.error().Message_);
+    if (!Decoded) {
+      // Written by another writer: the target's own record holds until it is
+      // replaced by a readable one or removed.
+      if (Context_.Notices_.noteIrregular("record " + Item.Key_))
+        LogEvent(LogLevel::Warn, "target_record_unreadable")
+            .field("key", Item.Key_)
+            .field("error", Decoded.error().Message_)
+            .field("irregular", Context_.Notices_.irregularCount());
+      return;
+    }
+    if (namesUnknownService(*Decoded)) {
+      if (Context_.Notices_.noteIrregular("service of " + Item.Key_))
+        LogEvent(LogLevel::Warn, "target_service_unknown")
+            .field("key", Item.Key_)
+            .field("service", Decoded->Service_)
+            .field("irregular", Context_.Notices_.irregularCount());
+      DeferredTargets_[Item.Key_] = Item;
+      return;
+    }
+    Change.Record_ = *Decoded;
   }
   applyTargetChange(Change);
 }
@@ -354,8 +382,11 @@
     return;
   if (Item.Removed_)
     Peers_.markUnlisted(Host);
-  else
-    Peers_.addOrUpdatePeer(Host, Item.Value_);
+  else if (!Peers_.addOrUpdatePeer(Host, Item.Value_) &&
+           Context_.Notices_.noteIrregular("record " + Item.Key_))
+    LogEvent(LogLevel::Warn, "host_record_unreadable")
+        .field("key", Item.Key_)
+        .field("irregular", Context_.Notices_.irregularCount());
 }
 
 void EntryHost::onRecordsChanged(const std::string &Prefix,
@@ -374,6 +405,8 @@
     else
       OperatorRecords_.apply(Item);
   }
+  if (Prefix == Codec_.operatorPrefix())
+    applyDeferredTargets();
 }
 
 void EntryHost::onRecordsComplete(const std::string &Prefix) {
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -72,6 +72,10 @@
   protocol::QueueState queueState(const std::string &Service) override;
 
 private:
+  /// Whether a record of a registered target names a service that the
+  /// configuration does not have.
+  bool namesUnknownService(const state::TargetRecord &Record) const;
+  void applyDeferredTargets();
   void applyTarget(const protocol::StoreItem &Item);
   void applyTargetChange(const coordination::TargetChange &Change);
   void applyHost(const protocol::StoreItem &Item);
@@ -118,6 +122,9 @@
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
   bool TargetsLoaded_ = false;
+  /// By key: records of registered targets that name a service that the
+  /// configuration does not have. They are used if a later one has it.
+  std::map<std::string, protocol::StoreItem> DeferredTargets_;
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/OperatorRecords.h
+++ b/source/Serving/OperatorRecords.h
@@ -36,6 +36,8 @@
   void apply(const protocol::StoreItem &Item);
   /// The store was restored from a copy. Call before its records are applied.
   void onStoreRestored(SteadyTime Now);
+  /// The newest configuration; null if none is known.
+  const state::RoutingTablePtr &latestTable() const { return LatestTable_; }
   /// The configuration and the evacuations in force, as records.
   std::vector<protocol::StoreItem> inForce() const;
   /// Applies what is in force on another host that has seen a restore.
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -111,7 +111,8 @@
       [this, Handle](RawServerConnection &Connection,
                      const RawRequest &Request) {
         if (Request.field("Expect-Instance") != Id_) {
-          Connection.write(rawAnswer(421, "", ""));
+          Connection.write(rawAnswer(
+              421, "Request-Id: " + Request.field("Request-Id") + "\r\n", ""));
           return true;
         }
         ++Requests_;
@@ -125,14 +126,18 @@
   Store_.put("servers/" + Id_, {{"service", Service_},
                                 {"address", address()},
                                 {"zone", Zone_},
+                                {"version", "v1"},
                                 {"slots", 8},
                                 {"state", State},
+                                {"cold_remaining_ms", 0},
                                 {"born", Born_},
                                 {"sequence", 1}});
 }
 
 void TargetDouble::setDraining() { publishState("draining"); }
 
+void TargetDouble::setReady() { publishState("ready"); }
+
 void TargetDouble::restart() {
   ++Born_;
   publishState("ready");
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -34,6 +34,8 @@
   void setDraining();
   /// Writes its record once more.
   void writeAgain() { publishState(State_); }
+  /// Writes the record of a ready target, with the same start time.
+  void setReady();
   /// Registers again with a later start time.
   void restart();
   int requests() const { return Requests_; }
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/SettingsFile.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <random>
 
@@ -128,6 +129,33 @@
   CHECK(Decoded->findAccount("k3") == nullptr);
 }
 
+// Guards against a configuration without its parts that replaces a whole one:
+// it would have no routes, and without accounts it would admit any caller.
+TEST_CASE("record codec: a configuration without its parts is rejected") {
+  platform::RecordCodec Codec;
+  const auto Whole = nlohmann::json::parse(Configuration);
+  auto IsRead = [&](const nlohmann::json &Value) {
+    return static_cast<bool>(
+        capture([&] { return Codec.readConfiguration(Value.dump()); }));
+  };
+  CHECK(IsRead(Whole));
+  for (const char *Name : {"version", "routes", "services"}) {
+    INFO(Name);
+    nlohmann::json Changed = Whole;
+    Changed.erase(Name);
+    CHECK_FALSE(IsRead(Changed));
+    for (const char *Value : {"null", "\"x\"", "{}", "true"}) {
+      Changed[Name] = nlohmann::json::parse(Value);
+      CHECK_FALSE(IsRead(Changed));
+    }
+  }
+  nlohmann::json Changed = Whole;
+  Changed["tenants"] = "t";
+  CHECK_FALSE(IsRead(Changed));
+  Changed.erase("tenants");
+  CHECK(IsRead(Changed));
+}
+
 // Guards against using records that are not valid target records, such as those
 // of other writers.
 TEST_CASE("record codec: invalid target records are rejected") {
@@ -136,7 +164,8 @@
     return capture([&] { return Codec.readTarget("servers/i-1", Value); });
   };
   auto Valid = Decode(R"({"service":"s","address":"10.0.0.1:80","zone":"a",
-    "slots":64,"state":"draining","born":1700000000000,"sequence":4})");
+    "version":"v1","slots":64,"state":"draining","cold_remaining_ms":0,
+    "born":1700000000000,"sequence":4})");
   REQUIRE(Valid);
   CHECK(Valid->Id_ == "i-1");
   CHECK(Valid->IsDraining_);
