Do not keep live targets refused after a restore of the store

Cause: withheld records were passed to all peers as notices that the target leaves, and such a notice ends only with another incarnation. Only draining targets are passed on now, to hosts that start after the restore, and a withheld record is used as soon as the target writes it again.

--- a/source/Coordination/Targets/TargetRegistry.cpp
+++ b/source/Coordination/Targets/TargetRegistry.cpp
@@ -26,20 +26,33 @@
   return Change.Era_ > std::max<std::uint64_t>(Target.Era_, 1);
 }
 
+bool TargetRegistry::withhold(const Entry &Target, const TargetChange &Change,
+                              SteadyTime Now) {
+  if (!Change.Record_ || !isFromLaterEra(Target, Change))
+    return false;
+  auto Withheld = Withheld_.find(Change.Id_);
+  bool IsSameEra = Withheld != Withheld_.end() &&
+                   Withheld->second.Change_.Era_ == Change.Era_;
+  // The target has written its record again.
+  if (IsSameEra && Change.Revision_ > Withheld->second.Change_.Revision_)
+    return false;
+  std::int64_t Incarnation = Change.Record_->Incarnation_;
+  bool IsRemoved =
+      Target.RemovedIncarnation_ && Incarnation <= *Target.RemovedIncarnation_;
+  // A clock that was set back gives a valid record a lower start time, too.
+  bool IsEarlier = Target.Record_ && Incarnation != 0 &&
+                   Incarnation < Target.Record_->Incarnation_;
+  if (!IsSameEra && (IsRemoved || IsEarlier))
+    Withheld_[Change.Id_] = {Change, Now + Settings_.ReappearanceDelay_};
+  return IsRemoved || IsEarlier;
+}
+
 bool TargetRegistry::apply(const TargetChange &Change, SteadyTime Now) {
   Entry &Target = Records_[Change.Id_];
   if (isOutdated(Target, Change))
     return false;
-  bool IsRestored = isFromLaterEra(Target, Change);
-  if (IsRestored && Change.Record_ && Target.RemovedIncarnation_ &&
-      Change.Record_->Incarnation_ <= *Target.RemovedIncarnation_) {
-    SteadyTime AppliesAt = Now + Settings_.ReappearanceDelay_;
-    auto [Withheld, IsNew] =
-        Withheld_.try_emplace(Change.Id_, WithheldChange{Change, AppliesAt});
-    if (!IsNew)
-      Withheld->second.Change_ = Change;
+  if (withhold(Target, Change, Now))
     return false;
-  }
   Withheld_.erase(Change.Id_);
   Target.Revision_ = Change.Revision_;
   Target.Era_ = std::max(Target.Era_, Change.Era_);
@@ -48,12 +61,6 @@
     remove(Target, Now);
     return true;
   }
-  // Without a restore, a lower start time comes from a clock that was set back.
-  if (IsRestored && Target.Record_ && Change.Record_->Incarnation_ != 0 &&
-      Change.Record_->Incarnation_ < Target.Record_->Incarnation_) {
-    Target.RemoveAt_.reset();
-    return false;
-  }
   // If the incarnation is unknown, a record that was removed and returns counts
   // as a new registration.
   bool IsRegisteredAgain =
@@ -61,6 +68,10 @@
   bool WasLeaving =
       Target.Record_ && Target.Record_->IsDraining_ && !IsRegisteredAgain &&
       Target.Record_->Incarnation_ == Change.Record_->Incarnation_;
+  WasLeaving = WasLeaving ||
+               (Change.Record_->Incarnation_ != 0 &&
+                Target.RemovedIncarnation_ == Change.Record_->Incarnation_ &&
+                Target.WasRemovedDraining_);
   if (Target.Record_)
     ByService_[Target.Record_->Service_].erase(Change.Id_);
   Target.Record_ = Change.Record_;
@@ -85,6 +96,7 @@
 void TargetRegistry::dropRecord(Entry &Target) {
   ByService_[Target.Record_->Service_].erase(Target.Record_->Id_);
   Target.RemovedIncarnation_ = Target.Record_->Incarnation_;
+  Target.WasRemovedDraining_ = Target.Record_->IsDraining_;
   Target.Record_.reset();
   Target.RemoveAt_.reset();
 }
@@ -103,7 +115,10 @@
       ++It;
       continue;
     }
-    Records_[It->first].RemovedIncarnation_.reset();
+    // It counts as the first change of its era that is not an older one.
+    Entry &Target = Records_[It->first];
+    Target.Era_ = It->second.Change_.Era_;
+    Target.Revision_ = 0;
     Due.push_back(std::move(It->second.Change_));
     It = Withheld_.erase(It);
   }
@@ -170,8 +185,6 @@
   for (const auto &[Id, Target] : Records_)
     if (Target.Record_ && Target.Record_->IsDraining_)
       Leaving.push_back(*Target.Record_);
-  for (const auto &[Id, Withheld] : Withheld_)
-    Leaving.push_back(*Withheld.Change_.Record_);
   return Leaving;
 }
 
--- a/source/Coordination/Targets/TargetRegistry.h
+++ b/source/Coordination/Targets/TargetRegistry.h
@@ -28,8 +28,10 @@
   /// How long a removal is remembered, so that an older copy from a peer does
   /// not restore the record.
   Milliseconds RemovalRetention_{60000};
-  /// A removed record that a restored store holds again gets no work for this
-  /// long. If its target has ended, the store removes the record meanwhile.
+  /// Records of a restored store that are older than what is known are withheld
+  /// for this long: those of removed targets and of earlier incarnations. If
+  /// the target has ended, the store removes the record meanwhile; if not, the
+  /// target may write it again sooner.
   Milliseconds ReappearanceDelay_{4800};
 };
 
@@ -78,7 +80,7 @@
   const state::TargetRecord *findRecord(const std::string &Id) const;
   /// Whether a target of \p DataCentre is registered.
   bool hasTargetIn(const std::string &DataCentre) const;
-  /// Records of targets that are draining, or whose record is withheld.
+  /// Records of targets that are draining.
   std::vector<state::TargetRecord> leaving() const;
   std::size_t size() const { return Records_.size(); }
 
@@ -92,6 +94,7 @@
     std::uint64_t Era_ = 0;
     /// Of the record that was removed last.
     std::optional<std::int64_t> RemovedIncarnation_;
+    bool WasRemovedDraining_ = false; ///< It was draining.
   };
   struct WithheldChange {
     TargetChange Change_;
@@ -101,6 +104,9 @@
   /// Whether \p Change is older than what is known, or the same.
   static bool isOutdated(const Entry &Target, const TargetChange &Change);
   static bool isFromLaterEra(const Entry &Target, const TargetChange &Change);
+  /// Withholds a record of a restored store that is older than what is known.
+  bool withhold(const Entry &Target, const TargetChange &Change,
+                SteadyTime Now);
   void remove(Entry &Target, SteadyTime Now);
   void dropRecord(Entry &Target);
 
--- a/source/Serving/RestoreExchange.h
+++ b/source/Serving/RestoreExchange.h
@@ -16,7 +16,7 @@
 /// A host that starts after the store was restored from an older copy reads the
 /// copy only. Until operators and targets have written their records again, one
 /// of its peers tells it the configuration and the evacuations in force, and
-/// the targets that get no new work.
+/// the targets that are draining.
 class RestoreExchange final {
 public:
   /// Stands in the place of a prefix in messages with records in force. Hosts
@@ -39,7 +39,8 @@
   PeerMesh &Peers_;
   OperatorRecords &Operators_;
   SteadyTime TellUntil_{};
-  /// Incarnations of the peers that have been told since the last restore.
+  /// Incarnations of the peers that have been told since the last restore, or
+  /// ran before it.
   std::map<std::string, std::uint64_t> InformedPeers_;
 };
 
--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -60,6 +60,12 @@
       continue;
     }
     RetryDelay = Settings_.MinRetryDelay_;
+    bool IsConfirmed = Current.Era_ == UnconfirmedEra_;
+    UnconfirmedEra_ = Current.Era_;
+    if (Listener_.isRestored(Prefix, Current.Era_) && !IsConfirmed) {
+      co_await transport::pause(Loop_, Settings_.MinRetryDelay_);
+      continue;
+    }
     HasItems_ = true;
     setConnected(true, Current.Status_);
     LogEvent(LogLevel::Info, "store_read")
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -31,6 +31,9 @@
   /// the store.
   virtual bool isOutdated(const std::string &Prefix,
                           std::uint64_t Era) const = 0;
+  /// Whether an answer of \p Era shows a restore that is not known yet.
+  virtual bool isRestored(const std::string &Prefix,
+                          std::uint64_t Era) const = 0;
   /// All items, read at \p Revision of \p Era.
   virtual void onStoreRange(const std::string &Prefix,
                             const std::vector<protocol::StoreItem> &Items,
@@ -43,7 +46,9 @@
 };
 
 /// Reads a prefix of the store and then watches it for changes. Reads it again
-/// whenever the watch cannot continue.
+/// whenever the watch cannot continue. A restore of the store counts once two
+/// reads in a row state the new era: a single wrong one would make the store's
+/// later answers look outdated.
 class StoreFollower final {
 public:
   StoreFollower(transport::Loop &Executor, protocol::PlatformStore &Store,
@@ -77,7 +82,8 @@
   bool Active_ = false;
   bool Connected_ = false;
   bool UpToDate_ = false;
-  bool HasItems_ = false; ///< The prefix has been read once.
+  bool HasItems_ = false;            ///< The prefix has been read once.
+  std::uint64_t UnconfirmedEra_ = 0; ///< New era that one read has stated.
 };
 
 } // namespace amaranth::serving
--- a/source/Serving/StoreReplica.cpp
+++ b/source/Serving/StoreReplica.cpp
@@ -66,6 +66,11 @@
   return findFollowedPrefix(Prefix)->Mirror_.isOutdated(Era);
 }
 
+bool StoreReplica::isRestored(const std::string &Prefix,
+                              std::uint64_t Era) const {
+  return findFollowedPrefix(Prefix)->Mirror_.isRestored(Era);
+}
+
 protocol::StoreRecords
 StoreReplica::allRecords(const FollowedPrefix &Followed) {
   protocol::StoreRecords Records;
@@ -213,7 +218,8 @@
 
 void StoreReplica::merge(const protocol::StoreRecords &Records) {
   FollowedPrefix *Followed = findFollowedPrefix(Records.Prefix_);
-  if (!Followed)
+  // A host that does not know of eras may be behind a restore.
+  if (!Followed || (Records.Era_ == 0 && Followed->Mirror_.era() > 1))
     return;
   if (!Records.Complete_) {
     Listener_.onRecordsChanged(Records.Prefix_,
--- a/source/Serving/StoreReplica.h
+++ b/source/Serving/StoreReplica.h
@@ -67,6 +67,7 @@
                     const std::vector<protocol::StoreItem> &Items,
                     std::uint64_t Revision, std::uint64_t Era) override;
   bool isOutdated(const std::string &Prefix, std::uint64_t Era) const override;
+  bool isRestored(const std::string &Prefix, std::uint64_t Era) const override;
   void onStoreChanges(const std::string &Prefix,
                       const std::vector<protocol::StoreItem> &Items) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
--- a/tests/Coordination/Targets/TargetRegistryTest.cpp
+++ b/tests/Coordination/Targets/TargetRegistryTest.cpp
@@ -195,3 +195,36 @@
   CHECK(Registry.find("silent") != nullptr);
   CHECK(Registry.find("left") == nullptr);
 }
+
+// Guards against refusing a live target for longer than it is silent: one that
+// writes its record again after the restore, and one that was started again by
+// a clock that had been set back.
+TEST_CASE("target registry: a target that writes again is used at once") {
+  TargetRegistry Registry;
+  Registry.apply(inEra(1, change("silent", 50)), Now);
+  Registry.apply(inEra(1, removal("silent", 51)), Now);
+  Registry.apply(inEra(1, change("set back", 52, true, 9)), Now);
+  Registry.onStoreRestored(Now);
+  CHECK_FALSE(Registry.apply(inEra(2, change("silent", 5)), Now));
+  CHECK_FALSE(Registry.apply(inEra(2, change("silent", 5)), Now));
+  CHECK(Registry.apply(inEra(2, change("silent", 7)), Now));
+  CHECK(Registry.find("silent") != nullptr);
+  CHECK_FALSE(Registry.apply(inEra(2, change("set back", 6, false, 4)), Now));
+  CHECK(Registry.find("set back") == nullptr);
+  for (const TargetChange &Due : Registry.takeReappeared(Now + Seconds{5}))
+    CHECK(Registry.apply(Due, Now + Seconds{5}));
+  CHECK(Registry.find("set back") != nullptr);
+}
+
+// Guards against requests for a draining target whose record was missing from
+// the copy and is then written from an older state.
+TEST_CASE(
+    "target registry: a draining target that was missing stays draining") {
+  TargetRegistry Registry;
+  Registry.apply(inEra(1, change("t", 50, true)), Now);
+  Registry.onStoreRestored(Now);
+  Registry.apply(inEra(2, removal("t", 5)), Now);
+  Registry.expire(Now + Seconds{2});
+  Registry.apply(inEra(2, change("t", 6)), Now + Seconds{3});
+  CHECK(Registry.find("t") == nullptr);
+}
--- a/tests/Serving/StoreFollowerTest.cpp
+++ b/tests/Serving/StoreFollowerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
+
 using namespace amaranth;
 using namespace amaranth::protocol;
 using namespace amaranth::serving;
@@ -17,7 +19,9 @@
     ++Ranges_;
     StoreItems Items;
     Items.Status_ = Status_;
-    Items.Era_ = RangeEra_;
+    Items.Era_ = std::exchange(NextRangeEra_, 0);
+    if (Items.Era_ == 0)
+      Items.Era_ = RangeEra_;
     co_return Items;
   }
   Awaitable<StoreItems> watch(std::string, std::uint64_t,
@@ -46,6 +50,7 @@
   transport::Loop &Loop_;
   StoreStatus Status_ = StoreStatus::Ok;
   std::uint64_t RangeEra_ = 1;
+  std::uint64_t NextRangeEra_ = 0; ///< Of the next range only; 0 for RangeEra_.
   std::uint64_t WatchEra_ = 1;
   int Ranges_ = 0;
   int Watches_ = 0;
@@ -67,6 +72,9 @@
   bool isOutdated(const std::string &, std::uint64_t Era) const override {
     return Era != 0 && Era < Era_;
   }
+  bool isRestored(const std::string &, std::uint64_t Era) const override {
+    return Era_ != 0 && Era > Era_;
+  }
   void onStoreRange(const std::string &, const std::vector<StoreItem> &,
                     std::uint64_t, std::uint64_t Era) override {
     Era_ = Era;
@@ -134,7 +142,8 @@
   Host.Store_.RangeEra_ = 2;
   Host.Store_.WatchEra_ = 2;
   Host.run();
-  CHECK(Host.Store_.Ranges_ == RangesBefore + 1);
+  // The second one confirms the era.
+  CHECK(Host.Store_.Ranges_ == RangesBefore + 2);
   CHECK(Host.Era_ == 2);
   CHECK(Host.Follower_.isUpToDate());
 }
@@ -165,3 +174,13 @@
   CHECK(Host.Store_.Ranges_ <= 17); // one in 2 ms
   CHECK(Host.Store_.Watches_ > 1);
 }
+
+// Guards against one wrong answer that makes all later ones look outdated.
+TEST_CASE("store follower: an era that only one answer states is not used") {
+  FollowingHost Host;
+  Host.Store_.NextRangeEra_ = 20;
+  Host.Follower_.setActive(true);
+  Host.run();
+  CHECK(Host.Era_ == 1);
+  CHECK(Host.Follower_.isUpToDate());
+}
