--- a/source/Protocol/Fleet.capnp
+++ b/source/Protocol/Fleet.capnp
@@ -24,6 +24,9 @@
     # are messages of their own so that other pings do not grow.
     loadedPing @13 :LoadedHostState;
     loadedPong @14 :LoadedHostState;
+    # Records in the platform's store; hosts do not send them to each other.
+    serviceVersion @15 :ServiceVersion;
+    streamVersions @16 :StreamVersions;
   }
 }
 
@@ -174,3 +177,16 @@
   target @0 :Text;
   outcome @1 :UInt16;
 }
+
+# A version of a service's software that is, or was until recently, in service.
+struct ServiceVersion {
+  service @0 :Text;
+  version @1 :Text;
+}
+
+# Streams that one host began, with the versions that began them.
+struct StreamVersions {
+  versions @0 :List(Text);
+  streams @1 :List(UInt64);  # hashes of service and request id
+  indexes @2 :List(UInt16);  # of each stream in versions
+}
--- a/source/Protocol/Fleet.capnp.h
+++ b/source/Protocol/Fleet.capnp.h
@@ -37,6 +37,8 @@
 CAPNP_DECLARE_SCHEMA(f74fdff8a84d2f86);
 CAPNP_DECLARE_SCHEMA(da5c47c7740e8fba);
 CAPNP_DECLARE_SCHEMA(b793789ea8af9519);
+CAPNP_DECLARE_SCHEMA(90420ee987e1dfb6);
+CAPNP_DECLARE_SCHEMA(e7e4efaffd1b891a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -67,6 +69,8 @@
     PACE_REPORT,
     LOADED_PING,
     LOADED_PONG,
+    SERVICE_VERSION,
+    STREAM_VERSIONS,
   };
 
   struct _capnpPrivate {
@@ -332,6 +336,36 @@
   };
 };
 
+struct ServiceVersion {
+  ServiceVersion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90420ee987e1dfb6, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct StreamVersions {
+  StreamVersions() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e7e4efaffd1b891a, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class FleetMessage::Reader {
@@ -412,6 +446,14 @@
   inline bool hasLoadedPong() const;
   inline  ::amaranth::protocol::fleet::LoadedHostState::Reader getLoadedPong() const;
 
+  inline bool isServiceVersion() const;
+  inline bool hasServiceVersion() const;
+  inline  ::amaranth::protocol::fleet::ServiceVersion::Reader getServiceVersion() const;
+
+  inline bool isStreamVersions() const;
+  inline bool hasStreamVersions() const;
+  inline  ::amaranth::protocol::fleet::StreamVersions::Reader getStreamVersions() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -561,6 +603,22 @@
   inline void adoptLoadedPong(::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState>&& value);
   inline ::capnp::Orphan< ::amaranth::protocol::fleet::LoadedHostState> disownLoadedPong();
 
+  inline bool isServiceVersion();
+  inline bool hasServiceVersion();
+  inline  ::amaranth::protocol::fleet::ServiceVersion::Builder getServiceVersion();
+  inline void setServiceVersion( ::amaranth::protocol::fleet::ServiceVersion::Reader value);
+  inline  ::amaranth::protocol::fleet::ServiceVersion::Builder initServiceVersion();
+  inline void adoptServiceVersion(::capnp::Orphan< ::amaranth::protocol::fleet::ServiceVersion>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::ServiceVersion> disownServiceVersion();
+
+  inline bool isStreamVersions();
+  inline bool hasStreamVersions();
+  inline  ::amaranth::protocol::fleet::StreamVersions::Builder getStreamVersions();
+  inline void setStreamVersions( ::amaranth::protocol::fleet::StreamVersions::Reader value);
+  inline  ::amaranth::protocol::fleet::StreamVersions::Builder initStreamVersions();
+  inline void adoptStreamVersions(::capnp::Orphan< ::amaranth::protocol::fleet::StreamVersions>&& value);
+  inline ::capnp::Orphan< ::amaranth::protocol::fleet::StreamVersions> disownStreamVersions();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2446,6 +2504,201 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServiceVersion::Reader {
+public:
+  typedef ServiceVersion Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServiceVersion::Builder {
+public:
+  typedef ServiceVersion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServiceVersion::Pipeline {
+public:
+  typedef ServiceVersion Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StreamVersions::Reader {
+public:
+  typedef StreamVersions Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVersions() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getVersions() const;
+
+  inline bool hasStreams() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getStreams() const;
+
+  inline bool hasIndexes() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getIndexes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StreamVersions::Builder {
+public:
+  typedef StreamVersions Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasVersions();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getVersions();
+  inline void setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initVersions(unsigned int size);
+  inline void adoptVersions(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownVersions();
+
+  inline bool hasStreams();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getStreams();
+  inline void setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setStreams(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initStreams(unsigned int size);
+  inline void adoptStreams(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownStreams();
+
+  inline bool hasIndexes();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getIndexes();
+  inline void setIndexes( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setIndexes(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initIndexes(unsigned int size);
+  inline void adoptIndexes(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownIndexes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StreamVersions::Pipeline {
+public:
+  typedef StreamVersions Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::amaranth::protocol::fleet::FleetMessage::Which FleetMessage::Reader::which() const {
@@ -3267,6 +3520,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isServiceVersion() const {
+  return which() == FleetMessage::SERVICE_VERSION;
+}
+inline bool FleetMessage::Builder::isServiceVersion() {
+  return which() == FleetMessage::SERVICE_VERSION;
+}
+inline bool FleetMessage::Reader::hasServiceVersion() const {
+  if (which() != FleetMessage::SERVICE_VERSION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasServiceVersion() {
+  if (which() != FleetMessage::SERVICE_VERSION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::ServiceVersion::Reader FleetMessage::Reader::getServiceVersion() const {
+  KJ_IREQUIRE((which() == FleetMessage::SERVICE_VERSION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::ServiceVersion::Builder FleetMessage::Builder::getServiceVersion() {
+  KJ_IREQUIRE((which() == FleetMessage::SERVICE_VERSION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setServiceVersion( ::amaranth::protocol::fleet::ServiceVersion::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SERVICE_VERSION);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::ServiceVersion::Builder FleetMessage::Builder::initServiceVersion() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SERVICE_VERSION);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptServiceVersion(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::ServiceVersion>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SERVICE_VERSION);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::ServiceVersion> FleetMessage::Builder::disownServiceVersion() {
+  KJ_IREQUIRE((which() == FleetMessage::SERVICE_VERSION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::ServiceVersion>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetMessage::Reader::isStreamVersions() const {
+  return which() == FleetMessage::STREAM_VERSIONS;
+}
+inline bool FleetMessage::Builder::isStreamVersions() {
+  return which() == FleetMessage::STREAM_VERSIONS;
+}
+inline bool FleetMessage::Reader::hasStreamVersions() const {
+  if (which() != FleetMessage::STREAM_VERSIONS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasStreamVersions() {
+  if (which() != FleetMessage::STREAM_VERSIONS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::amaranth::protocol::fleet::StreamVersions::Reader FleetMessage::Reader::getStreamVersions() const {
+  KJ_IREQUIRE((which() == FleetMessage::STREAM_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::amaranth::protocol::fleet::StreamVersions::Builder FleetMessage::Builder::getStreamVersions() {
+  KJ_IREQUIRE((which() == FleetMessage::STREAM_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setStreamVersions( ::amaranth::protocol::fleet::StreamVersions::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::STREAM_VERSIONS);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::amaranth::protocol::fleet::StreamVersions::Builder FleetMessage::Builder::initStreamVersions() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::STREAM_VERSIONS);
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptStreamVersions(
+    ::capnp::Orphan< ::amaranth::protocol::fleet::StreamVersions>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::STREAM_VERSIONS);
+  ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::amaranth::protocol::fleet::StreamVersions> FleetMessage::Builder::disownStreamVersions() {
+  KJ_IREQUIRE((which() == FleetMessage::STREAM_VERSIONS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::amaranth::protocol::fleet::StreamVersions>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool HostState::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5324,6 +5685,188 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ServiceVersion::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceVersion::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceVersion::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceVersion::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceVersion::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceVersion::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceVersion::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceVersion::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceVersion::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServiceVersion::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceVersion::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServiceVersion::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceVersion::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamVersions::Reader::hasVersions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersions::Builder::hasVersions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader StreamVersions::Reader::getVersions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamVersions::Builder::getVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StreamVersions::Builder::setVersions( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void StreamVersions::Builder::setVersions(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder StreamVersions::Builder::initVersions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StreamVersions::Builder::adoptVersions(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> StreamVersions::Builder::disownVersions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool StreamVersions::Reader::hasStreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersions::Builder::hasStreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader StreamVersions::Reader::getStreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamVersions::Builder::getStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StreamVersions::Builder::setStreams( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void StreamVersions::Builder::setStreams(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamVersions::Builder::initStreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void StreamVersions::Builder::adoptStreams(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> StreamVersions::Builder::disownStreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool StreamVersions::Reader::hasIndexes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool StreamVersions::Builder::hasIndexes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader StreamVersions::Reader::getIndexes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamVersions::Builder::getIndexes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void StreamVersions::Builder::setIndexes( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void StreamVersions::Builder::setIndexes(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder StreamVersions::Builder::initIndexes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void StreamVersions::Builder::adoptIndexes(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> StreamVersions::Builder::disownIndexes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/source/Protocol/FleetMessages.cpp
+++ b/source/Protocol/FleetMessages.cpp
@@ -268,6 +268,23 @@
       List[I].setLastAttemptAgeMs(Part.LastAttemptAge_.count());
     }
   }
+  void operator()(const ServiceVersion &Source) {
+    auto Encoded = Builder_.initServiceVersion();
+    Encoded.setService(Source.Service_);
+    Encoded.setVersion(Source.Version_);
+  }
+  void operator()(const StreamVersions &Source) {
+    auto Encoded = Builder_.initStreamVersions();
+    auto Versions = Encoded.initVersions(Source.Versions_.size());
+    for (unsigned I = 0; I < Source.Versions_.size(); ++I)
+      Versions.set(I, Source.Versions_[I]);
+    auto Streams = Encoded.initStreams(Source.Streams_.size());
+    auto Indexes = Encoded.initIndexes(Source.Streams_.size());
+    for (unsigned I = 0; I < Source.Streams_.size(); ++I) {
+      Streams.set(I, Source.Streams_[I].Stream_);
+      Indexes.set(I, static_cast<std::uint16_t>(Source.Streams_[I].Version_));
+    }
+  }
   void operator()(const TargetNotice &Source) {
     auto Encoded = Builder_.initTargetNotice();
     Encoded.setTarget(Source.Target_);
@@ -388,6 +405,22 @@
   return Decoded;
 }
 
+std::optional<FleetMessage> read(fleet::StreamVersions::Reader Source) {
+  StreamVersions Decoded;
+  for (auto Version : Source.getVersions())
+    Decoded.Versions_.push_back(text(Version));
+  auto Streams = Source.getStreams();
+  auto Indexes = Source.getIndexes();
+  if (Streams.size() != Indexes.size())
+    return std::nullopt;
+  for (unsigned I = 0; I < Streams.size(); ++I) {
+    if (Indexes[I] >= Decoded.Versions_.size())
+      return std::nullopt;
+    Decoded.Streams_.push_back({Streams[I], Indexes[I]});
+  }
+  return Decoded;
+}
+
 std::optional<FleetMessage> read(fleet::FleetMessage::Reader Source) {
   using Which = fleet::FleetMessage::Which;
   switch (Source.which()) {
@@ -442,6 +475,12 @@
     return read(Source.getPermitReply());
   case Which::PACE_REPORT:
     return read(Source.getPaceReport());
+  case Which::SERVICE_VERSION: {
+    auto Record = Source.getServiceVersion();
+    return ServiceVersion{text(Record.getService()), text(Record.getVersion())};
+  }
+  case Which::STREAM_VERSIONS:
+    return read(Source.getStreamVersions());
   }
   return std::nullopt;
 }
--- a/source/Protocol/FleetMessages.h
+++ b/source/Protocol/FleetMessages.h
@@ -206,10 +206,29 @@
   PaceOutcome Outcome_ = PaceOutcome::Usual;
 };
 
+/// Record of a version of a service's software that is, or was until recently,
+/// in service.
+struct ServiceVersion {
+  std::string Service_;
+  std::string Version_;
+};
+
+/// A stream and the version that began it.
+struct StreamVersion {
+  std::uint64_t Stream_ = 0; ///< Hash of the service and the request id.
+  std::size_t Version_ = 0;  ///< Index in StreamVersions::Versions_.
+};
+/// Record of the streams that one host began.
+struct StreamVersions {
+  std::vector<std::string> Versions_;
+  std::vector<StreamVersion> Streams_;
+};
+
 using FleetMessage =
     std::variant<Ping, Pong, PieceOrders, PieceReports, CancelPieces,
                  ReleaseResults, StoreRecords, SuspectRequests, SuspectParts,
-                 TargetNotice, PermitRequest, PermitReply, PaceReport>;
+                 TargetNotice, PermitRequest, PermitReply, PaceReport,
+                 ServiceVersion, StreamVersions>;
 
 /// Encodes one message, without the length that precedes it on a connection.
 std::string encodeFleetMessage(const FleetMessage &Message);
--- a/tests/Protocol/FleetMessagesTest.cpp
+++ b/tests/Protocol/FleetMessagesTest.cpp
@@ -157,3 +157,22 @@
   CHECK_FALSE(decodeFleetMessage(""));
   CHECK_FALSE(decodeFleetMessage("1234567"));
 }
+
+// Guards against a record of streams that loses streams or versions, and
+// against one that names versions which it does not list.
+TEST_CASE("fleet messages: records of versions and streams") {
+  ServiceVersion Version{"engine", "v 2"};
+  CHECK(roundTrip(Version).Service_ == "engine");
+  CHECK(roundTrip(Version).Version_ == "v 2");
+
+  StreamVersions Streams{{"v1", ""}, {{~0ULL, 1}, {5, 0}}};
+  StreamVersions Read = roundTrip(Streams);
+  CHECK(Read.Versions_ == Streams.Versions_);
+  REQUIRE(Read.Streams_.size() == 2);
+  CHECK(Read.Streams_[0].Stream_ == ~0ULL);
+  CHECK(Read.Streams_[0].Version_ == 1);
+  CHECK(Read.Streams_[1].Version_ == 0);
+
+  Streams.Streams_[1].Version_ = 2;
+  CHECK_FALSE(decodeFleetMessage(encodeFleetMessage(FleetMessage(Streams))));
+}
