Read the software version of targets and the id that a take-up names

Cause: the codecs dropped `version` of a target's record and `Resumes` of a caller's request, so that nothing could tell which engine may continue a stream.

Change: TargetRecord::Version_ and CallerRequest::ResumedId_. A version that is no text makes the record unreadable, like another field of the wrong type; a record without one has the empty version. A `Resumes` that is empty, repeated or not printable is answered with 400 like a Request-Id.

--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -33,6 +33,9 @@
   std::uint64_t MaxOutputTokens_ = 0;
   std::vector<PromptPart> Prompt_;
   std::optional<std::uint64_t> LastEventId_;
+  /// Id_ of the attempt that brought the first event of the stream that the
+  /// caller takes up; empty if not stated.
+  std::string ResumedId_;
   std::vector<std::size_t> PieceCounts_; ///< Number of pieces in each stage.
   std::string PieceKey_; ///< Input of the stages that need no results.
 };
--- a/source/State/TargetRecord.h
+++ b/source/State/TargetRecord.h
@@ -17,6 +17,9 @@
   /// IP:PORT. Another target may reuse the address after this one has ended.
   std::string Address_;
   std::string DataCentre_;
+  /// Version of its software; empty if not stated. What two versions write
+  /// does not fit together in one stream.
+  std::string Version_;
   std::size_t Slots_ = 1;
   bool IsDraining_ = false; ///< It is draining.
   Milliseconds WarmUpRemaining_{
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -141,10 +141,17 @@
   CHECK(Valid->Id_ == "i-1");
   CHECK(Valid->IsDraining_);
   CHECK(Valid->Incarnation_ == 1700000000000);
+  CHECK(Valid->Version_.empty());
+  Valid = Decode(R"({"service":"s","address":"10.0.0.1:80","state":"ready",
+    "version":"v2"})");
+  REQUIRE(Valid);
+  CHECK(Valid->Version_ == "v2");
   for (const char *Invalid :
        {"", "[]", "null", "{", "\xff\xfe", R"({"service":"s"})",
         R"({"service":1,"address":"x","state":"ready"})",
         R"({"service":"s","address":"x","state":"broken"})",
+        R"({"service":"s","address":"x","state":"ready","version":2})",
+        R"({"service":"s","address":"x","state":"ready","version":null})",
         R"({"service":"s","address":"x","state":["ready"]})"}) {
     INFO(Invalid);
     CHECK_FALSE(Decode(Invalid));
@@ -214,6 +221,7 @@
   REQUIRE(Decoded->Prompt_.size() == 2);
   CHECK(Decoded->Prompt_[1].Id_ == "91");
   CHECK(Decoded->PieceCounts_ == std::vector<std::size_t>{1, 0, 4});
+  CHECK(Decoded->ResumedId_.empty());
   for (auto [Name, Value] :
        {std::pair<const char *, const char *>{"Deadline-Ms", "-1"},
         {"Deadline-Ms", "1.5"},
@@ -242,6 +250,21 @@
   REQUIRE(Decoded);
   CHECK(*Decoded->Deadline_ > Milliseconds{0});
   CHECK(SteadyClock::now() + *Decoded->Deadline_ > SteadyClock::now());
+  HttpHead TakeUp = callerRequest();
+  TakeUp.Fields_.emplace_back("Last-Event-Id", "7");
+  TakeUp.Fields_.emplace_back("Resumes", "id0");
+  Decoded = capture([&] { return Edge.readRequest(TakeUp); });
+  REQUIRE(Decoded);
+  CHECK(Decoded->ResumedId_ == "id0");
+  CHECK(Decoded->LastEventId_ == 7U);
+  for (const char *Value : {"", "id 0", "\xff"}) {
+    INFO("Resumes: " << Value);
+    TakeUp.Fields_.back().second = Value;
+    CHECK_FALSE(capture([&] { return Edge.readRequest(TakeUp); }));
+  }
+  TakeUp.Fields_.back().second = "id0";
+  TakeUp.Fields_.emplace_back("resumes", "id9");
+  CHECK_FALSE(capture([&] { return Edge.readRequest(TakeUp); }));
   HttpHead TwoHosts = callerRequest();
   TwoHosts.Fields_.emplace_back("host", "other.example");
   CHECK_FALSE(capture([&] { return Edge.readRequest(TwoHosts); }));
@@ -402,8 +425,9 @@
     for (auto &[Name, Value] : Head.Fields_)
       if (Random() % 8 == 0)
         Value = randomText(Random);
-    for (const char *Name : {"Server-Load", "Cold-Ms", "Retry-After",
-                             "Keep-Alive", "Last-Event-Id", "Connection"})
+    for (const char *Name :
+         {"Server-Load", "Cold-Ms", "Retry-After", "Keep-Alive",
+          "Last-Event-Id", "Resumes", "Connection"})
       if (Random() % 4 == 0)
         Head.Fields_.emplace_back(Name, randomText(Random));
     CHECK_NOTHROW(Edge.readReply(Head));
