Keep versions and the streams that they began in the platform's store

The elected host keeps a record of each version in service. While a service has several versions, each host writes the streams that it began to a record of its own, and looks up others in the records of all hosts. A host that is not certain finds nothing, so that the take-up is refused.

--- a/source/Coordination/Streams/ServiceVersions.cpp
+++ b/source/Coordination/Streams/ServiceVersions.cpp
@@ -102,6 +102,14 @@
                                    }) > 1;
 }
 
+std::set<std::string> ServiceVersions::withSeveral(SteadyTime Now) const {
+  std::set<std::string> Names;
+  for (const std::string &Service : ResumableServices_)
+    if (hasSeveral(Service, Now))
+      Names.insert(Service);
+  return Names;
+}
+
 std::optional<std::string> ServiceVersions::findOnly(const std::string &Service,
                                                      SteadyTime Now) const {
   const States *Versions = findService(Service);
--- a/source/Coordination/Streams/ServiceVersions.h
+++ b/source/Coordination/Streams/ServiceVersions.h
@@ -58,6 +58,8 @@
 
   /// Whether several versions of \p Service are in the window.
   bool hasSeveral(const std::string &Service, SteadyTime Now) const;
+  /// The services with several versions in the window.
+  std::set<std::string> withSeveral(SteadyTime Now) const;
   /// The version that began all streams of the window; nothing if there may be
   /// several or the versions are not known.
   std::optional<std::string> findOnly(const std::string &Service,
--- /dev/null
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -0,0 +1,129 @@
+#include "Serving/StoredStreamOrigins.h"
+
+#include "Support/Log.h"
+
+#include <algorithm>
+
+namespace amaranth::serving {
+
+using transport::Awaitable;
+
+namespace {
+
+/// A host that was not updated for so long may not have run. It may have missed
+/// a version until it has heard from the store and its peers again.
+constexpr Milliseconds MaxUpdatePause{1000};
+/// A host that starts, or does not read the store, waits for it so long.
+constexpr Milliseconds MaxCurrentWait{1000};
+constexpr Milliseconds CurrentCheckPeriod{20};
+
+} // namespace
+
+StoredStreamOrigins::StoredStreamOrigins(
+    transport::Loop &Executor, protocol::PlatformStore &Store,
+    const VersionWriterElection &Election,
+    coordination::ServiceVersionsSettings VersionSettings,
+    VersionRecordsSettings RecordSettings, StreamRecordsSettings StreamSettings)
+    : Loop_(Executor), Versions_(VersionSettings),
+      VersionRecords_(Executor, Store, Versions_, Election, RecordSettings),
+      StreamRecords_(Executor, Store, Versions_, Begun_,
+                     std::move(StreamSettings)),
+      SettleTime_(VersionSettings.SettleTime_) {}
+
+void StoredStreamOrigins::start() {
+  VersionRecords_.start();
+  StreamRecords_.start();
+}
+
+void StoredStreamOrigins::onConfiguration(const state::RoutingTable &Table) {
+  std::set<std::string> Services;
+  for (const state::Route &Route : Table.Routes_)
+    if (Route.IsResumable_)
+      for (const state::ServiceShare &Share : Route.Services_)
+        Services.insert(Share.Service_);
+  Versions_.setServices(std::move(Services));
+}
+
+void StoredStreamOrigins::onTarget(const state::TargetRecord &Target,
+                                   SteadyTime Now) {
+  Versions_.setTarget(Target.Id_, {Target.Service_, Target.Version_},
+                      !Target.IsDraining_, Now);
+}
+
+void StoredStreamOrigins::onTargetRemoved(const std::string &Id,
+                                          SteadyTime Now) {
+  Versions_.removeTarget(Id, Now);
+}
+
+void StoredStreamOrigins::onVersionRecord(const protocol::StoreItem &Item,
+                                          SteadyTime Now) {
+  VersionRecords_.onRecordChanged(Item, Now);
+}
+
+void StoredStreamOrigins::update(bool IsCurrent, std::size_t Hosts,
+                                 SteadyTime Now) {
+  if (UpdatedAt_ && Now - *UpdatedAt_ > MaxUpdatePause)
+    CurrentFrom_ = Now + SettleTime_;
+  UpdatedAt_ = Now;
+  IsCurrent_ = IsCurrent;
+  Versions_.forgetOld(Now);
+  Begun_.forgetOld(Now);
+  StreamRecords_.setHosts(Hosts);
+}
+
+bool StoredStreamOrigins::isCurrent(SteadyTime Now) const {
+  return IsCurrent_ && Versions_.isComplete() && Now >= CurrentFrom_ &&
+         UpdatedAt_ && Now - *UpdatedAt_ <= MaxUpdatePause;
+}
+
+bool StoredStreamOrigins::mayBegin(const state::TargetRecord &Target,
+                                   SteadyTime Now) const {
+  return Versions_.mayBegin({Target.Service_, Target.Version_}, Now);
+}
+
+Awaitable<std::optional<std::string>>
+StoredStreamOrigins::findVersion(std::string Service, std::string RequestId,
+                                 SteadyTime Deadline) {
+  SteadyTime Start = SteadyClock::now();
+  std::uint64_t Stream = coordination::streamHash(Service, RequestId);
+  const char *Source = "own";
+  std::optional<std::string> Version = Begun_.find(Stream, Start);
+  SteadyTime WaitUntil = std::min(Deadline, Start + MaxCurrentWait);
+  while (!Version && !isCurrent(SteadyClock::now()) &&
+         SteadyClock::now() < WaitUntil)
+    co_await transport::pause(Loop_, CurrentCheckPeriod);
+  if (!Version && isCurrent(SteadyClock::now())) {
+    Source = "only_version";
+    Version = Versions_.findOnly(Service, SteadyClock::now());
+  }
+  if (!Version) {
+    Source = "record";
+    Version = co_await StreamRecords_.findVersion(Stream, Deadline);
+  }
+  auto Took =
+      std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - Start);
+  if (Version)
+    LogEvent(LogLevel::Info, "stream_origin_found")
+        .field("service", Service)
+        .field("resumes", RequestId)
+        .field("version", *Version)
+        .field("source", Source)
+        .field("ms", Took.count());
+  else
+    LogEvent(LogLevel::Warn, "stream_origin_unknown")
+        .field("service", Service)
+        .field("resumes", RequestId)
+        .field("current", isCurrent(SteadyClock::now()) ? 1 : 0)
+        .field("ms", Took.count());
+  co_return Version;
+}
+
+void StoredStreamOrigins::onStreamBegun(const std::string &Service,
+                                        const std::string &RequestId,
+                                        const std::string &Version) {
+  Begun_.add(coordination::streamHash(Service, RequestId), {Service, Version},
+             SteadyClock::now());
+  StreamRecords_.onStreamBegun();
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/VersionRecords.cpp
@@ -0,0 +1,144 @@
+#include "Serving/VersionRecords.h"
+
+#include "Protocol/FleetMessages.h"
+#include "Serving/StoreKeys.h"
+#include "Support/Log.h"
+
+#include <set>
+
+namespace amaranth::serving {
+
+using coordination::VersionName;
+using protocol::FleetMessage;
+using protocol::ServiceVersion;
+using protocol::StoreItem;
+using protocol::StoreLease;
+using protocol::StoreStatus;
+using transport::Awaitable;
+
+namespace {
+
+/// At most one line about unreadable records in this time.
+constexpr Seconds UnreadableLogPeriod{10};
+
+} // namespace
+
+VersionRecords::VersionRecords(transport::Loop &Executor,
+                               protocol::PlatformStore &Store,
+                               coordination::ServiceVersions &Versions,
+                               const VersionWriterElection &Election,
+                               VersionRecordsSettings Settings)
+    : Loop_(Executor), Store_(Store), Versions_(Versions), Election_(Election),
+      Settings_(Settings) {}
+
+const std::string &VersionRecords::keyPrefix() {
+  static const std::string Prefix = "amaranth/versions/";
+  return Prefix;
+}
+
+std::string VersionRecords::key(const VersionName &Name) {
+  return keyPrefix() + storeKeyPart(Name.Service_) + "/" +
+         storeKeyPart(Name.Version_);
+}
+
+void VersionRecords::start() { transport::startTask(Loop_, run()); }
+
+void VersionRecords::onRecordChanged(const StoreItem &Item, SteadyTime Now) {
+  if (Item.Removed_) {
+    Versions_.removeRecord(Item.Key_);
+    LogEvent(LogLevel::Info, "version_record_ended").field("key", Item.Key_);
+    return;
+  }
+  std::optional<FleetMessage> Message =
+      protocol::decodeFleetMessage(Item.Value_);
+  const auto *Record =
+      Message ? std::get_if<ServiceVersion>(&*Message) : nullptr;
+  if (Record && key({Record->Service_, Record->Version_}) == Item.Key_) {
+    Versions_.setRecord(Item.Key_, {Record->Service_, Record->Version_}, Now);
+    return;
+  }
+  Versions_.removeRecord(Item.Key_);
+  if (UnreadableLoggedAt_ && Now - *UnreadableLoggedAt_ < UnreadableLogPeriod)
+    return;
+  UnreadableLoggedAt_ = Now;
+  LogEvent(LogLevel::Warn, "version_record_unreadable").field("key", Item.Key_);
+}
+
+Awaitable<void> VersionRecords::run() {
+  for (;;) {
+    co_await transport::pause(Loop_, Settings_.CheckPeriod_);
+    std::vector<VersionName> Registered = Versions_.registered();
+    std::erase_if(Registered, [this](const VersionName &Name) {
+      return !Versions_.isComplete() ||
+             !Election_.writesVersionsOf(Name.Service_);
+    });
+    std::set<VersionName> Elected(Registered.begin(), Registered.end());
+    // The leases of other records end by themselves: ending them could remove
+    // a record that another host has just taken over.
+    std::erase_if(Kept_, [&](const auto &Entry) {
+      return !Elected.contains(Entry.first);
+    });
+    for (const VersionName &Name : Registered)
+      co_await keep(Name);
+  }
+}
+
+bool VersionRecords::needsWrite(const VersionName &Name, const Kept &Record,
+                                SteadyTime Now) const {
+  std::optional<SteadyTime> RecordedAt = Versions_.recordedAt(Name);
+  if (Record.Lease_ == 0)
+    return !RecordedAt || Now - *RecordedAt >= Settings_.RenewPeriod_;
+  return !RecordedAt && Now - Record.WrittenAt_ >= Settings_.MissingTime_;
+}
+
+Awaitable<void> VersionRecords::keep(VersionName Name) {
+  SteadyTime Now = SteadyClock::now();
+  Kept &Record = Kept_[Name];
+  if (needsWrite(Name, Record, Now)) {
+    if (Now < Record.NextCallAt_ && Record.Lease_ == 0)
+      co_return;
+    bool IsWritten = co_await write(Name);
+    Kept_[Name].NextCallAt_ =
+        SteadyClock::now() +
+        (IsWritten ? Settings_.RenewPeriod_ : Settings_.RetryPeriod_);
+    co_return;
+  }
+  if (Record.Lease_ == 0 || Now < Record.NextCallAt_)
+    co_return;
+  std::uint64_t Lease = Record.Lease_;
+  StoreStatus Status = co_await Store_.keepLease(Lease);
+  Kept &Renewed = Kept_[Name];
+  if (Status == StoreStatus::Ok) {
+    Renewed.NextCallAt_ = SteadyClock::now() + Settings_.RenewPeriod_;
+    co_return;
+  }
+  Renewed.NextCallAt_ = SteadyClock::now() + Settings_.RetryPeriod_;
+  if (Status != StoreStatus::LeaseNotFound)
+    co_return;
+  Renewed = {};
+  bool IsWritten = co_await write(Name);
+  if (!IsWritten)
+    Kept_[Name].NextCallAt_ = SteadyClock::now() + Settings_.RetryPeriod_;
+}
+
+Awaitable<bool> VersionRecords::write(VersionName Name) {
+  StoreLease Lease = co_await Store_.grantLease(Settings_.LeaseTime_);
+  if (Lease.Status_ != StoreStatus::Ok)
+    co_return false;
+  ServiceVersion Record{Name.Service_, Name.Version_};
+  std::string Key = key(Name);
+  std::string Value = protocol::encodeFleetMessage(FleetMessage(Record));
+  StoreStatus Status = co_await Store_.put(Key, Value, Lease.Id_);
+  LogEvent(LogLevel::Info, "version_record_written")
+      .field("service", Name.Service_)
+      .field("version", Name.Version_)
+      .field("status", toString(Status));
+  Kept &Written = Kept_[Name];
+  Written.Lease_ = Status == StoreStatus::Ok ? Lease.Id_ : 0;
+  if (Status != StoreStatus::Ok)
+    co_return false;
+  Written.WrittenAt_ = SteadyClock::now();
+  co_return true;
+}
+
+} // namespace amaranth::serving
--- /dev/null
+++ b/source/Serving/VersionRecords.h
@@ -0,0 +1,80 @@
+/// \file
+/// Records of the versions of services in the platform's store.
+#ifndef AMARANTH_SERVING_VERSIONRECORDS_H
+#define AMARANTH_SERVING_VERSIONRECORDS_H
+
+#include "Coordination/Streams/ServiceVersions.h"
+#include "Protocol/PlatformStore.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace amaranth::serving {
+
+/// Settings of VersionRecords.
+struct VersionRecordsSettings {
+  /// While targets of a version are registered, its record is renewed. It then
+  /// outlasts the window.
+  Milliseconds RenewPeriod_{15000};
+  Milliseconds LeaseTime_ = coordination::StreamWindow + Seconds{20};
+  Milliseconds RetryPeriod_{500};
+  /// A record that does not arrive here so long after it was written is
+  /// written again.
+  Milliseconds MissingTime_{2000};
+  Milliseconds CheckPeriod_{50};
+};
+
+/// Says which host writes the records of a service.
+class VersionWriterElection {
+public:
+  virtual ~VersionWriterElection() = default;
+  virtual bool writesVersionsOf(const std::string &Service) const = 0;
+};
+
+/// Keeps a record in the store for each version of a service that has
+/// registered targets, and passes the records of all hosts on to
+/// ServiceVersions. Hosts that start after all were killed learn from them
+/// which versions were in service.
+class VersionRecords final {
+public:
+  VersionRecords(transport::Loop &Executor, protocol::PlatformStore &Store,
+                 coordination::ServiceVersions &Versions,
+                 const VersionWriterElection &Election,
+                 VersionRecordsSettings Settings = {});
+
+  static const std::string &keyPrefix();
+  static std::string key(const coordination::VersionName &Name);
+
+  void start();
+  /// Call for every change under keyPrefix().
+  void onRecordChanged(const protocol::StoreItem &Item, SteadyTime Now);
+
+private:
+  /// A record that this host writes.
+  struct Kept {
+    std::uint64_t Lease_ = 0; ///< 0 if this host has not written it.
+    SteadyTime WrittenAt_{};
+    SteadyTime NextCallAt_{};
+  };
+
+  transport::Awaitable<void> run();
+  transport::Awaitable<void> keep(coordination::VersionName Name);
+  /// False if the record has to be written again.
+  transport::Awaitable<bool> write(coordination::VersionName Name);
+  bool needsWrite(const coordination::VersionName &Name, const Kept &Record,
+                  SteadyTime Now) const;
+
+  transport::Loop &Loop_;
+  protocol::PlatformStore &Store_;
+  coordination::ServiceVersions &Versions_;
+  const VersionWriterElection &Election_;
+  VersionRecordsSettings Settings_;
+  std::map<coordination::VersionName, Kept> Kept_;
+  std::optional<SteadyTime> UnreadableLoggedAt_;
+};
+
+} // namespace amaranth::serving
+
+#endif
