Continue a broken stream only at the version that began it

Callers saw: answers with status 200 that ran to their end, whose first events came from one software version of the engines and the rest from another, with nothing in the answer to show it.

Cause: StreamRun chose any engine of the service for the rest of a stream. The version of an engine was not known to it.

Change: the version of the engine whose event is passed on first is kept for the answer. Only engines of that version are chosen from then on, and are checked again when a place has been waited for and right before the request is written. If none is left, the stream is broken off like one that cannot be continued. Before the first event any version may be chosen.

--- a/source/Serving/EntryContext.cpp
+++ b/source/Serving/EntryContext.cpp
@@ -38,9 +38,11 @@
 EntryContext::exchangeSettings(const TargetRecord &Target) const {
   TargetExchangeSettings ExchangeSettings;
   ExchangeSettings.MaySend_ = [this, Id = Target.Id_,
-                               Incarnation = Target.Incarnation_] {
+                               Incarnation = Target.Incarnation_,
+                               Version = Target.Version_] {
     const TargetRecord *Record = findEligible(Id);
-    return Record && Record->Incarnation_ == Incarnation;
+    return Record && Record->Incarnation_ == Incarnation &&
+           Record->Version_ == Version;
   };
   return ExchangeSettings;
 }
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -139,6 +139,9 @@
     // Crashes may have been reported while the request waited for its place.
     if (!crashReason(Scope_).empty())
       continue;
+    // Its process may have been replaced by one of another version meanwhile.
+    if (!mayContinueAt(*Target))
+      continue;
     Step NextStep = co_await attempt(*Target);
     if (AnswerCompleted_ && !hasCallerFailed())
       co_await finishAnswer();
@@ -173,9 +176,21 @@
       Engine.Id_, Query.Demand_, Query.MemoryTokens_, SteadyClock::now());
 }
 
-bool StreamRun::isMemoryFull() const {
+bool StreamRun::mayContinueAt(const TargetRecord &Engine) const {
+  return !Version_ || Engine.Version_ == *Version_;
+}
+
+std::vector<const TargetRecord *> StreamRun::continuingEngines() const {
   std::vector<const TargetRecord *> Engines =
       Scope_.Context_.Targets_.serving(Scope_.Service_);
+  std::erase_if(Engines, [this](const TargetRecord *Engine) {
+    return !mayContinueAt(*Engine);
+  });
+  return Engines;
+}
+
+bool StreamRun::isMemoryFull() const {
+  std::vector<const TargetRecord *> Engines = continuingEngines();
   return !Engines.empty() && std::none_of(Engines.begin(), Engines.end(),
                                           [this](const TargetRecord *Engine) {
                                             return hasMemory(*Engine);
@@ -211,9 +226,12 @@
   EntryContext &Context = Scope_.Context_;
   coordination::EngineQuery Query = engineQuery(Scope_);
   Query.InputBytes_ = Stages_.inputBytesByDataCentre();
-  return Context.Engines_.choose(Candidates, Query, TriedTargets_,
-                                 Context.Health_, Context.EngineMemory_,
-                                 SteadyClock::now());
+  std::vector<const TargetRecord *> Engines = Candidates;
+  std::erase_if(Engines, [this](const TargetRecord *Engine) {
+    return !mayContinueAt(*Engine);
+  });
+  return Context.Engines_.choose(Engines, Query, TriedTargets_, Context.Health_,
+                                 Context.EngineMemory_, SteadyClock::now());
 }
 
 bool StreamRun::mayTakeLimitedPlace() const {
@@ -387,6 +405,7 @@
     // An engine that sends events has read its inputs.
     Stages_.releaseAll();
     HeadWritten_ = true;
+    Version_ = Exchange.target().Version_;
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
@@ -467,7 +486,9 @@
     co_return;
   }
   // Without the last chunk the caller sees that the answer is incomplete.
-  Scope_.Reason_ = "stream broken off";
+  Scope_.Reason_ = continuingEngines().empty()
+                       ? "stream broken off: no target of its version serves"
+                       : "stream broken off";
   Scope_.CloseAfterAnswer_ = true;
   Scope_.Caller_->abort();
 }
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -19,6 +19,8 @@
 /// buffered. If the engine's stream breaks, another
 /// engine continues it where the route allows that; otherwise the caller's
 /// connection is reset, so that the caller cannot take the answer as complete.
+/// Once a stream has begun, only engines of the software version that began it
+/// may continue it: what two versions write does not fit together.
 class StreamRun final : public TargetChooser {
 public:
   StreamRun(RequestScope &Scope, StageClient &Client);
@@ -40,6 +42,11 @@
   /// Runs the stages. False if the request has ended.
   transport::Awaitable<bool> runStages();
   bool mayTryAgain() const;
+  /// Whether \p Engine is of the version that began the stream, if it has
+  /// begun.
+  bool mayContinueAt(const state::TargetRecord &Engine) const;
+  /// The engines of the service that may continue the stream.
+  std::vector<const state::TargetRecord *> continuingEngines() const;
   /// Waits for an engine that may get the request and has memory for it.
   transport::Awaitable<std::optional<state::TargetRecord>> chooseEngine();
   bool hasMemory(const state::TargetRecord &Engine) const;
@@ -76,6 +83,8 @@
   int PossibleRuns_ = 0;
   int UnreachedTargets_ = 0;
   bool HeadWritten_ = false;
+  /// Software version that began the stream; empty before its first event.
+  std::optional<std::string> Version_;
   SteadyTime AttemptStart_{};
   /// Time of the first event of this attempt.
   std::optional<SteadyTime> FirstEventAt_;
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -104,9 +104,9 @@
 
 TargetDouble::TargetDouble(StoreDouble &Store, std::string Id,
                            std::string Service, RawServer::Handler Handle,
-                           std::string Zone)
+                           std::string Zone, std::string Version)
     : Store_(Store), Id_(std::move(Id)), Service_(std::move(Service)),
-      Zone_(std::move(Zone)) {
+      Zone_(std::move(Zone)), Version_(std::move(Version)) {
   Server_ = std::make_unique<RawServer>(
       [this, Handle](RawServerConnection &Connection,
                      const RawRequest &Request) {
@@ -124,6 +124,7 @@
   Store_.put("servers/" + Id_, {{"service", Service_},
                                 {"address", address()},
                                 {"zone", Zone_},
+                                {"version", Version_},
                                 {"slots", 8},
                                 {"state", State},
                                 {"born", Born_},
@@ -132,11 +133,18 @@
 
 void TargetDouble::setDraining() { publishState("draining"); }
 
+void TargetDouble::unregister() { Store_.remove("servers/" + Id_); }
+
 void TargetDouble::restart() {
   ++Born_;
   publishState("ready");
 }
 
+void TargetDouble::restart(const std::string &Version) {
+  Version_ = Version;
+  restart();
+}
+
 std::string validResponseFields(const RawRequest &Request) {
   return "Request-Id: " + Request.field("Request-Id") +
          "\r\nResponse-Signature: sig\r\n";
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -27,13 +27,17 @@
 class TargetDouble final {
 public:
   TargetDouble(StoreDouble &Store, std::string Id, std::string Service,
-               RawServer::Handler Handle, std::string Zone = "a");
+               RawServer::Handler Handle, std::string Zone = "a",
+               std::string Version = "v1");
 
   const std::string &id() const { return Id_; }
   std::string address() const { return Server_->address(); }
   void setDraining();
+  /// Removes its entry, as after a crash.
+  void unregister();
   /// Registers again with a later start time.
   void restart();
+  void restart(const std::string &Version);
   int requests() const { return Requests_; }
 
 private:
@@ -43,6 +47,7 @@
   std::string Id_;
   std::string Service_;
   std::string Zone_;
+  std::string Version_;
   std::atomic<int> Requests_{0};
   std::unique_ptr<RawServer> Server_;
   int Born_ = 1;
--- /dev/null
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -0,0 +1,163 @@
+#include "Integration/Eventually.h"
+#include "Integration/Platform/PlatformFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+using namespace amaranth;
+using namespace amaranth::integration;
+
+namespace {
+
+/// Time for a change of the store to reach the hosts.
+constexpr Milliseconds ChangeTime{500};
+/// Records that are missing soon after the store could first be read stay in
+/// use for this long.
+constexpr Milliseconds StartTime{2200};
+/// A refusal that does not wait for the deadline of 4 s.
+constexpr Milliseconds AtOnce{1000};
+
+/// An engine that writes its version into its events.
+class VersionedEngine final {
+public:
+  VersionedEngine(StoreDouble &Store, const std::string &Id,
+                  const std::string &Version)
+      : Version_(Version),
+        Target_(
+            Store, Id, "engine",
+            [this](RawServerConnection &Connection, const RawRequest &Request) {
+              return answer(Connection, Request);
+            },
+            "a", Version) {}
+
+  /// The next stream breaks off in the event after \p Event, and so do the
+  /// attempts to continue it, \p Times in all.
+  void breakAfter(int Event, int Times = 1) {
+    BreakAfter_ = Event;
+    BreaksLeft_ = Times;
+  }
+  /// \p BeforeEnd is called before the connection of a stream that breaks off
+  /// is closed.
+  void beforeEnd(std::function<void()> BeforeEnd) {
+    BeforeEnd_ = std::move(BeforeEnd);
+  }
+  /// Events \p First to \p Last as this engine writes them.
+  std::string events(int First, int Last) const {
+    std::string Events;
+    for (int I = First; I <= Last; ++I)
+      Events += "id: " + std::to_string(I) + "\ndata: " + Version_ + "\n\n";
+    return Events;
+  }
+  TargetDouble &target() { return Target_; }
+  int requests() const { return Target_.requests(); }
+
+private:
+  bool answer(RawServerConnection &Connection, const RawRequest &Request) {
+    std::string Last = Request.field("Last-Event-Id");
+    int First = Last.empty() ? 1 : std::stoi(Last) + 1;
+    std::string Head =
+        streamHead(Request) + "Transfer-Encoding: chunked\r\n\r\n";
+    if (BreaksLeft_ > 0) {
+      --BreaksLeft_;
+      std::string Partial = events(First, BreakAfter_) + "id: 99\nda";
+      Connection.write(Head + transport::encodeChunk(Partial));
+      if (BeforeEnd_)
+        BeforeEnd_();
+      return false;
+    }
+    Connection.write(Head + transport::encodeChunk(events(First, LastEvent)) +
+                     std::string(transport::LastChunk));
+    return true;
+  }
+
+  static constexpr int LastEvent = 6;
+  std::string Version_;
+  std::atomic<int> BreakAfter_{0};
+  std::atomic<int> BreaksLeft_{0};
+  std::function<void()> BeforeEnd_;
+  TargetDouble Target_;
+};
+
+/// Engines of two versions. Without a prompt, requests go to the first one that
+/// works, in the order of the ids.
+struct TwoVersions {
+  TwoVersions() { Store_.put("op/config", platformConfiguration()); }
+
+  /// A caller's take-up of the stream that began in its attempt \p FirstId.
+  static std::string takeUp(const std::string &FirstId, int LastEvent,
+                            const std::string &Path = "/draft/1") {
+    std::string Fields = "Last-Event-Id: " + std::to_string(LastEvent) + "\r\n";
+    if (!FirstId.empty())
+      Fields += "Resumes: " + FirstId + "\r\n";
+    return platformRequest("POST", Path, Fields);
+  }
+
+  static std::string requestId(const std::string &Request) {
+    const std::string Name = "Request-Id: ";
+    std::size_t Begin = Request.find(Name) + Name.size();
+    return Request.substr(Begin, Request.find('\r', Begin) - Begin);
+  }
+
+  StoreDouble Store_;
+  VersionedEngine OldFirst_{Store_, "i-1", "v1"};
+  VersionedEngine New_{Store_, "i-2", "v2"};
+};
+
+} // namespace
+
+// Rule ORDER. Guards against a stream that holds events of two software
+// versions because an engine of another one continues it after a crash.
+TEST_CASE("platform: a broken stream goes on only at its own version") {
+  TwoVersions Setup;
+  VersionedEngine OldSecond(Setup.Store_, "i-3", "v1");
+  PlatformFleet Fleet(Setup.Store_, 1);
+  Setup.OldFirst_.breakAfter(2);
+  PlatformAnswer Answer = Fleet.call(0, platformRequest("POST", "/draft/1"));
+  CHECK(Answer.Complete_);
+  CHECK(Answer.Body_ == OldSecond.events(1, 6));
+  CHECK(Setup.OldFirst_.requests() == 1);
+  CHECK(OldSecond.requests() == 1);
+  CHECK(Setup.New_.requests() == 0);
+}
+
+// Rule ORDER. Guards against a stream that looks complete, but holds events of
+// two versions, when no engine of the version that began it is left.
+TEST_CASE("platform: a stream whose version has left is visibly truncated") {
+  TwoVersions Setup;
+  PlatformFleet Fleet(Setup.Store_, 1);
+  bool IsReplaced = GENERATE(false, true);
+  CAPTURE(IsReplaced);
+  std::this_thread::sleep_for(StartTime);
+  Setup.OldFirst_.breakAfter(2);
+  Setup.OldFirst_.beforeEnd([&] {
+    if (IsReplaced)
+      Setup.OldFirst_.target().restart("v2");
+    else
+      Setup.OldFirst_.target().unregister();
+    std::this_thread::sleep_for(ChangeTime);
+  });
+  PlatformAnswer Answer = Fleet.call(0, platformRequest("POST", "/draft/1"));
+  CHECK(Answer.Status_ == 200);
+  CHECK_FALSE(Answer.Complete_);
+  CHECK(Answer.Body_ == Setup.OldFirst_.events(1, 2));
+  CHECK(Setup.OldFirst_.requests() == 1);
+  CHECK(Setup.New_.requests() == 0);
+}
+
+// Guards against holding a request to the version of an engine that has not
+// sent an event of its stream.
+TEST_CASE("platform: a stream without an event may go to another version") {
+  TwoVersions Setup;
+  PlatformFleet Fleet(Setup.Store_, 1);
+  TargetDouble Silent(Setup.Store_, "i-0", "engine", resetWithoutAnswer, "a",
+                      "v3");
+  REQUIRE(eventually([&] {
+    PlatformAnswer Answer =
+        Fleet.call(0, platformRequest("POST", "/draft/" + Silent.id()));
+    CHECK(Answer.Complete_);
+    return Silent.requests() > 0;
+  }));
+}
