Continue a stream that a caller takes up at the version that began it

Callers saw: a stream that broke off and was taken up again with Last-Event-Id ran to its end with status 200, its first part from one software version of the engines and the rest from another.

Cause: a take-up was sent to any engine of the service; `Resumes` was not read.

Change: EntryHost passes the records of targets and the first events of streams to LocalStreamOrigins, and StreamRun asks it for the version of a take-up. The engines are then chosen as for a stream that has begun. A take-up whose version is not known, or of which no engine serves, has not run and is refused at once with 503 and Retry-After.

Limit: a host knows only the streams that it began itself since its start. Take-ups at other hosts are refused while the origin is not certain.

--- a/source/Serving/EntryContext.h
+++ b/source/Serving/EntryContext.h
@@ -15,6 +15,7 @@
 #include "Coordination/Targets/WindowBudget.h"
 #include "Protocol/EdgeProtocol.h"
 #include "Protocol/RecordCodec.h"
+#include "Serving/StreamOrigins.h"
 #include "Serving/TargetConnections.h"
 #include "Serving/TargetExchange.h"
 #include "State/HostSettings.h"
@@ -43,7 +44,8 @@
                const protocol::EdgeProtocol &EdgeProtocol,
                coordination::SuspectListener &SuspectChanges,
                coordination::SuspectPartPeers &PartPeers,
-               coordination::QueueView &Queues, SendPermits &Permits)
+               coordination::QueueView &Queues, SendPermits &Permits,
+               StreamOrigins &Origins)
       : Loop_(Executor), Settings_(std::move(HostSettings)),
         Edge_(EdgeProtocol), Targets_(targetSettings(Settings_)),
         MessageBytes_(Settings_.MemoryMegabytes_ * 1024 * 1024 /
@@ -52,7 +54,7 @@
         RetryBudget_({Settings_.RetryRatio_, Settings_.RetryExtra_,
                       Settings_.RetryWindow_}),
         Suspects_(suspectSettings(), &SuspectChanges), SuspectParts_(PartPeers),
-        StageAdmission_(Queues), Permits_(Permits),
+        StageAdmission_(Queues), Permits_(Permits), Origins_(Origins),
         Drain_({Settings_.ShutdownGrace_}) {}
 
   /// Targets of \p Service that may get a request now. All code that sends to
@@ -65,7 +67,7 @@
   /// their data centres are evacuated.
   bool isEvacuated(const std::string &Service) const;
   /// Settings of an exchange that checks again, before it writes, that
-  /// \p Target may get a request.
+  /// \p Target may get a request and has not registered again.
   TargetExchangeSettings
   exchangeSettings(const state::TargetRecord &Target) const;
 
@@ -87,6 +89,7 @@
   coordination::StageAdmission StageAdmission_;
   coordination::OutstandingWork OutstandingWork_;
   SendPermits &Permits_;
+  StreamOrigins &Origins_;
   coordination::DrainSchedule Drain_;
   std::set<RequestScope *> RequestsInProgress_;
 
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -68,7 +68,7 @@
     : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
       Permits_(Context_, Peers_, *this, Settings.Host_),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
-               *this, Permits_),
+               *this, Permits_, Origins_),
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
       Callers_(Context_, Stages_, *this, {maxCallers(Settings)}),
@@ -374,6 +374,12 @@
   }
   SteadyTime Now = SteadyClock::now();
   Context_.Targets_.apply(Change, Now);
+  coordination::StreamVersionTable &Versions = Origins_.table();
+  if (const state::TargetRecord *Record =
+          Context_.Targets_.findRecord(Change.Id_))
+    Versions.onTarget(*Record, Now);
+  else
+    Versions.onTargetRemoved(Change.Id_, Now);
   coordination::TargetNotices &Notices = Context_.Notices_;
   if (Change.Record_)
     Notices.onRecord(*Change.Record_, Now);
@@ -452,8 +458,12 @@
   for (;;) {
     co_await transport::pause(Context_.Loop_, MaintenancePeriod);
     SteadyTime Now = SteadyClock::now();
-    for (const std::string &Id : Context_.Targets_.expire(Now))
+    for (const std::string &Id : Context_.Targets_.expire(Now)) {
       Context_.Notices_.onRemoved(Id);
+      Origins_.table().onTargetRemoved(Id, Now);
+    }
+    Origins_.table().setCurrent(TargetsLoaded_ && Replica_.isStoreRead(), Now);
+    Origins_.table().forgetOld(Now);
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -10,6 +10,7 @@
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
 #include "Serving/HostRegistration.h"
+#include "Serving/LocalStreamOrigins.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageClient.h"
@@ -100,6 +101,7 @@
 
   SuspectExchange SuspectExchange_;
   SendPermits Permits_;
+  LocalStreamOrigins Origins_;
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -28,6 +28,16 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
+/// The version of a stream that a caller takes up is searched for at most this
+/// long.
+constexpr Milliseconds MaxOriginSearch{500};
+/// Retry-After of a take-up that cannot be served. The host that began the
+/// stream may know its version, and a target that crashed may return.
+constexpr Milliseconds RetryAfterTakeUp{250};
+/// A stream of this age is recorded again when it breaks off, so that it is not
+/// forgotten before the caller takes it up.
+constexpr Milliseconds LongStream{10000};
+
 /// An engine that has sent events for this long has not crashed because of the
 /// prompt: that happens when it begins to answer.
 constexpr Milliseconds MinAnswerTime{200};
@@ -96,7 +106,9 @@
       Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
               usableUntil(Scope), likelyDataCentre(Scope)),
       Writer_(std::make_shared<CallerWriter>(
-          Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())) {
+          Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())),
+      StreamId_(Scope.Request_.ResumedId_.empty() ? Scope.Request_.Id_
+                                                  : Scope.Request_.ResumedId_) {
   // The engine is not read any longer for a caller that is given up.
   Writer_->onFailure([&Scope] {
     if (Scope.Interrupt_)
@@ -104,7 +116,38 @@
   });
 }
 
-StreamRun::~StreamRun() { Writer_->onFailure(nullptr); }
+StreamRun::~StreamRun() {
+  Writer_->onFailure(nullptr);
+  bool HasBrokenOff = HeadWritten_ && !AnswerCompleted_;
+  if (HasBrokenOff && SteadyClock::now() - Scope_.Arrival_ > LongStream)
+    Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
+                                           *Version_);
+}
+
+bool StreamRun::isTakeUp() const {
+  return Scope_.Route_->IsResumable_ &&
+         Scope_.Request_.LastEventId_.value_or(0) > 0;
+}
+
+Awaitable<bool> StreamRun::findOrigin() {
+  std::string Service = Scope_.Service_;
+  std::string StreamId = StreamId_;
+  SteadyTime Until =
+      std::min(Scope_.Deadline_, SteadyClock::now() + MaxOriginSearch);
+  Version_ =
+      co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+  if (Scope_.hasCallerLeft())
+    co_return false;
+  std::string Reason;
+  if (!Version_)
+    Reason = "the version that began the stream is not known";
+  else if (continuingEngines().empty())
+    Reason = "no target of the version that began the stream serves";
+  if (Reason.empty())
+    co_return true;
+  co_await sendOwnAnswer(Scope_, 503, Reason, RetryAfterTakeUp);
+  co_return false;
+}
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
@@ -114,6 +157,11 @@
     co_await sendOwnAnswer(Scope_, 503, TooLarge, RetryAfterTooLarge);
     co_return;
   }
+  if (isTakeUp()) {
+    bool HasOrigin = co_await findOrigin();
+    if (!HasOrigin)
+      co_return;
+  }
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
   for (;;) {
     bool HasInputs = co_await runStages();
@@ -406,6 +454,8 @@
     Stages_.releaseAll();
     HeadWritten_ = true;
     Version_ = Exchange.target().Version_;
+    Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
+                                           *Version_);
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -39,6 +39,12 @@
   /// What follows an attempt.
   enum class Step { TryAgain, Finished };
 
+  /// Whether the caller takes up a stream of which it has events.
+  bool isTakeUp() const;
+  /// Finds the version that began the stream that the caller takes up. False if
+  /// the request has ended with a refusal, because the version is not known or
+  /// no engine of it serves.
+  transport::Awaitable<bool> findOrigin();
   /// Runs the stages. False if the request has ended.
   transport::Awaitable<bool> runStages();
   bool mayTryAgain() const;
@@ -83,7 +89,10 @@
   int PossibleRuns_ = 0;
   int UnreachedTargets_ = 0;
   bool HeadWritten_ = false;
-  /// Software version that began the stream; empty before its first event.
+  /// Id of the attempt of the caller that brought the first event of the
+  /// stream.
+  std::string StreamId_;
+  /// Software version that began the stream; empty while that is not known.
   std::optional<std::string> Version_;
   SteadyTime AttemptStart_{};
   /// Time of the first event of this attempt.
--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -161,3 +161,59 @@
     return Silent.requests() > 0;
   }));
 }
+
+// Rule ORDER. Guards against a stream that is joined from two versions over the
+// attempts of a caller that takes it up at the host that began it.
+TEST_CASE("platform: a caller's stream is taken up at its own version") {
+  TwoVersions Setup;
+  PlatformFleet Fleet(Setup.Store_, 1);
+  VersionedEngine &Old = Setup.OldFirst_;
+  VersionedEngine &New = Setup.New_;
+  Old.breakAfter(2, 2);
+  std::string First = platformRequest("POST", "/draft/1");
+  std::string FirstId = TwoVersions::requestId(First);
+  PlatformAnswer Answer = Fleet.call(0, First);
+  CHECK_FALSE(Answer.Complete_);
+  CHECK(Answer.Body_ == Old.events(1, 2));
+
+  Old.breakAfter(4, 2);
+  Answer = Fleet.call(0, TwoVersions::takeUp(FirstId, 2, "/draft/2"));
+  CHECK(Answer.Status_ == 200);
+  CHECK_FALSE(Answer.Complete_);
+  CHECK(Answer.Body_ == Old.events(3, 4));
+
+  // The stream is still the one that began in the first attempt.
+  Answer = Fleet.call(0, TwoVersions::takeUp(FirstId, 4, "/draft/3"));
+  CHECK(Answer.Complete_);
+  CHECK(Answer.Body_ == Old.events(5, 6));
+  CHECK(New.requests() == 0);
+}
+
+// Rule ORDER. Guards against a take-up that goes on at a version that may not
+// be the one that began the stream, and against one that waits for its deadline
+// although no engine can continue it.
+TEST_CASE("platform: a take-up without an engine of its version is refused") {
+  TwoVersions Setup;
+  PlatformFleet Fleet(Setup.Store_, 1);
+  VersionedEngine &Old = Setup.OldFirst_;
+  std::this_thread::sleep_for(StartTime);
+  Old.breakAfter(2, 2);
+  std::string First = platformRequest("POST", "/draft/1");
+  CHECK(Fleet.call(0, First).Body_ == Old.events(1, 2));
+  std::string KnownId = TwoVersions::requestId(First);
+
+  std::string ResumedId = GENERATE("known", "unknown", "");
+  CAPTURE(ResumedId);
+  if (ResumedId == "known") {
+    ResumedId = KnownId;
+    Old.target().unregister();
+    std::this_thread::sleep_for(ChangeTime);
+  }
+  int Before = Old.requests() + Setup.New_.requests();
+  SteadyTime Start = SteadyClock::now();
+  PlatformAnswer Answer = Fleet.call(0, TwoVersions::takeUp(ResumedId, 2));
+  CHECK(SteadyClock::now() - Start < AtOnce);
+  CHECK(Answer.Status_ == 503);
+  CHECK(Answer.Head_.find("Retry-After"));
+  CHECK(Old.requests() + Setup.New_.requests() == Before);
+}
