Look up the versions of streams in the platform's store

A caller may take up a stream at a host that did not begin it, also after all hosts were killed; the host's own memory does not know it then. New streams go to a further version only when hosts can know of it.

Measured: serving and platform tests pass.

--- a/source/Serving/EntryContext.cpp
+++ b/source/Serving/EntryContext.cpp
@@ -10,7 +10,8 @@
   SteadyTime Now = SteadyClock::now();
   std::vector<const TargetRecord *> Eligible = Targets_.serving(Service);
   std::erase_if(Eligible, [&](const TargetRecord *Target) {
-    return Notices_.check(*Target, Now) != Withheld::No;
+    return Notices_.check(*Target, Now) != Withheld::No ||
+           !Origins_.mayBegin(*Target, Now);
   });
   return Eligible;
 }
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -42,7 +42,8 @@
                  const protocol::RecordCodec &Codec) {
   return {{Codec.operatorPrefix(), Settings.shortWatchTime()},
           {Codec.targetPrefix(), Settings.shortWatchTime()},
-          {HostPrefix, Settings.ChangeTimeLimit_}};
+          {HostPrefix, Settings.ChangeTimeLimit_},
+          {VersionRecords::keyPrefix(), Settings.shortWatchTime()}};
 }
 
 /// Processor time of this process since its start.
@@ -58,6 +59,18 @@
   return MeshSettings;
 }
 
+StoredStreamOriginsSettings originsSettings(const state::HostSettings &Settings,
+                                            std::uint64_t Incarnation) {
+  StoredStreamOriginsSettings Origins;
+  Origins.Versions_.SettleTime_ = Settings.ChangeTimeLimit_;
+  Origins.Streams_.Host_ = Settings.Host_;
+  Origins.Streams_.Incarnation_ = Incarnation;
+  Origins.Streams_.WritesPerSecond_ = Settings.StoreWritesPerSecond_;
+  Origins.Streams_.ReadsPerSecond_ = Settings.StoreReadsPerSecond_;
+  Origins.Streams_.MaxValueBytes_ = Settings.MaxStoreValueBytes_;
+  return Origins;
+}
+
 } // namespace
 
 EntryHost::EntryHost(transport::Loop &Executor,
@@ -65,8 +78,10 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
+    : Incarnation_(std::random_device{}() | 1ULL),
+      SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
       Permits_(Context_, Peers_, *this, Settings.Host_),
+      Origins_(Executor, Store, *this, originsSettings(Settings, Incarnation_)),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
                *this, Permits_, Origins_),
       Codec_(Codec), Stages_(*this), Dispatcher_(Context_, *this),
@@ -75,7 +90,6 @@
       Processor_(Settings.ProcessorShare_), Placement_(Settings.Host_),
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
-      Incarnation_(std::random_device{}() | 1ULL),
       SuspectRecords_(Executor, Store, Context_.SuspectParts_),
       Replica_(Context_, Store, Peers_, *this,
                followedPrefixes(Settings, Codec)) {}
@@ -87,6 +101,7 @@
   Replica_.start();
   Registration_.start();
   SuspectRecords_.start();
+  Origins_.start();
   StartedAt_ = SteadyClock::now();
   transport::startTask(Context_.Loop_, maintain());
   return true;
@@ -280,6 +295,11 @@
   return Elected.empty() ? Context_.Settings_.Host_ : Elected;
 }
 
+bool EntryHost::writesVersionsOf(const std::string &Service) const {
+  return ready() && Replica_.isStoreRead() &&
+         findDispatcher(Service) == Context_.Settings_.Host_;
+}
+
 bool EntryHost::sendTo(const std::string &Host, const FleetMessage &Message) {
   if (Host != Context_.Settings_.Host_)
     return Peers_.send(Host, Message);
@@ -314,6 +334,7 @@
       .field("routes", Table.Routes_.size());
   LatestTable_ = std::make_shared<const state::RoutingTable>(std::move(Table));
   Permits_.pace().targets().onConfiguration(LatestTable_);
+  Origins_.onConfiguration(*LatestTable_);
   if (OperatorRecordsLoaded_)
     Context_.Table_ = LatestTable_;
 }
@@ -374,12 +395,11 @@
   }
   SteadyTime Now = SteadyClock::now();
   Context_.Targets_.apply(Change, Now);
-  coordination::StreamVersionTable &Versions = Origins_.table();
   if (const state::TargetRecord *Record =
           Context_.Targets_.findRecord(Change.Id_))
-    Versions.onTarget(*Record, Now);
+    Origins_.onTarget(*Record, Now);
   else
-    Versions.onTargetRemoved(Change.Id_, Now);
+    Origins_.onTargetRemoved(Change.Id_, Now);
   coordination::TargetNotices &Notices = Context_.Notices_;
   if (Change.Record_)
     Notices.onRecord(*Change.Record_, Now);
@@ -427,6 +447,8 @@
       applyTarget(Item);
     else if (Prefix == HostPrefix)
       applyHost(Item);
+    else if (Prefix == VersionRecords::keyPrefix())
+      Origins_.onVersionRecord(Item, SteadyClock::now());
     else
       applyOperatorRecord(Item);
   }
@@ -443,6 +465,8 @@
       reportUnknownDataCentre(DataCentre);
     Permits_.pace().targets().onRecordsComplete();
   }
+  if (Prefix == VersionRecords::keyPrefix())
+    Origins_.onVersionRecordsComplete();
   acceptCallersWhenReady();
 }
 
@@ -460,10 +484,10 @@
     SteadyTime Now = SteadyClock::now();
     for (const std::string &Id : Context_.Targets_.expire(Now)) {
       Context_.Notices_.onRemoved(Id);
-      Origins_.table().onTargetRemoved(Id, Now);
+      Origins_.onTargetRemoved(Id, Now);
     }
-    Origins_.table().setCurrent(TargetsLoaded_ && Replica_.isStoreRead(), Now);
-    Origins_.table().forgetOld(Now);
+    Origins_.update(TargetsLoaded_ && Replica_.isStoreRead(),
+                    Peers_.servingPeers().size() + 1, Now);
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -10,12 +10,12 @@
 #include "Serving/CallerServer.h"
 #include "Serving/EntryContext.h"
 #include "Serving/HostRegistration.h"
-#include "Serving/LocalStreamOrigins.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageClient.h"
 #include "Serving/StageDispatcher.h"
 #include "Serving/StoreReplica.h"
+#include "Serving/StoredStreamOrigins.h"
 #include "Serving/SuspectExchange.h"
 
 #include <cstdint>
@@ -31,7 +31,8 @@
                         public HostStatus,
                         public DispatcherRouter,
                         public PieceReportListener,
-                        public coordination::QueueView {
+                        public coordination::QueueView,
+                        public VersionWriterElection {
 public:
   EntryHost(transport::Loop &Executor, const state::HostSettings &Settings,
             const protocol::EdgeProtocol &Edge,
@@ -68,6 +69,8 @@
                       protocol::PieceReports Reports) override;
   // QueueView
   protocol::QueueState queueState(const std::string &Service) override;
+  // VersionWriterElection
+  bool writesVersionsOf(const std::string &Service) const override;
 
 private:
   void applyConfiguration(const protocol::StoreItem &Item);
@@ -99,9 +102,10 @@
   transport::Awaitable<void> maintain();
   transport::Awaitable<void> finishDrain();
 
+  std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SuspectExchange SuspectExchange_;
   SendPermits Permits_;
-  LocalStreamOrigins Origins_;
+  StoredStreamOrigins Origins_;
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   StageClient Stages_;
@@ -116,7 +120,6 @@
   coordination::CallerPlacement Placement_;
   SteadyTime PlacementAt_{}; ///< When Placement_ was updated.
   HostRegistration Registration_;
-  std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -22,13 +22,12 @@
 StoredStreamOrigins::StoredStreamOrigins(
     transport::Loop &Executor, protocol::PlatformStore &Store,
     const VersionWriterElection &Election,
-    coordination::ServiceVersionsSettings VersionSettings,
-    VersionRecordsSettings RecordSettings, StreamRecordsSettings StreamSettings)
-    : Loop_(Executor), Versions_(VersionSettings),
-      VersionRecords_(Executor, Store, Versions_, Election, RecordSettings),
-      StreamRecords_(Executor, Store, Versions_, Begun_,
-                     std::move(StreamSettings)),
-      SettleTime_(VersionSettings.SettleTime_) {}
+    const StoredStreamOriginsSettings &Settings)
+    : Loop_(Executor), Versions_(Settings.Versions_),
+      VersionRecords_(Executor, Store, Versions_, Election,
+                      Settings.VersionRecords_),
+      StreamRecords_(Executor, Store, Versions_, Begun_, Settings.Streams_),
+      SettleTime_(Settings.Versions_.SettleTime_) {}
 
 void StoredStreamOrigins::start() {
   VersionRecords_.start();
--- a/source/Serving/StoredStreamOrigins.h
+++ b/source/Serving/StoredStreamOrigins.h
@@ -7,10 +7,16 @@
 #include "Serving/StreamRecords.h"
 #include "Serving/VersionRecords.h"
 #include "State/RoutingTable.h"
-#include "State/TargetRecord.h"
 
 namespace amaranth::serving {
 
+/// Settings of StoredStreamOrigins.
+struct StoredStreamOriginsSettings {
+  coordination::ServiceVersionsSettings Versions_{};
+  VersionRecordsSettings VersionRecords_{};
+  StreamRecordsSettings Streams_{};
+};
+
 /// Finds the version that began a stream: one of this host's streams; any
 /// stream, if only one version of the service is in the window; otherwise a
 /// stream in the records of the hosts.
@@ -18,9 +24,7 @@
 public:
   StoredStreamOrigins(transport::Loop &Executor, protocol::PlatformStore &Store,
                       const VersionWriterElection &Election,
-                      coordination::ServiceVersionsSettings VersionSettings,
-                      VersionRecordsSettings RecordSettings,
-                      StreamRecordsSettings StreamSettings);
+                      const StoredStreamOriginsSettings &Settings);
 
   void start();
   void onConfiguration(const state::RoutingTable &Table);
@@ -31,15 +35,14 @@
   void onVersionRecordsComplete() { Versions_.onRecordsComplete(); }
   /// Whether the records of targets and versions follow the store. Call often.
   void update(bool IsCurrent, std::size_t Hosts, SteadyTime Now);
-  /// Whether \p Target may get new streams.
-  bool mayBegin(const state::TargetRecord &Target, SteadyTime Now) const;
-
   // StreamOrigins
   transport::Awaitable<std::optional<std::string>>
   findVersion(std::string Service, std::string RequestId,
               SteadyTime Deadline) override;
   void onStreamBegun(const std::string &Service, const std::string &RequestId,
                      const std::string &Version) override;
+  bool mayBegin(const state::TargetRecord &Target,
+                SteadyTime Now) const override;
 
 private:
   /// Whether this host would know of a further version.
--- a/source/Serving/StreamOrigins.h
+++ b/source/Serving/StreamOrigins.h
@@ -3,6 +3,7 @@
 #ifndef AMARANTH_SERVING_STREAMORIGINS_H
 #define AMARANTH_SERVING_STREAMORIGINS_H
 
+#include "State/TargetRecord.h"
 #include "Support/Time.h"
 #include "Transport/Loop.h"
 
@@ -27,6 +28,10 @@
   virtual void onStreamBegun(const std::string &Service,
                              const std::string &RequestId,
                              const std::string &Version) = 0;
+  /// Whether \p Target may get new streams: not before the hosts can know that
+  /// its version is in service.
+  virtual bool mayBegin(const state::TargetRecord &Target,
+                        SteadyTime Now) const = 0;
 };
 
 } // namespace amaranth::serving
--- a/source/State/HostSettings.h
+++ b/source/State/HostSettings.h
@@ -44,6 +44,11 @@
   /// than the time in which a silent watch is noticed, so that the read that
   /// follows does not use a connection that went silent together with it.
   Milliseconds maxStoreIdleTime() const { return shortWatchTime(); }
+  /// Calls a second that the store allows all hosts together, and the largest
+  /// value that it takes.
+  double StoreWritesPerSecond_ = 400;
+  double StoreReadsPerSecond_ = 2000;
+  std::size_t MaxStoreValueBytes_ = 1024 * 1024;
   std::size_t MemoryMegabytes_ = 256;
   std::size_t MaxDescriptors_ = 4096;
   double LinkMegabits_ = 0; ///< Bandwidth of the host's link; 0 if unknown.
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -20,6 +20,8 @@
                        "internal_port_range=7740,7755\n"
                        "bounds.grace_s=8\nbounds.ttl_max_s=5\n"
                        "bounds.retry_budget_ratio=0.25\n"
+                       "platform.writes_per_s=1200\n"
+                       "platform.value_bytes=4096\n"
                        "limits.memory_mb=260\nlimits.link_mbps=24.5\n"
                        "limits.cpu_share=0.25\nlimits.cores=2\n"
                        "some.new.field=1\n";
@@ -70,6 +72,9 @@
   CHECK(Valid.Settings_->ShutdownGrace_ == Seconds{8});
   CHECK(Valid.Settings_->RetryRatio_ == 0.25);
   CHECK(Valid.Settings_->MemoryMegabytes_ == 260);
+  CHECK(Valid.Settings_->StoreWritesPerSecond_ == 1200);
+  CHECK(Valid.Settings_->StoreReadsPerSecond_ == 2000);
+  CHECK(Valid.Settings_->MaxStoreValueBytes_ == 4096);
   CHECK(Valid.Settings_->LinkMegabits_ == 24.5);
   CHECK(Valid.Settings_->ProcessorShare_ == 0.5);
 
--- a/tests/Serving/StoredStreamOriginsTest.cpp
+++ b/tests/Serving/StoredStreamOriginsTest.cpp
@@ -74,8 +74,8 @@
   OriginsHost(MemoryStore &Store, const std::string &Name,
               std::uint64_t Incarnation = 1, bool IsWriter = true)
       : Store_(Store), IsWriter_(IsWriter),
-        Origins_(Loop_, Store, *this, {}, recordSettings(),
-                 streamSettings(Name, Incarnation)) {
+        Origins_(Loop_, Store, *this,
+                 {{}, recordSettings(), streamSettings(Name, Incarnation)}) {
     state::RoutingTable Table;
     state::Route Resumable;
     Resumable.Kind_ = state::RequestKind::Stream;
