Let versions that are recorded together begin streams at once

Where all targets of a service are new, all but the first version got no stream for 2 s. Instead the only version counts as such only 2 s after its record.

--- a/source/Coordination/Streams/ServiceVersions.cpp
+++ b/source/Coordination/Streams/ServiceVersions.cpp
@@ -116,7 +116,8 @@
   if (!IsComplete_ || !Versions || hasSeveral(Service, Now))
     return std::nullopt;
   for (const auto &[Version, Entry] : *Versions)
-    if (!Entry.Key_.empty())
+    if (!Entry.Key_.empty() &&
+        Now - *Entry.FirstRecordedAt_ >= Settings_.SettleTime_)
       return Version;
   return std::nullopt;
 }
@@ -135,7 +136,8 @@
       Versions->begin(), Versions->end(), [&](const auto &Entry) {
         return Entry.second.ReadyTargets_ > 0 &&
                Entry.second.FirstRecordedAt_ &&
-               *Entry.second.FirstRecordedAt_ < *Version->FirstRecordedAt_;
+               *Version->FirstRecordedAt_ - *Entry.second.FirstRecordedAt_ >=
+                   Settings_.SettleTime_;
       });
 }
 
--- a/source/Coordination/Streams/ServiceVersions.h
+++ b/source/Coordination/Streams/ServiceVersions.h
@@ -61,7 +61,7 @@
   /// The services with several versions in the window.
   std::set<std::string> withSeveral(SteadyTime Now) const;
   /// The version that began all streams of the window; nothing if there may be
-  /// several or the versions are not known.
+  /// several, or this is not certain yet.
   std::optional<std::string> findOnly(const std::string &Service,
                                       SteadyTime Now) const;
   /// Whether a target of this version may get new streams.
--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -14,7 +14,7 @@
 /// a version until it has heard from the store and its peers again.
 constexpr Milliseconds MaxUpdatePause{1000};
 /// A host that starts, or does not read the store, waits for it so long.
-constexpr Milliseconds MaxCurrentWait{1000};
+constexpr Milliseconds MaxCurrentWait{200};
 constexpr Milliseconds CurrentCheckPeriod{20};
 
 } // namespace
--- a/tests/Coordination/Streams/ServiceVersionsTest.cpp
+++ b/tests/Coordination/Streams/ServiceVersionsTest.cpp
@@ -61,6 +61,12 @@
   Host Unrecorded(NoRecords);
   Unrecorded.add("i-1", Old);
   CHECK_FALSE(Unrecorded.only());
+  // A version that is recorded soon after it may begin streams at once, before
+  // a host that is cut off meanwhile has noticed that.
+  Unrecorded.record(Old);
+  CHECK_FALSE(Unrecorded.only());
+  Unrecorded.pass(Milliseconds{2000});
+  CHECK(Unrecorded.only() == "v1");
 }
 
 // Rule ORDER. Guards against forgetting a version while its streams may still
@@ -124,6 +130,16 @@
   Replaced.record(New);
   CHECK(Replaced.mayBegin(New));
 
+  // All targets of a service are new.
+  Host Together(NoRecords);
+  Together.add("i-1", Old);
+  Together.add("i-2", New);
+  Together.record(Old);
+  CHECK(Together.mayBegin(Old));
+  Together.pass(Milliseconds{500});
+  Together.record(New);
+  CHECK(Together.mayBegin(New));
+
   Host Unwritable;
   Unwritable.add("i-2", New);
   Unwritable.pass(Milliseconds{1900});
--- a/tests/Serving/StoredStreamOriginsTest.cpp
+++ b/tests/Serving/StoredStreamOriginsTest.cpp
@@ -75,7 +75,8 @@
               std::uint64_t Incarnation = 1, bool IsWriter = true)
       : Store_(Store), IsWriter_(IsWriter),
         Origins_(Loop_, Store, *this,
-                 {{}, recordSettings(), streamSettings(Name, Incarnation)}) {
+                 {versionSettings(), recordSettings(),
+                  streamSettings(Name, Incarnation)}) {
     state::RoutingTable Table;
     state::Route Resumable;
     Resumable.Kind_ = state::RequestKind::Stream;
@@ -89,6 +90,11 @@
     run();
   }
 
+  static coordination::ServiceVersionsSettings versionSettings() {
+    coordination::ServiceVersionsSettings Settings;
+    Settings.SettleTime_ = Milliseconds{20};
+    return Settings;
+  }
   static VersionRecordsSettings recordSettings() {
     VersionRecordsSettings Settings;
     Settings.RenewPeriod_ = RenewPeriod;
