--- a/source/Coordination/Streams/ServiceVersions.cpp
+++ b/source/Coordination/Streams/ServiceVersions.cpp
@@ -127,11 +127,18 @@
   if (!Version || !ResumableServices_.contains(Name.Service_) ||
       !hasSeveral(Name.Service_, Now))
     return true;
+  const States *Versions = findService(Name.Service_);
+  // Without any record, no version is taken for the only one.
+  bool HasRecords =
+      std::any_of(Versions->begin(), Versions->end(), [](const auto &Entry) {
+        return Entry.second.FirstRecordedAt_.has_value();
+      });
+  if (!HasRecords)
+    return true;
   if (!Version->FirstRecordedAt_)
     return Now - Version->FirstRegisteredAt_ >= Settings_.RecordTimeLimit_;
   if (Now - *Version->FirstRecordedAt_ >= Settings_.SettleTime_)
     return true;
-  const States *Versions = findService(Name.Service_);
   return std::none_of(
       Versions->begin(), Versions->end(), [&](const auto &Entry) {
         return Entry.second.ReadyTargets_ > 0 &&
--- a/tests/Coordination/Streams/ServiceVersionsTest.cpp
+++ b/tests/Coordination/Streams/ServiceVersionsTest.cpp
@@ -134,6 +134,8 @@
   Host Together(NoRecords);
   Together.add("i-1", Old);
   Together.add("i-2", New);
+  CHECK(Together.mayBegin(Old));
+  CHECK(Together.mayBegin(New));
   Together.record(Old);
   CHECK(Together.mayBegin(Old));
   Together.pass(Milliseconds{500});
