Treat a request that names Resumes as a take-up without Last-Event-Id too

Callers saw: a caller that names the attempt that began its stream, but states no Last-Event-Id above 0, was sent the stream from its beginning by an engine of any version, and could join it to the events that it had.

Cause: only Last-Event-Id told that a stream is taken up.

Evidence: the case of a take-up without an engine of its version failed for Last-Event-Id 0: status 200 instead of 503, one request sent.

Change: either header makes a take-up on a route with resumable streams. Streams of other routes are no longer recorded, as none is taken up.

--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -120,13 +120,19 @@
   Writer_->onFailure(nullptr);
   bool HasBrokenOff = HeadWritten_ && !AnswerCompleted_;
   if (HasBrokenOff && SteadyClock::now() - Scope_.Arrival_ > LongStream)
+    recordOrigin();
+}
+
+void StreamRun::recordOrigin() {
+  if (Scope_.Route_->IsResumable_)
     Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
                                            *Version_);
 }
 
 bool StreamRun::isTakeUp() const {
-  return Scope_.Route_->IsResumable_ &&
-         Scope_.Request_.LastEventId_.value_or(0) > 0;
+  bool HasEvents = Scope_.Request_.LastEventId_.value_or(0) > 0 ||
+                   !Scope_.Request_.ResumedId_.empty();
+  return Scope_.Route_->IsResumable_ && HasEvents;
 }
 
 Awaitable<bool> StreamRun::findOrigin() {
@@ -454,8 +460,7 @@
     Stages_.releaseAll();
     HeadWritten_ = true;
     Version_ = Exchange.target().Version_;
-    Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
-                                           *Version_);
+    recordOrigin();
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -45,6 +45,8 @@
   /// the request has ended with a refusal, because the version is not known or
   /// no engine of it serves.
   transport::Awaitable<bool> findOrigin();
+  /// Records the version that began the stream, for when it is taken up.
+  void recordOrigin();
   /// Runs the stages. False if the request has ended.
   transport::Awaitable<bool> runStages();
   bool mayTryAgain() const;
--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -24,10 +24,11 @@
 class VersionedEngine final {
 public:
   VersionedEngine(StoreDouble &Store, const std::string &Id,
-                  const std::string &Version)
+                  const std::string &Version,
+                  const std::string &Service = "engine")
       : Version_(Version),
         Target_(
-            Store, Id, "engine",
+            Store, Id, Service,
             [this](RawServerConnection &Connection, const RawRequest &Request) {
               return answer(Connection, Request);
             },
@@ -203,7 +204,8 @@
   std::string KnownId = TwoVersions::requestId(First);
 
   std::string ResumedId = GENERATE("known", "unknown", "");
-  CAPTURE(ResumedId);
+  int LastEvent = ResumedId.empty() ? 2 : GENERATE(0, 2);
+  CAPTURE(ResumedId, LastEvent);
   if (ResumedId == "known") {
     ResumedId = KnownId;
     Old.target().unregister();
@@ -211,7 +213,8 @@
   }
   int Before = Old.requests() + Setup.New_.requests();
   SteadyTime Start = SteadyClock::now();
-  PlatformAnswer Answer = Fleet.call(0, TwoVersions::takeUp(ResumedId, 2));
+  PlatformAnswer Answer =
+      Fleet.call(0, TwoVersions::takeUp(ResumedId, LastEvent));
   CHECK(SteadyClock::now() - Start < AtOnce);
   CHECK(Answer.Status_ == 503);
   CHECK(Answer.Head_.find("Retry-After"));
