Take a stream up at the service of its route that began it

Callers saw: on a route with weighted services, a take-up went to a service chosen anew. It was refused although engines of the version that began the stream served, or would have gone on at another service.

Cause: only the chosen service was asked for the origin.

Change: the other services of the route are asked too, and the request goes to the one that began the stream.

--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -136,12 +136,23 @@
 }
 
 Awaitable<bool> StreamRun::findOrigin() {
-  std::string Service = Scope_.Service_;
-  std::string StreamId = StreamId_;
   SteadyTime Until =
       std::min(Scope_.Deadline_, SteadyClock::now() + MaxOriginSearch);
-  Version_ =
-      co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+  // Another service of the route than the one chosen may have begun the stream.
+  std::vector<std::string> Services{Scope_.Service_};
+  for (const state::ServiceShare &Share : Scope_.Route_->Services_)
+    if (Share.Service_ != Scope_.Service_)
+      Services.push_back(Share.Service_);
+  for (const std::string &Candidate : Services) {
+    std::string Service = Candidate;
+    std::string StreamId = StreamId_;
+    Version_ =
+        co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+    if (Version_) {
+      Scope_.Service_ = Service;
+      break;
+    }
+  }
   if (Scope_.hasCallerLeft())
     co_return false;
   std::string Reason;
--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -213,10 +213,40 @@
   }
   int Before = Old.requests() + Setup.New_.requests();
   SteadyTime Start = SteadyClock::now();
-  PlatformAnswer Answer =
-      Fleet.call(0, TwoVersions::takeUp(ResumedId, LastEvent));
+  PlatformAnswer Answer = Fleet.call(0, TwoVersions::takeUp(ResumedId, LastEvent));
   CHECK(SteadyClock::now() - Start < AtOnce);
   CHECK(Answer.Status_ == 503);
   CHECK(Answer.Head_.find("Retry-After"));
   CHECK(Old.requests() + Setup.New_.requests() == Before);
 }
+
+// Rules ORDER, LOST. Guards against a take-up that goes to another service of
+// its route than the one that began the stream, or is refused because of it.
+TEST_CASE("platform: a stream is taken up at the service that began it") {
+  StoreDouble Store;
+  nlohmann::json Configuration = platformConfiguration();
+  for (nlohmann::json &Route : Configuration.at("routes"))
+    if (Route.at("prefix") == "/draft/") {
+      Route.erase("service");
+      Route["weighted_services"] = {{{"service", "engine"}, {"weight", 50}},
+                                    {{"service", "other"}, {"weight", 50}}};
+    }
+  Store.put("op/config", Configuration);
+  VersionedEngine One(Store, "i-1", "v1");
+  VersionedEngine Other(Store, "i-2", "v2", "other");
+  PlatformFleet Fleet(Store, 1);
+  One.breakAfter(2, 2);
+  Other.breakAfter(2, 2);
+  std::string First = platformRequest("POST", "/draft/1");
+  std::string Begun = Fleet.call(0, First).Body_;
+  VersionedEngine &Origin = Begun == One.events(1, 2) ? One : Other;
+  CHECK(Begun == Origin.events(1, 2));
+  One.breakAfter(0, 0);
+  Other.breakAfter(0, 0);
+  for (int I = 0; I < 10; ++I) {
+    std::string Path = "/draft/take-up-" + std::to_string(I);
+    std::string TakeUp =
+        TwoVersions::takeUp(TwoVersions::requestId(First), 2, Path);
+    CHECK(Fleet.call(0, TakeUp).Body_ == Origin.events(3, 6));
+  }
+}
