--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -120,22 +120,39 @@
   Writer_->onFailure(nullptr);
   bool HasBrokenOff = HeadWritten_ && !AnswerCompleted_;
   if (HasBrokenOff && SteadyClock::now() - Scope_.Arrival_ > LongStream)
+    recordOrigin();
+}
+
+void StreamRun::recordOrigin() {
+  if (Scope_.Route_->IsResumable_)
     Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
                                            *Version_);
 }
 
 bool StreamRun::isTakeUp() const {
-  return Scope_.Route_->IsResumable_ &&
-         Scope_.Request_.LastEventId_.value_or(0) > 0;
+  bool HasEvents = Scope_.Request_.LastEventId_.value_or(0) > 0 ||
+                   !Scope_.Request_.ResumedId_.empty();
+  return Scope_.Route_->IsResumable_ && HasEvents;
 }
 
 Awaitable<bool> StreamRun::findOrigin() {
-  std::string Service = Scope_.Service_;
-  std::string StreamId = StreamId_;
   SteadyTime Until =
       std::min(Scope_.Deadline_, SteadyClock::now() + MaxOriginSearch);
-  Version_ =
-      co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+  // Another service of the route than the one chosen may have begun the stream.
+  std::vector<std::string> Services{Scope_.Service_};
+  for (const state::ServiceShare &Share : Scope_.Route_->Services_)
+    if (Share.Service_ != Scope_.Service_)
+      Services.push_back(Share.Service_);
+  for (const std::string &Candidate : Services) {
+    std::string Service = Candidate;
+    std::string StreamId = StreamId_;
+    Version_ =
+        co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+    if (Version_) {
+      Scope_.Service_ = Service;
+      break;
+    }
+  }
   if (Scope_.hasCallerLeft())
     co_return false;
   std::string Reason;
@@ -454,8 +471,7 @@
     Stages_.releaseAll();
     HeadWritten_ = true;
     Version_ = Exchange.target().Version_;
-    Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
-                                           *Version_);
+    recordOrigin();
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
