Test take-ups after one host or all hosts were killed

With hosts that know only the streams that they began themselves, both cases fail: take-ups at other hosts are answered 503 though the version serves. They pass with the records in the store.

--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -213,7 +213,8 @@
   }
   int Before = Old.requests() + Setup.New_.requests();
   SteadyTime Start = SteadyClock::now();
-  PlatformAnswer Answer = Fleet.call(0, TwoVersions::takeUp(ResumedId, LastEvent));
+  PlatformAnswer Answer =
+      Fleet.call(0, TwoVersions::takeUp(ResumedId, LastEvent));
   CHECK(SteadyClock::now() - Start < AtOnce);
   CHECK(Answer.Status_ == 503);
   CHECK(Answer.Head_.find("Retry-After"));
@@ -250,3 +251,71 @@
     CHECK(Fleet.call(0, TakeUp).Body_ == Origin.events(3, 6));
   }
 }
+
+namespace {
+
+/// More than the time after which hosts write the streams that they began.
+constexpr Milliseconds WriteTime{600};
+
+} // namespace
+
+// Rules ORDER, LOST. Guards against a stream that cannot be taken up at another
+// host, or goes on there at another version, because its host was killed.
+TEST_CASE("platform: a stream is taken up after its host was killed") {
+  TwoVersions Setup;
+  PlatformFleet Fleet(Setup.Store_, 3);
+  std::this_thread::sleep_for(StartTime);
+  Setup.OldFirst_.breakAfter(2, 2);
+  std::string First = platformRequest("POST", "/draft/1");
+  REQUIRE(Fleet.call(0, First).Body_ == Setup.OldFirst_.events(1, 2));
+  std::this_thread::sleep_for(WriteTime);
+  Fleet.process(0).kill();
+  std::string TakeUp =
+      TwoVersions::takeUp(TwoVersions::requestId(First), 2, "/draft/2");
+  for (std::size_t Host : {1U, 2U}) {
+    PlatformAnswer Answer = Fleet.call(Host, TakeUp);
+    CHECK(Answer.Complete_);
+    CHECK(Answer.Body_ == Setup.OldFirst_.events(3, 6));
+  }
+  CHECK(Setup.New_.requests() == 0);
+}
+
+// Rules ORDER, LOST. Guards against streams that are joined from two versions
+// because all hosts that knew their versions were killed at once, and against
+// refusing them while their version serves.
+TEST_CASE("platform: a stream is taken up after all hosts were killed") {
+  TwoVersions Setup;
+  bool IsOldGone = GENERATE(true, false);
+  // With one version in service, nothing is written for each stream.
+  bool IsNewLater = GENERATE(false, true);
+  CAPTURE(IsOldGone, IsNewLater);
+  if (IsNewLater)
+    Setup.New_.target().unregister();
+  std::string First = platformRequest("POST", "/draft/1");
+  {
+    PlatformFleet Fleet(Setup.Store_, 2);
+    std::this_thread::sleep_for(StartTime);
+    Setup.OldFirst_.breakAfter(2, 2);
+    REQUIRE(Fleet.call(0, First).Body_ == Setup.OldFirst_.events(1, 2));
+    if (IsNewLater)
+      Setup.New_.target().restart("v2");
+    std::this_thread::sleep_for(WriteTime);
+  }
+  if (IsOldGone)
+    Setup.OldFirst_.target().unregister();
+  int Before = Setup.OldFirst_.requests();
+  PlatformFleet Fleet(Setup.Store_, 2);
+  std::this_thread::sleep_for(ChangeTime);
+  std::string TakeUp =
+      TwoVersions::takeUp(TwoVersions::requestId(First), 2, "/draft/2");
+  for (std::size_t Host : {0U, 1U}) {
+    PlatformAnswer Answer = Fleet.call(Host, TakeUp);
+    CHECK(Answer.Status_ == (IsOldGone ? 503 : 200));
+    if (!IsOldGone)
+      CHECK(Answer.Body_ == Setup.OldFirst_.events(3, 6));
+    // The caller of a stream that nobody began is told so, too.
+    CHECK(Fleet.call(Host, TwoVersions::takeUp("none", 2)).Status_ == 503);
+  }
+  CHECK(Setup.OldFirst_.requests() == Before + (IsOldGone ? 0 : 2));
+  CHECK(Setup.New_.requests() == 0);
+}
