--- a/source/Coordination/Streams/ServiceVersions.h
+++ b/source/Coordination/Streams/ServiceVersions.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace amaranth::coordination {
@@ -30,7 +31,11 @@
 struct VersionName {
   std::string Service_;
   std::string Version_;
-  auto operator<=>(const VersionName &) const = default;
+  bool operator==(const VersionName &) const = default;
+  bool operator<(const VersionName &Other) const {
+    return std::tie(Service_, Version_) <
+           std::tie(Other.Service_, Other.Version_);
+  }
 };
 
 /// The versions of each service that may have begun the streams of the window,
