--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -28,16 +28,6 @@
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
-/// The version of a stream that a caller takes up is searched for at most this
-/// long.
-constexpr Milliseconds MaxOriginSearch{500};
-/// Retry-After of a take-up that cannot be served. The host that began the
-/// stream may know its version, and a target that crashed may return.
-constexpr Milliseconds RetryAfterTakeUp{250};
-/// A stream of this age is recorded again when it breaks off, so that it is not
-/// forgotten before the caller takes it up.
-constexpr Milliseconds LongStream{10000};
-
 /// An engine that has sent events for this long has not crashed because of the
 /// prompt: that happens when it begins to answer.
 constexpr Milliseconds MinAnswerTime{200};
@@ -107,8 +97,7 @@
               usableUntil(Scope), likelyDataCentre(Scope)),
       Writer_(std::make_shared<CallerWriter>(
           Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())),
-      StreamId_(Scope.Request_.ResumedId_.empty() ? Scope.Request_.Id_
-                                                  : Scope.Request_.ResumedId_) {
+      Continuation_(Scope) {
   // The engine is not read any longer for a caller that is given up.
   Writer_->onFailure([&Scope] {
     if (Scope.Interrupt_)
@@ -116,55 +105,7 @@
   });
 }
 
-StreamRun::~StreamRun() {
-  Writer_->onFailure(nullptr);
-  bool HasBrokenOff = HeadWritten_ && !AnswerCompleted_;
-  if (HasBrokenOff && SteadyClock::now() - Scope_.Arrival_ > LongStream)
-    recordOrigin();
-}
-
-void StreamRun::recordOrigin() {
-  if (Scope_.Route_->IsResumable_)
-    Scope_.Context_.Origins_.onStreamBegun(Scope_.Service_, StreamId_,
-                                           *Version_);
-}
-
-bool StreamRun::isTakeUp() const {
-  bool HasEvents = Scope_.Request_.LastEventId_.value_or(0) > 0 ||
-                   !Scope_.Request_.ResumedId_.empty();
-  return Scope_.Route_->IsResumable_ && HasEvents;
-}
-
-Awaitable<bool> StreamRun::findOrigin() {
-  SteadyTime Until =
-      std::min(Scope_.Deadline_, SteadyClock::now() + MaxOriginSearch);
-  // Another service of the route than the one chosen may have begun the stream.
-  std::vector<std::string> Services{Scope_.Service_};
-  for (const state::ServiceShare &Share : Scope_.Route_->Services_)
-    if (Share.Service_ != Scope_.Service_)
-      Services.push_back(Share.Service_);
-  for (const std::string &Candidate : Services) {
-    std::string Service = Candidate;
-    std::string StreamId = StreamId_;
-    Version_ =
-        co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
-    if (Version_) {
-      Scope_.Service_ = Service;
-      break;
-    }
-  }
-  if (Scope_.hasCallerLeft())
-    co_return false;
-  std::string Reason;
-  if (!Version_)
-    Reason = "the version that began the stream is not known";
-  else if (continuingEngines().empty())
-    Reason = "no target of the version that began the stream serves";
-  if (Reason.empty())
-    co_return true;
-  co_await sendOwnAnswer(Scope_, 503, Reason, RetryAfterTakeUp);
-  co_return false;
-}
+StreamRun::~StreamRun() { Writer_->onFailure(nullptr); }
 
 Awaitable<void> StreamRun::run() {
   EntryContext &Context = Scope_.Context_;
@@ -174,8 +115,8 @@
     co_await sendOwnAnswer(Scope_, 503, TooLarge, RetryAfterTooLarge);
     co_return;
   }
-  if (isTakeUp()) {
-    bool HasOrigin = co_await findOrigin();
+  if (Continuation_.isTakeUp()) {
+    bool HasOrigin = co_await Continuation_.findOrigin();
     if (!HasOrigin)
       co_return;
   }
@@ -205,7 +146,7 @@
     if (!crashReason(Scope_).empty())
       continue;
     // Its process may have been replaced by one of another version meanwhile.
-    if (!mayContinueAt(*Target))
+    if (!Continuation_.isAllowed(*Target))
       continue;
     Step NextStep = co_await attempt(*Target);
     if (AnswerCompleted_ && !hasCallerFailed())
@@ -241,21 +182,8 @@
       Engine.Id_, Query.Demand_, Query.MemoryTokens_, SteadyClock::now());
 }
 
-bool StreamRun::mayContinueAt(const TargetRecord &Engine) const {
-  return !Version_ || Engine.Version_ == *Version_;
-}
-
-std::vector<const TargetRecord *> StreamRun::continuingEngines() const {
-  std::vector<const TargetRecord *> Engines =
-      Scope_.Context_.Targets_.serving(Scope_.Service_);
-  std::erase_if(Engines, [this](const TargetRecord *Engine) {
-    return !mayContinueAt(*Engine);
-  });
-  return Engines;
-}
-
 bool StreamRun::isMemoryFull() const {
-  std::vector<const TargetRecord *> Engines = continuingEngines();
+  std::vector<const TargetRecord *> Engines = Continuation_.engines();
   return !Engines.empty() && std::none_of(Engines.begin(), Engines.end(),
                                           [this](const TargetRecord *Engine) {
                                             return hasMemory(*Engine);
@@ -292,9 +220,7 @@
   coordination::EngineQuery Query = engineQuery(Scope_);
   Query.InputBytes_ = Stages_.inputBytesByDataCentre();
   std::vector<const TargetRecord *> Engines = Candidates;
-  std::erase_if(Engines, [this](const TargetRecord *Engine) {
-    return !mayContinueAt(*Engine);
-  });
+  Continuation_.removeOthers(Engines);
   return Context.Engines_.choose(Engines, Query, TriedTargets_, Context.Health_,
                                  Context.EngineMemory_, SteadyClock::now());
 }
@@ -460,6 +386,7 @@
     co_return Step::TryAgain;
   }
   AnswerCompleted_ = true;
+  Continuation_.onCompleted();
   co_return Step::Finished;
 }
 
@@ -470,8 +397,7 @@
     // An engine that sends events has read its inputs.
     Stages_.releaseAll();
     HeadWritten_ = true;
-    Version_ = Exchange.target().Version_;
-    recordOrigin();
+    Continuation_.onBegun(Exchange.target().Version_);
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
@@ -552,7 +478,7 @@
     co_return;
   }
   // Without the last chunk the caller sees that the answer is incomplete.
-  Scope_.Reason_ = continuingEngines().empty()
+  Scope_.Reason_ = Continuation_.engines().empty()
                        ? "stream broken off: no target of its version serves"
                        : "stream broken off";
   Scope_.CloseAfterAnswer_ = true;
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -7,6 +7,7 @@
 #include "Serving/RequestScope.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageRun.h"
+#include "Serving/StreamContinuation.h"
 #include "Serving/TargetExchange.h"
 
 #include <optional>
@@ -39,22 +40,9 @@
   /// What follows an attempt.
   enum class Step { TryAgain, Finished };
 
-  /// Whether the caller takes up a stream of which it has events.
-  bool isTakeUp() const;
-  /// Finds the version that began the stream that the caller takes up. False if
-  /// the request has ended with a refusal, because the version is not known or
-  /// no engine of it serves.
-  transport::Awaitable<bool> findOrigin();
-  /// Records the version that began the stream, for when it is taken up.
-  void recordOrigin();
   /// Runs the stages. False if the request has ended.
   transport::Awaitable<bool> runStages();
   bool mayTryAgain() const;
-  /// Whether \p Engine is of the version that began the stream, if it has
-  /// begun.
-  bool mayContinueAt(const state::TargetRecord &Engine) const;
-  /// The engines of the service that may continue the stream.
-  std::vector<const state::TargetRecord *> continuingEngines() const;
   /// Waits for an engine that may get the request and has memory for it.
   transport::Awaitable<std::optional<state::TargetRecord>> chooseEngine();
   bool hasMemory(const state::TargetRecord &Engine) const;
@@ -86,16 +74,12 @@
   StageRun Stages_;
   std::shared_ptr<CallerWriter> Writer_;
   EventStream Events_;
+  StreamContinuation Continuation_;
   std::set<std::string> TriedTargets_;
   int SentAttempts_ = 0;
   int PossibleRuns_ = 0;
   int UnreachedTargets_ = 0;
   bool HeadWritten_ = false;
-  /// Id of the attempt of the caller that brought the first event of the
-  /// stream.
-  std::string StreamId_;
-  /// Software version that began the stream; empty while that is not known.
-  std::optional<std::string> Version_;
   SteadyTime AttemptStart_{};
   /// Time of the first event of this attempt.
   std::optional<SteadyTime> FirstEventAt_;
