--- a/source/Serving/EntryContext.cpp
+++ b/source/Serving/EntryContext.cpp
@@ -10,7 +10,8 @@
   SteadyTime Now = SteadyClock::now();
   std::vector<const TargetRecord *> Eligible = Targets_.serving(Service);
   std::erase_if(Eligible, [&](const TargetRecord *Target) {
-    return Notices_.check(*Target, Now) != Withheld::No;
+    return Notices_.check(*Target, Now) != Withheld::No ||
+           !Origins_.mayBegin(*Target, Now);
   });
   return Eligible;
 }
@@ -38,9 +39,11 @@
 EntryContext::exchangeSettings(const TargetRecord &Target) const {
   TargetExchangeSettings ExchangeSettings;
   ExchangeSettings.MaySend_ = [this, Id = Target.Id_,
-                               Incarnation = Target.Incarnation_] {
+                               Incarnation = Target.Incarnation_,
+                               Version = Target.Version_] {
     const TargetRecord *Record = findEligible(Id);
-    return Record && Record->Incarnation_ == Incarnation;
+    return Record && Record->Incarnation_ == Incarnation &&
+           Record->Version_ == Version;
   };
   return ExchangeSettings;
 }
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -43,7 +43,8 @@
                  const protocol::RecordCodec &Codec) {
   return {{Codec.operatorPrefix(), Settings.shortWatchTime()},
           {Codec.targetPrefix(), Settings.shortWatchTime()},
-          {HostPrefix, Settings.ChangeTimeLimit_}};
+          {HostPrefix, Settings.ChangeTimeLimit_},
+          {VersionRecords::keyPrefix(), Settings.shortWatchTime()}};
 }
 
 /// Processor time of this process since its start.
@@ -59,6 +60,18 @@
   return MeshSettings;
 }
 
+StoredStreamOriginsSettings originsSettings(const state::HostSettings &Settings,
+                                            std::uint64_t Incarnation) {
+  StoredStreamOriginsSettings Origins;
+  Origins.Versions_.SettleTime_ = Settings.ChangeTimeLimit_;
+  Origins.Streams_.Host_ = Settings.Host_;
+  Origins.Streams_.Incarnation_ = Incarnation;
+  Origins.Streams_.WritesPerSecond_ = Settings.StoreWritesPerSecond_;
+  Origins.Streams_.ReadsPerSecond_ = Settings.StoreReadsPerSecond_;
+  Origins.Streams_.MaxValueBytes_ = Settings.MaxStoreValueBytes_;
+  return Origins;
+}
+
 } // namespace
 
 EntryHost::EntryHost(transport::Loop &Executor,
@@ -66,10 +79,12 @@
                      const protocol::EdgeProtocol &Edge,
                      const protocol::RecordCodec &Codec,
                      protocol::PlatformStore &Store)
-    : SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
+    : Incarnation_(std::random_device{}() | 1ULL),
+      SuspectExchange_(Context_, Peers_, SuspectRecords_, *this),
       Permits_(Context_, Peers_, *this, Settings.Host_),
+      Origins_(Executor, Store, *this, originsSettings(Settings, Incarnation_)),
       Context_(Executor, Settings, Edge, SuspectExchange_, SuspectExchange_,
-               *this, Permits_),
+               *this, Permits_, Origins_),
       Codec_(Codec), OperatorRecords_(Context_, Permits_, Codec),
       Stages_(*this), Dispatcher_(Context_, *this),
       Peers_(Executor, meshSettings(Settings), *this),
@@ -78,7 +93,6 @@
       Registration_(Executor, Store, HostPrefix + Settings.Host_,
                     Settings.PeerAddress_),
       RestoreExchange_(Context_, Peers_, OperatorRecords_),
-      Incarnation_(std::random_device{}() | 1ULL),
       SuspectRecords_(Executor, Store, Context_.SuspectParts_),
       Replica_(Context_, Store, Peers_, *this,
                followedPrefixes(Settings, Codec)) {}
@@ -90,6 +104,7 @@
   Replica_.start();
   Registration_.start();
   SuspectRecords_.start();
+  Origins_.start();
   StartedAt_ = SteadyClock::now();
   transport::startTask(Context_.Loop_, maintain());
   return true;
@@ -205,10 +220,12 @@
       Dispatcher_.releaseResult(Result);
   } else if (const auto *Records =
                  std::get_if<protocol::StoreRecords>(&Message)) {
-    if (Records->Prefix_ == RestoreExchange::InForcePrefix)
+    if (Records->Prefix_ == RestoreExchange::InForcePrefix) {
       RestoreExchange_.merge(*Records);
-    else
+      onConfigurationChanged();
+    } else {
       Replica_.merge(*Records);
+    }
     acceptCallersWhenReady();
   } else if (const auto *Suspects =
                  std::get_if<protocol::SuspectRequests>(&Message)) {
@@ -287,6 +304,11 @@
   return Elected.empty() ? Context_.Settings_.Host_ : Elected;
 }
 
+bool EntryHost::writesVersionsOf(const std::string &Service) const {
+  return ready() && Replica_.isStoreRead() &&
+         findDispatcher(Service) == Context_.Settings_.Host_;
+}
+
 bool EntryHost::sendTo(const std::string &Host, const FleetMessage &Message) {
   if (Host != Context_.Settings_.Host_)
     return Peers_.send(Host, Message);
@@ -352,6 +374,11 @@
   SteadyTime Now = SteadyClock::now();
   if (!Context_.Targets_.apply(Change, Now))
     return;
+  if (const state::TargetRecord *Record =
+          Context_.Targets_.findRecord(Change.Id_))
+    Origins_.onTarget(*Record, Now);
+  else
+    Origins_.onTargetRemoved(Change.Id_, Now);
   coordination::TargetNotices &Notices = Context_.Notices_;
   if (Change.Record_)
     Notices.onRecord(*Change.Record_, Now);
@@ -402,11 +429,19 @@
       applyTarget(Item);
     else if (Prefix == HostPrefix)
       applyHost(Item);
+    else if (Prefix == VersionRecords::keyPrefix())
+      Origins_.onVersionRecord(Item, SteadyClock::now());
     else
       OperatorRecords_.apply(Item);
   }
   if (Prefix == Codec_.operatorPrefix())
-    applyDeferredTargets();
+    onConfigurationChanged();
+}
+
+void EntryHost::onConfigurationChanged() {
+  if (OperatorRecords_.latestTable())
+    Origins_.onConfiguration(*OperatorRecords_.latestTable());
+  applyDeferredTargets();
 }
 
 void EntryHost::onRecordsComplete(const std::string &Prefix) {
@@ -417,6 +452,8 @@
     OperatorRecords_.onTargetsLoaded();
     Permits_.pace().targets().onRecordsComplete();
   }
+  if (Prefix == VersionRecords::keyPrefix())
+    Origins_.onVersionRecordsComplete();
   acceptCallersWhenReady();
 }
 
@@ -427,7 +464,7 @@
     RestoreExchange_.onStoreRestored(Now);
   } else if (Prefix == Codec_.targetPrefix()) {
     Context_.Targets_.onStoreRestored(Now);
-  } else {
+  } else if (Prefix == HostPrefix) {
     Registration_.onStoreRestored();
     SuspectExchange_.onStoreRestored();
   }
@@ -445,12 +482,16 @@
   for (;;) {
     co_await transport::pause(Context_.Loop_, MaintenancePeriod);
     SteadyTime Now = SteadyClock::now();
-    for (const std::string &Id : Context_.Targets_.expire(Now))
+    for (const std::string &Id : Context_.Targets_.expire(Now)) {
       Context_.Notices_.onRemoved(Id);
+      Origins_.onTargetRemoved(Id, Now);
+    }
     for (const coordination::TargetChange &Change :
          Context_.Targets_.takeReappeared(Now))
       applyTargetChange(Change);
     OperatorRecords_.expire(Now);
+    Origins_.update(TargetsLoaded_ && Replica_.isStoreRead(),
+                    Peers_.servingPeers().size() + 1, Now);
     Context_.Notices_.forgetOld(Now);
     Context_.Connections_.closeExpired(Now);
     Context_.Health_.forgetUnused(Now);
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -17,6 +17,7 @@
 #include "Serving/StageClient.h"
 #include "Serving/StageDispatcher.h"
 #include "Serving/StoreReplica.h"
+#include "Serving/StoredStreamOrigins.h"
 #include "Serving/SuspectExchange.h"
 
 #include <cstdint>
@@ -32,7 +33,8 @@
                         public HostStatus,
                         public DispatcherRouter,
                         public PieceReportListener,
-                        public coordination::QueueView {
+                        public coordination::QueueView,
+                        public VersionWriterElection {
 public:
   EntryHost(transport::Loop &Executor, const state::HostSettings &Settings,
             const protocol::EdgeProtocol &Edge,
@@ -70,12 +72,16 @@
                       protocol::PieceReports Reports) override;
   // QueueView
   protocol::QueueState queueState(const std::string &Service) override;
+  // VersionWriterElection
+  bool writesVersionsOf(const std::string &Service) const override;
 
 private:
   /// Whether a record of a registered target names a service that the
   /// configuration does not have.
   bool namesUnknownService(const state::TargetRecord &Record) const;
   void applyDeferredTargets();
+  /// The operators' records have changed.
+  void onConfigurationChanged();
   void applyTarget(const protocol::StoreItem &Item);
   void applyTargetChange(const coordination::TargetChange &Change);
   void applyHost(const protocol::StoreItem &Item);
@@ -99,8 +105,10 @@
   transport::Awaitable<void> maintain();
   transport::Awaitable<void> finishDrain();
 
+  std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SuspectExchange SuspectExchange_;
   SendPermits Permits_;
+  StoredStreamOrigins Origins_;
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   OperatorRecords OperatorRecords_;
@@ -117,7 +125,6 @@
   SteadyTime PlacementAt_{}; ///< When Placement_ was updated.
   HostRegistration Registration_;
   RestoreExchange RestoreExchange_;
-  std::uint64_t Incarnation_; ///< Differs after each start of this host.
   SteadyTime StartedAt_{};
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -96,7 +96,8 @@
       Stages_(Scope, Client, Scope.AimBy_ - FirstEventReserve,
               usableUntil(Scope), likelyDataCentre(Scope)),
       Writer_(std::make_shared<CallerWriter>(
-          Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())) {
+          Scope.Caller_, Scope.Context_.MessageBytes_, Scope.deliveryLimit())),
+      Continuation_(Scope) {
   // The engine is not read any longer for a caller that is given up.
   Writer_->onFailure([&Scope] {
     if (Scope.Interrupt_)
@@ -114,6 +115,11 @@
     co_await sendOwnAnswer(Scope_, 503, TooLarge, RetryAfterTooLarge);
     co_return;
   }
+  if (Continuation_.isTakeUp()) {
+    bool HasOrigin = co_await Continuation_.findOrigin();
+    if (!HasOrigin)
+      co_return;
+  }
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
   for (;;) {
     bool HasInputs = co_await runStages();
@@ -139,6 +145,9 @@
     // Crashes may have been reported while the request waited for its place.
     if (!crashReason(Scope_).empty())
       continue;
+    // Its process may have been replaced by one of another version meanwhile.
+    if (!Continuation_.isAllowed(*Target))
+      continue;
     Step NextStep = co_await attempt(*Target);
     if (AnswerCompleted_ && !hasCallerFailed())
       co_await finishAnswer();
@@ -174,8 +183,7 @@
 }
 
 bool StreamRun::isMemoryFull() const {
-  std::vector<const TargetRecord *> Engines =
-      Scope_.Context_.Targets_.serving(Scope_.Service_);
+  std::vector<const TargetRecord *> Engines = Continuation_.engines();
   return !Engines.empty() && std::none_of(Engines.begin(), Engines.end(),
                                           [this](const TargetRecord *Engine) {
                                             return hasMemory(*Engine);
@@ -211,9 +219,10 @@
   EntryContext &Context = Scope_.Context_;
   coordination::EngineQuery Query = engineQuery(Scope_);
   Query.InputBytes_ = Stages_.inputBytesByDataCentre();
-  return Context.Engines_.choose(Candidates, Query, TriedTargets_,
-                                 Context.Health_, Context.EngineMemory_,
-                                 SteadyClock::now());
+  std::vector<const TargetRecord *> Engines = Candidates;
+  Continuation_.removeOthers(Engines);
+  return Context.Engines_.choose(Engines, Query, TriedTargets_, Context.Health_,
+                                 Context.EngineMemory_, SteadyClock::now());
 }
 
 bool StreamRun::mayTakeLimitedPlace() const {
@@ -377,6 +386,7 @@
     co_return Step::TryAgain;
   }
   AnswerCompleted_ = true;
+  Continuation_.onCompleted();
   co_return Step::Finished;
 }
 
@@ -387,6 +397,7 @@
     // An engine that sends events has read its inputs.
     Stages_.releaseAll();
     HeadWritten_ = true;
+    Continuation_.onBegun(Exchange.target().Version_);
     Scope_.TimeToFirstEvent_ = std::chrono::duration_cast<Milliseconds>(
         SteadyClock::now() - Scope_.Arrival_);
     Scope_.Status_ = Exchange.head().Status_;
@@ -467,7 +478,9 @@
     co_return;
   }
   // Without the last chunk the caller sees that the answer is incomplete.
-  Scope_.Reason_ = "stream broken off";
+  Scope_.Reason_ = Continuation_.engines().empty()
+                       ? "stream broken off: no target of its version serves"
+                       : "stream broken off";
   Scope_.CloseAfterAnswer_ = true;
   Scope_.Caller_->abort();
 }
--- a/source/Serving/StreamRun.h
+++ b/source/Serving/StreamRun.h
@@ -7,6 +7,7 @@
 #include "Serving/RequestScope.h"
 #include "Serving/SendPermits.h"
 #include "Serving/StageRun.h"
+#include "Serving/StreamContinuation.h"
 #include "Serving/TargetExchange.h"
 
 #include <optional>
@@ -19,6 +20,8 @@
 /// buffered. If the engine's stream breaks, another
 /// engine continues it where the route allows that; otherwise the caller's
 /// connection is reset, so that the caller cannot take the answer as complete.
+/// Once a stream has begun, only engines of the software version that began it
+/// may continue it: what two versions write does not fit together.
 class StreamRun final : public TargetChooser {
 public:
   StreamRun(RequestScope &Scope, StageClient &Client);
@@ -71,6 +74,7 @@
   StageRun Stages_;
   std::shared_ptr<CallerWriter> Writer_;
   EventStream Events_;
+  StreamContinuation Continuation_;
   std::set<std::string> TriedTargets_;
   int SentAttempts_ = 0;
   int PossibleRuns_ = 0;
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -21,6 +21,8 @@
                        "internal_port_range=7740,7755\n"
                        "bounds.grace_s=8\nbounds.ttl_max_s=5\n"
                        "bounds.retry_budget_ratio=0.25\n"
+                       "platform.writes_per_s=1200\n"
+                       "platform.value_bytes=4096\n"
                        "limits.memory_mb=260\nlimits.link_mbps=24.5\n"
                        "limits.cpu_share=0.25\nlimits.cores=2\n"
                        "some.new.field=1\n";
@@ -71,6 +73,9 @@
   CHECK(Valid.Settings_->ShutdownGrace_ == Seconds{8});
   CHECK(Valid.Settings_->RetryRatio_ == 0.25);
   CHECK(Valid.Settings_->MemoryMegabytes_ == 260);
+  CHECK(Valid.Settings_->StoreWritesPerSecond_ == 1200);
+  CHECK(Valid.Settings_->StoreReadsPerSecond_ == 2000);
+  CHECK(Valid.Settings_->MaxStoreValueBytes_ == 4096);
   CHECK(Valid.Settings_->LinkMegabits_ == 24.5);
   CHECK(Valid.Settings_->ProcessorShare_ == 0.5);
 
@@ -170,10 +175,17 @@
   CHECK(Valid->Id_ == "i-1");
   CHECK(Valid->IsDraining_);
   CHECK(Valid->Incarnation_ == 1700000000000);
+  CHECK(Valid->Version_.empty());
+  Valid = Decode(R"({"service":"s","address":"10.0.0.1:80","state":"ready",
+    "version":"v2"})");
+  REQUIRE(Valid);
+  CHECK(Valid->Version_ == "v2");
   for (const char *Invalid :
        {"", "[]", "null", "{", "\xff\xfe", R"({"service":"s"})",
         R"({"service":1,"address":"x","state":"ready"})",
         R"({"service":"s","address":"x","state":"broken"})",
+        R"({"service":"s","address":"x","state":"ready","version":2})",
+        R"({"service":"s","address":"x","state":"ready","version":null})",
         R"({"service":"s","address":"x","state":["ready"]})"}) {
     INFO(Invalid);
     CHECK_FALSE(Decode(Invalid));
@@ -243,6 +255,7 @@
   REQUIRE(Decoded->Prompt_.size() == 2);
   CHECK(Decoded->Prompt_[1].Id_ == "91");
   CHECK(Decoded->PieceCounts_ == std::vector<std::size_t>{1, 0, 4});
+  CHECK(Decoded->ResumedId_.empty());
   for (auto [Name, Value] :
        {std::pair<const char *, const char *>{"Deadline-Ms", "-1"},
         {"Deadline-Ms", "1.5"},
@@ -271,6 +284,21 @@
   REQUIRE(Decoded);
   CHECK(*Decoded->Deadline_ > Milliseconds{0});
   CHECK(SteadyClock::now() + *Decoded->Deadline_ > SteadyClock::now());
+  HttpHead TakeUp = callerRequest();
+  TakeUp.Fields_.emplace_back("Last-Event-Id", "7");
+  TakeUp.Fields_.emplace_back("Resumes", "id0");
+  Decoded = capture([&] { return Edge.readRequest(TakeUp); });
+  REQUIRE(Decoded);
+  CHECK(Decoded->ResumedId_ == "id0");
+  CHECK(Decoded->LastEventId_ == 7U);
+  for (const char *Value : {"", "id 0", "\xff"}) {
+    INFO("Resumes: " << Value);
+    TakeUp.Fields_.back().second = Value;
+    CHECK_FALSE(capture([&] { return Edge.readRequest(TakeUp); }));
+  }
+  TakeUp.Fields_.back().second = "id0";
+  TakeUp.Fields_.emplace_back("resumes", "id9");
+  CHECK_FALSE(capture([&] { return Edge.readRequest(TakeUp); }));
   HttpHead TwoHosts = callerRequest();
   TwoHosts.Fields_.emplace_back("host", "other.example");
   CHECK_FALSE(capture([&] { return Edge.readRequest(TwoHosts); }));
@@ -431,8 +459,9 @@
     for (auto &[Name, Value] : Head.Fields_)
       if (Random() % 8 == 0)
         Value = randomText(Random);
-    for (const char *Name : {"Server-Load", "Cold-Ms", "Retry-After",
-                             "Keep-Alive", "Last-Event-Id", "Connection"})
+    for (const char *Name :
+         {"Server-Load", "Cold-Ms", "Retry-After", "Keep-Alive",
+          "Last-Event-Id", "Resumes", "Connection"})
       if (Random() % 4 == 0)
         Head.Fields_.emplace_back(Name, randomText(Random));
     CHECK_NOTHROW(Edge.readReply(Head));
