--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -19,6 +19,7 @@
 #include "Serving/StoreReplica.h"
 #include "Serving/StoredStreamOrigins.h"
 #include "Serving/SuspectExchange.h"
+#include "Serving/TargetRecords.h"
 
 #include <cstdint>
 #include <map>
@@ -76,14 +77,8 @@
   bool writesVersionsOf(const std::string &Service) const override;
 
 private:
-  /// Whether a record of a registered target names a service that the
-  /// configuration does not have.
-  bool namesUnknownService(const state::TargetRecord &Record) const;
-  void applyDeferredTargets();
   /// The operators' records have changed.
   void onConfigurationChanged();
-  void applyTarget(const protocol::StoreItem &Item);
-  void applyTargetChange(const coordination::TargetChange &Change);
   void applyHost(const protocol::StoreItem &Item);
   /// Whether the configuration and the targets are known, so that requests can
   /// be routed.
@@ -112,6 +107,7 @@
   EntryContext Context_;
   const protocol::RecordCodec &Codec_;
   OperatorRecords OperatorRecords_;
+  TargetRecords TargetRecords_;
   StageClient Stages_;
   coordination::UndeliveredReports UndeliveredReports_;
   std::map<std::string, protocol::QueueState> FleetWork_;
@@ -129,9 +125,6 @@
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
   bool TargetsLoaded_ = false;
-  /// By key: records of registered targets that name a service that the
-  /// configuration does not have. They are used if a later one has it.
-  std::map<std::string, protocol::StoreItem> DeferredTargets_;
 };
 
 } // namespace amaranth::serving
