--- a/source/Serving/OperatorRecords.cpp
+++ b/source/Serving/OperatorRecords.cpp
@@ -17,6 +17,8 @@
 void OperatorRecords::onComplete() {
   IsComplete_ = true;
   IsRestoring_ = false;
+  if (!MergesUntil_)
+    MergesUntil_ = SteadyClock::now() + RewriteTime;
   Context_.Table_ = LatestTable_;
 }
 
@@ -100,6 +102,7 @@
 void OperatorRecords::onStoreRestored(SteadyTime Now) {
   IsRestoring_ = true;
   RewrittenBy_ = Now + RewriteTime;
+  MergesUntil_ = Now;
 }
 
 std::vector<StoreItem> OperatorRecords::inForce() const {
@@ -116,7 +119,8 @@
   for (const StoreItem &Item : Items) {
     std::optional<std::string> DataCentre =
         Codec_.evacuatedDataCentre(Item.Key_);
-    if (DataCentre && !Evacuations_.contains(*DataCentre)) {
+    bool Merges = !MergesUntil_ || Now < *MergesUntil_;
+    if (DataCentre && Merges && !Evacuations_.contains(*DataCentre)) {
       apply(Item);
       MissingEvacuations_.insert(*DataCentre);
       RewrittenBy_ = Now + RewriteTime;
--- a/source/Serving/OperatorRecords.h
+++ b/source/Serving/OperatorRecords.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,8 +41,9 @@
   const state::RoutingTablePtr &latestTable() const { return LatestTable_; }
   /// The configuration and the evacuations in force, as records.
   std::vector<protocol::StoreItem> inForce() const;
-  /// Applies what is in force on another host that has seen a restore.
-  /// Evacuations end if the operators do not write them again.
+  /// Applies what is in force on another host that has seen a restore. Only a
+  /// host that has just started uses the evacuations, which end if the
+  /// operators do not write them again.
   void mergeInForce(const std::vector<protocol::StoreItem> &Items,
                     SteadyTime Now);
   /// Ends evacuations that were not written again. Call often.
@@ -70,6 +72,9 @@
   bool TargetsLoaded_ = false;
   /// The records of a restored store are being applied.
   bool IsRestoring_ = false;
+  /// Until when evacuations of other hosts are used; empty before the records
+  /// are complete.
+  std::optional<SteadyTime> MergesUntil_;
   /// End of the time in which records that are missing may be written again.
   SteadyTime RewrittenBy_{};
   /// Evacuated data centres whose records are missing since a restore.
--- a/source/Serving/RestoreExchange.cpp
+++ b/source/Serving/RestoreExchange.cpp
@@ -10,11 +10,7 @@
 
 void RestoreExchange::onStoreRestored(SteadyTime Now) {
   TellUntil_ = Now + OperatorRecords::RewriteTime;
-  // Those that run now have seen more than the copy.
   InformedPeers_.clear();
-  Peers_.forEachServing([&](const HostState &Peer) {
-    InformedPeers_[Peer.Host_] = Peer.Incarnation_;
-  });
 }
 
 bool RestoreExchange::isElectedFor(const std::string &Host) const {
--- a/source/Serving/RestoreExchange.h
+++ b/source/Serving/RestoreExchange.h
@@ -16,7 +16,8 @@
 /// A host that starts after the store was restored from an older copy reads the
 /// copy only. Until operators and targets have written their records again, one
 /// of its peers tells it the configuration and the evacuations in force, and
-/// the targets that are draining.
+/// the targets that are draining. All peers are told: one that has just started
+/// cannot be told apart. Those that know more ignore it.
 class RestoreExchange final {
 public:
   /// Stands in the place of a prefix in messages with records in force. Hosts
@@ -39,8 +40,7 @@
   PeerMesh &Peers_;
   OperatorRecords &Operators_;
   SteadyTime TellUntil_{};
-  /// Incarnations of the peers that have been told since the last restore, or
-  /// ran before it.
+  /// Incarnations of the peers that have been told since the last restore.
   std::map<std::string, std::uint64_t> InformedPeers_;
 };
 
