--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -99,7 +99,7 @@
     Source = "record";
     Version = co_await StreamRecords_.findVersion(Stream, Deadline);
   }
-  auto Took =
+  auto Elapsed =
       std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - Start);
   if (Version)
     LogEvent(LogLevel::Info, "stream_origin_found")
@@ -107,13 +107,13 @@
         .field("resumes", RequestId)
         .field("version", *Version)
         .field("source", Source)
-        .field("ms", Took.count());
+        .field("ms", Elapsed.count());
   else
     LogEvent(LogLevel::Warn, "stream_origin_unknown")
         .field("service", Service)
         .field("resumes", RequestId)
         .field("current", isCurrent(SteadyClock::now()) ? 1 : 0)
-        .field("ms", Took.count());
+        .field("ms", Elapsed.count());
   co_return Version;
 }
 
