Confirm a service's only version with the store before a take-up

Cause: a host that knows one version of a service takes it for the origin of every stream. It trusted this while a peer said that it reads the store, but nothing showed that the peer's changes had arrived. A watcher passes changes on over its own connection; if that is silent while the peer's connection to it works, the watcher notices after 1 to 1.25 s, connects again after 0.5 s and compares digests for 0.6 s more, while a new version begins streams after 2 s, or at once if no other version is ready. The limits of a chain (a watch of up to 1.3 s, a peer's silence of 1.25 s) exceed 2 s as well.

Change: the only version counts only if a read of the version records that begins after the take-up arrived finds no other one. A version is recorded before its first stream, so no time limit is involved. Waiting take-ups share a read (SharedStoreRead, taken out of StreamRecords), at most one in 250 ms.

Evidence: three tests with the record just before, just after and long after the 2 s, or never; with the host not running in between; and with a store that does not answer.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -64,6 +64,7 @@
                                             std::uint64_t Incarnation) {
   StoredStreamOriginsSettings Origins;
   Origins.Versions_.SettleTime_ = Settings.ChangeTimeLimit_;
+  Origins.VersionRecords_.ReadsPerSecond_ = Settings.StoreReadsPerSecond_;
   Origins.Streams_.Host_ = Settings.Host_;
   Origins.Streams_.Incarnation_ = Incarnation;
   Origins.Streams_.WritesPerSecond_ = Settings.StoreWritesPerSecond_;
--- /dev/null
+++ b/source/Serving/SharedStoreRead.h
@@ -0,0 +1,68 @@
+/// \file
+/// Reads of the platform's store that several tasks share.
+#ifndef AMARANTH_SERVING_SHAREDSTOREREAD_H
+#define AMARANTH_SERVING_SHAREDSTOREREAD_H
+
+#include "Protocol/PlatformStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace amaranth::serving {
+
+/// Settings of SharedStoreRead.
+struct SharedStoreReadSettings {
+  std::string Prefix_;
+  Milliseconds MinPeriod_{250}; ///< Between two reads, at least.
+  /// Calls a second that the store allows all hosts together, of which these
+  /// reads use a quarter.
+  double ReadsPerSecond_ = 2000;
+};
+
+/// Reads a prefix of the store when somebody asks for it. All who wait at the
+/// same time share one read.
+class SharedStoreRead final {
+public:
+  using Items = std::vector<protocol::StoreItem>;
+
+  /// \p OnItems gets what each successful read has found, before those who wait
+  /// for it go on.
+  SharedStoreRead(transport::Loop &Executor, protocol::PlatformStore &Store,
+                  SharedStoreReadSettings Settings,
+                  std::function<void(const Items &)> OnItems);
+
+  void start();
+  /// Number of hosts that share the store.
+  void setHosts(std::size_t Hosts) { Hosts_ = Hosts; }
+  Milliseconds period() const;
+  /// Waits for a read that begins after this call: it finds all that was
+  /// written before. False if it fails or does not end by \p Deadline.
+  transport::Awaitable<bool> read(SteadyTime Deadline);
+
+private:
+  transport::Awaitable<void> run();
+
+  transport::Loop &Loop_;
+  protocol::PlatformStore &Store_;
+  SharedStoreReadSettings Settings_;
+  std::function<void(const Items &)> OnItems_;
+  std::size_t Hosts_ = 1;
+  std::uint64_t Begun_ = 0;   ///< Number of reads so far.
+  std::uint64_t Ended_ = 0;   ///< Number of the last read that has ended.
+  bool HasSucceeded_ = false; ///< The last read that has ended.
+  SteadyTime NextReadAt_{};
+  transport::Wakeup IsWanted_;
+  std::set<transport::Wakeup *> Waiting_;
+};
+
+/// Period at which each of \p Hosts may make a kind of call, if all of them
+/// together are to use a quarter of \p CallsPerSecond; \p Least or longer.
+Milliseconds sharedCallPeriod(std::size_t Hosts, double CallsPerSecond,
+                              Milliseconds Least);
+
+} // namespace amaranth::serving
+
+#endif
--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -67,6 +67,7 @@
   IsCurrent_ = IsCurrent;
   Versions_.forgetOld(Now);
   Begun_.forgetOld(Now);
+  VersionRecords_.setHosts(Hosts);
   StreamRecords_.setHosts(Hosts);
 }
 
@@ -80,6 +81,21 @@
   return Versions_.mayBegin({Target.Service_, Target.Version_}, Now);
 }
 
+Awaitable<std::optional<std::string>>
+StoredStreamOrigins::findOnlyVersion(std::string Service, SteadyTime Deadline) {
+  std::optional<std::string> Only =
+      Versions_.findOnly(Service, SteadyClock::now());
+  if (!Only)
+    co_return std::nullopt;
+  // Changes may reach this host late without its noticing. A version is
+  // recorded before its first stream begins, and that before it is taken up: a
+  // read that begins now finds it.
+  coordination::VersionName Name{Service, *Only};
+  bool IsConfirmed = co_await VersionRecords_.isOnlyRecord(Name, Deadline);
+  bool IsStillOnly = Versions_.findOnly(Service, SteadyClock::now()) == Only;
+  co_return IsConfirmed &&IsStillOnly ? Only : std::nullopt;
+}
+
 Awaitable<std::optional<std::string>>
 StoredStreamOrigins::findVersion(std::string Service, std::string RequestId,
                                  SteadyTime Deadline) {
@@ -93,7 +109,7 @@
     co_await transport::pause(Loop_, CurrentCheckPeriod);
   if (!Version && isCurrent(SteadyClock::now())) {
     Source = "only_version";
-    Version = Versions_.findOnly(Service, SteadyClock::now());
+    Version = co_await findOnlyVersion(Service, Deadline);
   }
   if (!Version) {
     Source = "record";
--- a/source/Serving/StoredStreamOrigins.h
+++ b/source/Serving/StoredStreamOrigins.h
@@ -45,6 +45,10 @@
                 SteadyTime Now) const override;
 
 private:
+  /// The version that began all streams of \p Service, if the store confirms
+  /// that there is only one.
+  transport::Awaitable<std::optional<std::string>>
+  findOnlyVersion(std::string Service, SteadyTime Deadline);
   /// Whether this host would know of a further version.
   bool isCurrent(SteadyTime Now) const;
 
--- a/source/Serving/StreamRecords.cpp
+++ b/source/Serving/StreamRecords.cpp
@@ -20,20 +20,11 @@
 
 /// At most one line about unreadable records in this time.
 constexpr Seconds UnreadableLogPeriod{10};
-/// Part of the calls that the store allows.
-constexpr double CallShare = 0.25;
 /// Of a stream in a record.
 constexpr std::size_t BytesPerStream = 10;
 /// A lookup ends after so many reads. The second one finds a stream that began
 /// just before the first.
-constexpr std::uint64_t ReadsPerLookup = 2;
-
-Milliseconds sharedPeriod(std::size_t Hosts, double CallsPerSecond,
-                          Milliseconds Least) {
-  double Seconds = static_cast<double>(Hosts) / (CallsPerSecond * CallShare);
-  Milliseconds Period(static_cast<std::int64_t>(Seconds * 1000));
-  return std::max(Period, Least);
-}
+constexpr int ReadsPerLookup = 2;
 
 } // namespace
 
@@ -46,7 +37,11 @@
       Settings_(std::move(Settings)),
       Key_(keyPrefix() + storeKeyPart(Settings_.Host_) + "/" +
            std::to_string(Settings_.Incarnation_)),
-      ReadIsWanted_(Executor) {}
+      Reads_(Executor, Store,
+             {keyPrefix(), Settings_.MinReadPeriod_, Settings_.ReadsPerSecond_},
+             [this](const std::vector<StoreItem> &Items) {
+               noteRecords(Items);
+             }) {}
 
 const std::string &StreamRecords::keyPrefix() {
   static const std::string Prefix = "amaranth/streams/";
@@ -55,17 +50,17 @@
 
 void StreamRecords::start() {
   transport::startTask(Loop_, writeRecords());
-  transport::startTask(Loop_, readRecords());
+  Reads_.start();
 }
 
 Milliseconds StreamRecords::writePeriod() const {
-  return sharedPeriod(Hosts_, Settings_.WritesPerSecond_,
-                      Settings_.MinWritePeriod_);
+  return sharedCallPeriod(Hosts_, Settings_.WritesPerSecond_,
+                          Settings_.MinWritePeriod_);
 }
 
-Milliseconds StreamRecords::readPeriod() const {
-  return sharedPeriod(Hosts_, Settings_.ReadsPerSecond_,
-                      Settings_.MinReadPeriod_);
+void StreamRecords::setHosts(std::size_t Hosts) {
+  Hosts_ = Hosts;
+  Reads_.setHosts(Hosts);
 }
 
 Awaitable<void> StreamRecords::writeRecords() {
@@ -138,30 +133,6 @@
   co_return Status == StoreStatus::Ok || Status == StoreStatus::Invalid;
 }
 
-Awaitable<void> StreamRecords::readRecords() {
-  for (;;) {
-    SteadyTime NoDeadline = SteadyTime::max();
-    co_await ReadIsWanted_.wait(NoDeadline);
-    if (Waiting_.empty())
-      continue;
-    Milliseconds Pause = remaining(NextReadAt_);
-    co_await transport::pause(Loop_, Pause);
-    ++ReadsBegun_;
-    NextReadAt_ = SteadyClock::now() + readPeriod();
-    std::string Prefix = keyPrefix();
-    StoreItems Records = co_await Store_.range(Prefix);
-    if (Records.Status_ == StoreStatus::Ok)
-      noteRecords(Records.Items_);
-    else
-      LogEvent(LogLevel::Warn, "stream_records_not_read")
-          .field("status", toString(Records.Status_))
-          .field("lookups", Waiting_.size());
-    ReadsEnded_ = ReadsBegun_;
-    for (transport::Wakeup *Lookup : Waiting_)
-      Lookup->notify();
-  }
-}
-
 void StreamRecords::noteRecords(const std::vector<StoreItem> &Items) {
   Read_.clear();
   for (const StoreItem &Item : Items) {
@@ -192,19 +163,13 @@
 
 Awaitable<std::optional<std::string>>
 StreamRecords::findVersion(std::uint64_t Stream, SteadyTime Deadline) {
-  std::uint64_t BegunBefore = ReadsBegun_;
-  transport::Wakeup ReadEnded(Loop_);
-  for (;;) {
+  for (int Reads = 0;; ++Reads) {
     auto Found = Read_.find(Stream);
     if (Found != Read_.end())
       co_return Found->second;
-    if (ReadsEnded_ >= BegunBefore + ReadsPerLookup ||
-        SteadyClock::now() >= Deadline)
+    if (Reads == ReadsPerLookup || SteadyClock::now() >= Deadline)
       co_return std::nullopt;
-    Waiting_.insert(&ReadEnded);
-    ReadIsWanted_.notify();
-    co_await ReadEnded.wait(Deadline);
-    Waiting_.erase(&ReadEnded);
+    co_await Reads_.read(Deadline);
   }
 }
 
--- a/source/Serving/StreamRecords.h
+++ b/source/Serving/StreamRecords.h
@@ -5,6 +5,7 @@
 
 #include "Coordination/Streams/BegunStreams.h"
 #include "Protocol/PlatformStore.h"
+#include "Serving/SharedStoreRead.h"
 
 #include <cstdint>
 #include <optional>
@@ -53,9 +54,9 @@
   /// A stream was added to the host's own.
   void onStreamBegun() { HasChanged_ = true; }
   /// Number of hosts that share the store.
-  void setHosts(std::size_t Hosts) { Hosts_ = Hosts; }
+  void setHosts(std::size_t Hosts);
   Milliseconds writePeriod() const;
-  Milliseconds readPeriod() const;
+  Milliseconds readPeriod() const { return Reads_.period(); }
   /// The version that began \p Stream according to the records; nothing if they
   /// do not have it, name several versions or cannot be read by \p Deadline.
   transport::Awaitable<std::optional<std::string>>
@@ -70,7 +71,6 @@
   transport::Awaitable<void> writeRecords();
   transport::Awaitable<bool> write();
   transport::Awaitable<void> renew();
-  transport::Awaitable<void> readRecords();
   void noteRecords(const std::vector<protocol::StoreItem> &Items);
   void noteUnreadable(const std::string &Key);
 
@@ -88,12 +88,8 @@
   SteadyTime NextWriteAt_{};
   SteadyTime RenewAt_{};
 
-  VersionMap Read_;
-  std::uint64_t ReadsBegun_ = 0;
-  std::uint64_t ReadsEnded_ = 0;
-  SteadyTime NextReadAt_{};
-  transport::Wakeup ReadIsWanted_;
-  std::set<transport::Wakeup *> Waiting_; ///< Lookups that wait for a read.
+  SharedStoreRead Reads_;
+  VersionMap Read_; ///< As found by the last read.
   std::optional<SteadyTime> UnreadableLoggedAt_;
 };
 
--- a/source/Serving/VersionRecords.cpp
+++ b/source/Serving/VersionRecords.cpp
@@ -29,7 +29,11 @@
                                const VersionWriterElection &Election,
                                VersionRecordsSettings Settings)
     : Loop_(Executor), Store_(Store), Versions_(Versions), Election_(Election),
-      Settings_(Settings) {}
+      Settings_(Settings),
+      Reads_(Executor, Store,
+             {keyPrefix(), Settings.MinReadPeriod_, Settings.ReadsPerSecond_},
+             [this](const std::vector<StoreItem> &Items) { noteRead(Items); }) {
+}
 
 const std::string &VersionRecords::keyPrefix() {
   static const std::string Prefix = "amaranth/versions/";
@@ -41,7 +45,10 @@
          storeKeyPart(Name.Version_);
 }
 
-void VersionRecords::start() { transport::startTask(Loop_, run()); }
+void VersionRecords::start() {
+  transport::startTask(Loop_, run());
+  Reads_.start();
+}
 
 void VersionRecords::onRecordChanged(const StoreItem &Item, SteadyTime Now) {
   if (Item.Removed_) {
@@ -49,19 +56,44 @@
     LogEvent(LogLevel::Info, "version_record_ended").field("key", Item.Key_);
     return;
   }
+  if (std::optional<VersionName> Name = readRecord(Item))
+    Versions_.setRecord(Item.Key_, *Name, Now);
+  else
+    Versions_.removeRecord(Item.Key_);
+}
+
+std::optional<VersionName> VersionRecords::readRecord(const StoreItem &Item) {
   std::optional<FleetMessage> Message =
       protocol::decodeFleetMessage(Item.Value_);
   const auto *Record =
       Message ? std::get_if<ServiceVersion>(&*Message) : nullptr;
-  if (Record && key({Record->Service_, Record->Version_}) == Item.Key_) {
-    Versions_.setRecord(Item.Key_, {Record->Service_, Record->Version_}, Now);
-    return;
+  if (Record && key({Record->Service_, Record->Version_}) == Item.Key_)
+    return VersionName{Record->Service_, Record->Version_};
+  SteadyTime Now = SteadyClock::now();
+  if (!UnreadableLoggedAt_ ||
+      Now - *UnreadableLoggedAt_ >= UnreadableLogPeriod) {
+    UnreadableLoggedAt_ = Now;
+    LogEvent(LogLevel::Warn, "version_record_unreadable")
+        .field("key", Item.Key_);
   }
-  Versions_.removeRecord(Item.Key_);
-  if (UnreadableLoggedAt_ && Now - *UnreadableLoggedAt_ < UnreadableLogPeriod)
-    return;
-  UnreadableLoggedAt_ = Now;
-  LogEvent(LogLevel::Warn, "version_record_unreadable").field("key", Item.Key_);
+  return std::nullopt;
+}
+
+void VersionRecords::noteRead(const std::vector<StoreItem> &Items) {
+  Read_.clear();
+  for (const StoreItem &Item : Items)
+    if (std::optional<VersionName> Name = readRecord(Item))
+      Read_[Name->Service_].insert(Name->Version_);
+}
+
+Awaitable<bool> VersionRecords::isOnlyRecord(VersionName Name,
+                                             SteadyTime Deadline) {
+  bool IsRead = co_await Reads_.read(Deadline);
+  if (!IsRead)
+    co_return false;
+  auto Found = Read_.find(Name.Service_);
+  co_return Found != Read_.end() &&
+      Found->second == std::set<std::string>{Name.Version_};
 }
 
 Awaitable<void> VersionRecords::run() {
--- a/source/Serving/VersionRecords.h
+++ b/source/Serving/VersionRecords.h
@@ -5,9 +5,11 @@
 
 #include "Coordination/Streams/ServiceVersions.h"
 #include "Protocol/PlatformStore.h"
+#include "Serving/SharedStoreRead.h"
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,9 @@
   /// written again.
   Milliseconds MissingTime_{2000};
   Milliseconds CheckPeriod_{50};
+  Milliseconds MinReadPeriod_{250};
+  /// Calls a second that the store allows all hosts together.
+  double ReadsPerSecond_ = 2000;
 };
 
 /// Says which host writes the records of a service.
@@ -50,6 +55,13 @@
   void start();
   /// Call for every change under keyPrefix().
   void onRecordChanged(const protocol::StoreItem &Item, SteadyTime Now);
+  /// Number of hosts that share the store.
+  void setHosts(std::size_t Hosts) { Reads_.setHosts(Hosts); }
+  /// Whether \p Name is the only version of its service with a record, by a
+  /// read of the store that begins now. False if that is not known by
+  /// \p Deadline.
+  transport::Awaitable<bool> isOnlyRecord(coordination::VersionName Name,
+                                          SteadyTime Deadline);
 
 private:
   /// A record that this host writes.
@@ -63,6 +75,10 @@
   transport::Awaitable<void> keep(coordination::VersionName Name);
   /// False if the record has to be written again.
   transport::Awaitable<bool> write(coordination::VersionName Name);
+  void noteRead(const std::vector<protocol::StoreItem> &Items);
+  /// The version that a record names; nothing if it is unreadable.
+  std::optional<coordination::VersionName>
+  readRecord(const protocol::StoreItem &Item);
   bool needsWrite(const coordination::VersionName &Name, const Kept &Record,
                   SteadyTime Now) const;
 
@@ -73,6 +89,9 @@
   VersionRecordsSettings Settings_;
   std::map<coordination::VersionName, Kept> Kept_;
   std::optional<SteadyTime> UnreadableLoggedAt_;
+  SharedStoreRead Reads_;
+  /// The versions of each service with a record, as found by the last read.
+  std::map<std::string, std::set<std::string>> Read_;
 };
 
 } // namespace amaranth::serving
--- a/tests/Serving/StoredStreamOriginsTest.cpp
+++ b/tests/Serving/StoredStreamOriginsTest.cpp
@@ -101,6 +101,7 @@
     Settings.RetryPeriod_ = Milliseconds{5};
     Settings.MissingTime_ = Milliseconds{30};
     Settings.CheckPeriod_ = Milliseconds{5};
+    Settings.MinReadPeriod_ = Milliseconds{12};
     return Settings;
   }
   static StreamRecordsSettings streamSettings(const std::string &Name,
@@ -121,7 +122,7 @@
 
   void followRecords() {
     std::map<std::string, std::string> Current;
-    if (Store_.Status_ != StoreStatus::Ok)
+    if (!FollowsRecords_ || Store_.Status_ != StoreStatus::Ok)
       return;
     for (const auto &[Key, Value] : Store_.Values_)
       if (Key.starts_with(VersionRecords::keyPrefix()))
@@ -177,6 +178,7 @@
   MemoryStore &Store_;
   bool IsWriter_;
   bool IsCurrent_ = true;
+  bool FollowsRecords_ = true; ///< Changes of the records arrive.
   transport::Loop Loop_;
   std::map<std::string, std::string> Known_;
   std::map<std::string, std::optional<std::string>> Results_;
@@ -264,6 +266,72 @@
   CHECK(streamRecords(Store) == 1);
 }
 
+// Rule ORDER. Guards against a host that is out of step while targets of a new
+// version join, and takes streams of that version up at the version that it
+// knows: what it lacks may be on its way for longer than a new version waits.
+TEST_CASE("stream origins: a version whose record is late is not overlooked") {
+  const Milliseconds SettleTime = OriginsHost::versionSettings().SettleTime_;
+  struct {
+    Milliseconds RecordDelay_; ///< At the host that is out of step.
+    Milliseconds TakenUpAfter_;
+  } const Cases[] = {{SettleTime / 2, SettleTime - Milliseconds{5}},
+                     {SettleTime - Milliseconds{2}, SettleTime},
+                     {SettleTime + Milliseconds{2}, SettleTime},
+                     {Seconds{60}, SettleTime + Milliseconds{5}},
+                     {Seconds{60}, 10 * SettleTime}};
+  for (const auto &[RecordDelay, TakenUpAfter] : Cases) {
+    INFO("record after " << RecordDelay.count() << " ms, taken up after "
+                         << TakenUpAfter.count() << " ms");
+    MemoryStore Store;
+    OriginsHost InStep(Store, "h1");
+    InStep.add("i-1", "v1");
+    OriginsHost OutOfStep(Store, "h2", 1, false);
+    OutOfStep.add("i-1", "v1");
+    REQUIRE(OutOfStep.find("r1") == "v1");
+    OutOfStep.FollowsRecords_ = false;
+    InStep.add("i-2", "v2");
+    InStep.begin("r2", "v2");
+    SteadyTime JoinedAt = SteadyClock::now();
+    while (SteadyClock::now() < JoinedAt + TakenUpAfter) {
+      if (SteadyClock::now() >= JoinedAt + RecordDelay)
+        OutOfStep.FollowsRecords_ = true;
+      OutOfStep.run(Milliseconds{1});
+    }
+    CHECK(OutOfStep.find("r2") == "v2");
+    // A stream from before, of which no record says anything.
+    CHECK_FALSE(OutOfStep.find("r1"));
+  }
+}
+
+// Rule ORDER. Guards against a host that stands still between the arrival of a
+// take-up and its look-up, too short to count as not current.
+TEST_CASE("stream origins: a version that joins while a host stands still is "
+          "not overlooked") {
+  MemoryStore Store;
+  OriginsHost InStep(Store, "h1");
+  InStep.add("i-1", "v1");
+  OriginsHost Frozen(Store, "h2", 1, false);
+  Frozen.add("i-1", "v1");
+  // Not run until the look-up: its records and its clock readings are old.
+  InStep.add("i-2", "v2");
+  InStep.begin("r2", "v2");
+  Frozen.FollowsRecords_ = false;
+  CHECK(Frozen.find("r2") == "v2");
+}
+
+// Rule ORDER. Guards against a take-up at the only known version while the
+// store, which may know of another one, does not answer.
+TEST_CASE("stream origins: a version that cannot be confirmed is not used") {
+  MemoryStore Store;
+  OriginsHost Host(Store, "h1");
+  Host.add("i-1", "v1");
+  REQUIRE(Host.find("r1") == "v1");
+  Store.Status_ = StoreStatus::Unavailable;
+  CHECK_FALSE(Host.find("r1"));
+  Store.Status_ = StoreStatus::Ok;
+  CHECK(Host.find("r1") == "v1");
+}
+
 // Rule LOST. Guards against records that stay away after the store has lost
 // them with their leases.
 TEST_CASE("stream origins: lost records are written again") {
