Count the versions of services that share a route together

What callers saw: on a route with two services, of one version each, a stream that one of them began was taken up and went on at the other one, at another version (ORDER).

Cause: the only version of the chosen service counted as the origin of any stream, before the streams of the route's other services were asked for. The test passed where its ten take-ups came before the 2 s after which the version counts; it now waits for them, and asks a second host, too.

Change: the versions of services that share a resumable route count together. If they differ, hosts write the streams that they begin to the store, as for several versions of one service. A host's own streams are looked up first, for all services of the route. When a version may begin streams is still decided for each service by itself.

--- a/source/Coordination/Streams/ServiceVersions.cpp
+++ b/source/Coordination/Streams/ServiceVersions.cpp
@@ -7,8 +7,12 @@
 ServiceVersions::ServiceVersions(ServiceVersionsSettings Settings)
     : Settings_(Settings) {}
 
-void ServiceVersions::setServices(std::set<std::string> Services) {
-  ResumableServices_ = std::move(Services);
+void ServiceVersions::setRoutes(
+    const std::vector<std::set<std::string>> &Routes) {
+  ResumableServices_.clear();
+  for (const std::set<std::string> &Services : Routes)
+    for (const std::string &Service : Services)
+      ResumableServices_[Service].insert(Services.begin(), Services.end());
 }
 
 const ServiceVersions::States *
@@ -93,18 +97,34 @@
                 [](const auto &Entry) { return Entry.second.empty(); });
 }
 
+std::set<std::string>
+ServiceVersions::versionsInWindow(const std::string &Service,
+                                  SteadyTime Now) const {
+  std::set<std::string> Names;
+  if (const States *Versions = findService(Service))
+    for (const auto &[Name, Entry] : *Versions)
+      if (isInWindow(Entry, Now))
+        Names.insert(Name);
+  return Names;
+}
+
+std::set<std::string>
+ServiceVersions::alternatives(const std::string &Service) const {
+  auto Found = ResumableServices_.find(Service);
+  return Found == ResumableServices_.end() ? std::set{Service} : Found->second;
+}
+
 bool ServiceVersions::hasSeveral(const std::string &Service,
                                  SteadyTime Now) const {
-  const States *Versions = findService(Service);
-  return Versions && std::count_if(Versions->begin(), Versions->end(),
-                                   [&](const auto &Entry) {
-                                     return isInWindow(Entry.second, Now);
-                                   }) > 1;
+  std::set<std::string> Names;
+  for (const std::string &Alternative : alternatives(Service))
+    Names.merge(versionsInWindow(Alternative, Now));
+  return Names.size() > 1;
 }
 
 std::set<std::string> ServiceVersions::withSeveral(SteadyTime Now) const {
   std::set<std::string> Names;
-  for (const std::string &Service : ResumableServices_)
+  for (const auto &[Service, Alternatives] : ResumableServices_)
     if (hasSeveral(Service, Now))
       Names.insert(Service);
   return Names;
@@ -125,7 +145,7 @@
 bool ServiceVersions::mayBegin(const VersionName &Name, SteadyTime Now) const {
   const State *Version = findState(Name);
   if (!Version || !ResumableServices_.contains(Name.Service_) ||
-      !hasSeveral(Name.Service_, Now))
+      versionsInWindow(Name.Service_, Now).size() <= 1)
     return true;
   const States *Versions = findService(Name.Service_);
   // Without any record, no version is taken for the only one.
--- a/source/Coordination/Streams/ServiceVersions.h
+++ b/source/Coordination/Streams/ServiceVersions.h
@@ -45,9 +45,9 @@
 public:
   explicit ServiceVersions(ServiceVersionsSettings Settings = {});
 
-  /// The services whose streams may be taken up. The versions of others are not
-  /// recorded, and any of them may get requests.
-  void setServices(std::set<std::string> Services);
+  /// For each route whose streams may be taken up, its services. Versions of
+  /// other services are not recorded, and any of them may get requests.
+  void setRoutes(const std::vector<std::set<std::string>> &Routes);
   /// A target is registered. One that is not ready gets no requests.
   void setTarget(const std::string &Target, VersionName Name, bool IsReady,
                  SteadyTime Now);
@@ -61,10 +61,14 @@
   /// Removes the versions that have left the window.
   void forgetOld(SteadyTime Now);
 
-  /// Whether several versions of \p Service are in the window.
+  /// Whether several versions of \p Service, or of it and the services that
+  /// share a route with it, are in the window: a caller that takes a stream up
+  /// does not say which of them began it.
   bool hasSeveral(const std::string &Service, SteadyTime Now) const;
-  /// The services with several versions in the window.
+  /// The services with several versions in the window, as in hasSeveral().
   std::set<std::string> withSeveral(SteadyTime Now) const;
+  /// \p Service and the services that share a route with it.
+  std::set<std::string> alternatives(const std::string &Service) const;
   /// The version that began all streams of the window; nothing if there may be
   /// several, or this is not certain yet.
   std::optional<std::string> findOnly(const std::string &Service,
@@ -76,7 +80,7 @@
   bool isRegistered(const VersionName &Name) const;
   /// When the record was last written; nothing if there is none.
   std::optional<SteadyTime> recordedAt(const VersionName &Name) const;
-  /// The versions with registered targets of the services of setServices().
+  /// The versions with registered targets of the services of setRoutes().
   std::vector<VersionName> registered() const;
 
 private:
@@ -97,13 +101,16 @@
   };
   using States = std::map<std::string, State>; ///< By version.
 
+  std::set<std::string> versionsInWindow(const std::string &Service,
+                                         SteadyTime Now) const;
   bool isInWindow(const State &Version, SteadyTime Now) const;
   const States *findService(const std::string &Service) const;
   const State *findState(const VersionName &Name) const;
   State &state(const VersionName &Name);
 
   ServiceVersionsSettings Settings_;
-  std::set<std::string> ResumableServices_;
+  /// The services of setRoutes(), each with those that share a route with it.
+  std::map<std::string, std::set<std::string>> ResumableServices_;
   std::map<std::string, States> Services_;
   std::map<std::string, Target> Targets_;      ///< By id.
   std::map<std::string, VersionName> Records_; ///< By key.
--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -35,12 +35,15 @@
 }
 
 void StoredStreamOrigins::onConfiguration(const state::RoutingTable &Table) {
-  std::set<std::string> Services;
-  for (const state::Route &Route : Table.Routes_)
-    if (Route.IsResumable_)
-      for (const state::ServiceShare &Share : Route.Services_)
-        Services.insert(Share.Service_);
-  Versions_.setServices(std::move(Services));
+  std::vector<std::set<std::string>> Routes;
+  for (const state::Route &Route : Table.Routes_) {
+    if (!Route.IsResumable_)
+      continue;
+    std::set<std::string> &Services = Routes.emplace_back();
+    for (const state::ServiceShare &Share : Route.Services_)
+      Services.insert(Share.Service_);
+  }
+  Versions_.setRoutes(Routes);
 }
 
 void StoredStreamOrigins::onTarget(const state::TargetRecord &Target,
@@ -90,10 +93,20 @@
   // Changes may reach this host late without its noticing. A version is
   // recorded before its first stream begins, and that before it is taken up: a
   // read that begins now finds it.
-  coordination::VersionName Name{Service, *Only};
-  bool IsConfirmed = co_await VersionRecords_.isOnlyRecord(Name, Deadline);
+  std::set<std::string> Services = Versions_.alternatives(Service);
+  bool IsConfirmed =
+      co_await VersionRecords_.isOnlyRecord(Services, *Only, Deadline);
   bool IsStillOnly = Versions_.findOnly(Service, SteadyClock::now()) == Only;
-  co_return IsConfirmed &&IsStillOnly ? Only : std::nullopt;
+  if (!IsConfirmed || !IsStillOnly)
+    co_return std::nullopt;
+  co_return Only;
+}
+
+std::optional<std::string>
+StoredStreamOrigins::findOwnVersion(const std::string &Service,
+                                    const std::string &RequestId) const {
+  return Begun_.find(coordination::streamHash(Service, RequestId),
+                     SteadyClock::now());
 }
 
 Awaitable<std::optional<std::string>>
@@ -102,7 +115,7 @@
   SteadyTime Start = SteadyClock::now();
   std::uint64_t Stream = coordination::streamHash(Service, RequestId);
   const char *Source = "own";
-  std::optional<std::string> Version = Begun_.find(Stream, Start);
+  std::optional<std::string> Version = findOwnVersion(Service, RequestId);
   SteadyTime WaitUntil = std::min(Deadline, Start + MaxCurrentWait);
   while (!Version && !isCurrent(SteadyClock::now()) &&
          SteadyClock::now() < WaitUntil)
--- a/source/Serving/StoredStreamOrigins.h
+++ b/source/Serving/StoredStreamOrigins.h
@@ -36,6 +36,9 @@
   /// Whether the records of targets and versions follow the store. Call often.
   void update(bool IsCurrent, std::size_t Hosts, SteadyTime Now);
   // StreamOrigins
+  std::optional<std::string>
+  findOwnVersion(const std::string &Service,
+                 const std::string &RequestId) const override;
   transport::Awaitable<std::optional<std::string>>
   findVersion(std::string Service, std::string RequestId,
               SteadyTime Deadline) override;
--- a/source/Serving/StreamContinuation.cpp
+++ b/source/Serving/StreamContinuation.cpp
@@ -46,11 +46,17 @@
   for (const state::ServiceShare &Share : Scope_.Route_->Services_)
     if (Share.Service_ != Scope_.Service_)
       Services.push_back(Share.Service_);
+  StreamOrigins &Origins = Scope_.Context_.Origins_;
+  auto Began = std::find_if(
+      Services.begin(), Services.end(), [&](const std::string &Service) {
+        return Origins.findOwnVersion(Service, StreamId_).has_value();
+      });
+  if (Began != Services.end())
+    Services = {*Began};
   for (const std::string &Candidate : Services) {
     std::string Service = Candidate;
     std::string StreamId = StreamId_;
-    Version_ =
-        co_await Scope_.Context_.Origins_.findVersion(Service, StreamId, Until);
+    Version_ = co_await Origins.findVersion(Service, StreamId, Until);
     if (Version_) {
       Scope_.Service_ = Service;
       break;
--- a/source/Serving/StreamOrigins.h
+++ b/source/Serving/StreamOrigins.h
@@ -19,7 +19,12 @@
   virtual ~StreamOrigins() = default;
 
   /// The version that began the stream whose first event a caller got in its
-  /// attempt \p RequestId; nothing if it is not known, or not by \p Deadline.
+  /// attempt \p RequestId at this host; nothing if it began elsewhere.
+  virtual std::optional<std::string>
+  findOwnVersion(const std::string &Service,
+                 const std::string &RequestId) const = 0;
+  /// The same for a stream that may have begun at any host; nothing if the
+  /// version is not known, or not by \p Deadline.
   virtual transport::Awaitable<std::optional<std::string>>
   findVersion(std::string Service, std::string RequestId,
               SteadyTime Deadline) = 0;
--- a/source/Serving/VersionRecords.cpp
+++ b/source/Serving/VersionRecords.cpp
@@ -86,14 +86,17 @@
       Read_[Name->Service_].insert(Name->Version_);
 }
 
-Awaitable<bool> VersionRecords::isOnlyRecord(VersionName Name,
+Awaitable<bool> VersionRecords::isOnlyRecord(std::set<std::string> Services,
+                                             std::string Version,
                                              SteadyTime Deadline) {
   bool IsRead = co_await Reads_.read(Deadline);
   if (!IsRead)
     co_return false;
-  auto Found = Read_.find(Name.Service_);
-  co_return Found != Read_.end() &&
-      Found->second == std::set<std::string>{Name.Version_};
+  std::set<std::string> Recorded;
+  for (const auto &[Service, Versions] : Read_)
+    if (Services.contains(Service))
+      Recorded.insert(Versions.begin(), Versions.end());
+  co_return Recorded == std::set{Version};
 }
 
 Awaitable<void> VersionRecords::run() {
--- a/source/Serving/VersionRecords.h
+++ b/source/Serving/VersionRecords.h
@@ -57,10 +57,11 @@
   void onRecordChanged(const protocol::StoreItem &Item, SteadyTime Now);
   /// Number of hosts that share the store.
   void setHosts(std::size_t Hosts) { Reads_.setHosts(Hosts); }
-  /// Whether \p Name is the only version of its service with a record, by a
+  /// Whether \p Version is the only version of \p Services with a record, by a
   /// read of the store that begins now. False if that is not known by
   /// \p Deadline.
-  transport::Awaitable<bool> isOnlyRecord(coordination::VersionName Name,
+  transport::Awaitable<bool> isOnlyRecord(std::set<std::string> Services,
+                                          std::string Version,
                                           SteadyTime Deadline);
 
 private:
--- a/tests/Coordination/Streams/ServiceVersionsTest.cpp
+++ b/tests/Coordination/Streams/ServiceVersionsTest.cpp
@@ -14,7 +14,7 @@
 /// A host that has read the store's records at its start.
 struct Host {
   explicit Host(std::vector<VersionName> Records = {Old}) {
-    Versions_.setServices({"engine"});
+    Versions_.setRoutes({{"engine"}});
     for (const VersionName &Name : Records)
       record(Name);
     Versions_.onRecordsComplete();
@@ -44,6 +44,25 @@
 
 } // namespace
 
+// Rule ORDER. Guards against a stream that is taken up at the only version of
+// another service of its route than the one that began it.
+TEST_CASE("service versions: services that share a route are told apart") {
+  const VersionName Other{"other", "v2"};
+  Host Known({Old, Other});
+  CHECK(Known.only() == "v1");
+  Known.Versions_.setRoutes({{"engine", "other"}, {"other", "third"}});
+  CHECK_FALSE(Known.only());
+  CHECK(Known.Versions_.withSeveral(Known.Now_) ==
+        std::set<std::string>{"engine", "other"});
+  // What was the only version of its own service may begin streams as before.
+  CHECK(Known.mayBegin(Old));
+  CHECK(Known.mayBegin(Other));
+  Host Same;
+  Same.Versions_.setRecord("k/other/v1", {"other", "v1"}, Same.Now_);
+  Same.Versions_.setRoutes({{"engine", "other"}});
+  CHECK(Same.only() == "v1");
+}
+
 // Rule ORDER. Guards against a host that takes the only version it knows for
 // the origin of a stream though others may have begun it.
 TEST_CASE("service versions: the only version needs complete records") {
--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -235,7 +235,9 @@
   Store.put("op/config", Configuration);
   VersionedEngine One(Store, "i-1", "v1");
   VersionedEngine Other(Store, "i-2", "v2", "other");
-  PlatformFleet Fleet(Store, 1);
+  PlatformFleet Fleet(Store, 2);
+  // Each service has one version, which is certain after this time.
+  std::this_thread::sleep_for(StartTime + ChangeTime);
   One.breakAfter(2, 2);
   Other.breakAfter(2, 2);
   std::string First = platformRequest("POST", "/draft/1");
@@ -248,7 +250,8 @@
     std::string Path = "/draft/take-up-" + std::to_string(I);
     std::string TakeUp =
         TwoVersions::takeUp(TwoVersions::requestId(First), 2, Path);
-    CHECK(Fleet.call(0, TakeUp).Body_ == Origin.events(3, 6));
+    std::size_t Host = I % 2;
+    CHECK(Fleet.call(Host, TakeUp).Body_ == Origin.events(3, 6));
   }
 }
 
