Let every watcher record a version that the elected host does not

What callers would see: a version that joined while the host elected for its service did not reach the store was never recorded. After 2 s it got streams nevertheless. At a host that had not heard of its targets these could be taken up at another version (ORDER), and where it was the only version, take-ups at other hosts were refused (LOST).

Cause: the writer of a service's records is elected among all serving hosts, also those whose calls to the store fail, and no other host wrote for it.

Change: a registered version that has had no record for 1 s is written by each host that watches the store. The elected host takes the record over with the next renewal.

Evidence: "stream origins: a record that the elected host does not write" fails without the change (0 writes; the take-up at another host is refused) and passes with it.

--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -75,6 +75,7 @@
   protocol::QueueState queueState(const std::string &Service) override;
   // VersionWriterElection
   bool writesVersionsOf(const std::string &Service) const override;
+  bool watchesStore() const override { return Replica_.readsStore(); }
 
 private:
   /// The operators' records have changed.
--- a/source/Serving/VersionRecords.cpp
+++ b/source/Serving/VersionRecords.cpp
@@ -99,19 +99,43 @@
   co_return Recorded == std::set{Version};
 }
 
+void VersionRecords::noteUnrecorded(const std::vector<VersionName> &Registered,
+                                    SteadyTime Now) {
+  std::set<VersionName> Unrecorded;
+  for (const VersionName &Name : Registered)
+    if (!Versions_.recordedAt(Name))
+      Unrecorded.insert(Name);
+  std::erase_if(UnrecordedSince_, [&](const auto &Entry) {
+    return !Unrecorded.contains(Entry.first);
+  });
+  for (const VersionName &Name : Unrecorded)
+    UnrecordedSince_.try_emplace(Name, Now);
+}
+
+bool VersionRecords::shouldKeep(const VersionName &Name, SteadyTime Now) {
+  if (Election_.writesVersionsOf(Name.Service_))
+    return true;
+  auto Unrecorded = UnrecordedSince_.find(Name);
+  return Unrecorded != UnrecordedSince_.end() && Election_.watchesStore() &&
+         Now - Unrecorded->second >= Settings_.OverdueTime_;
+}
+
 Awaitable<void> VersionRecords::run() {
   for (;;) {
     co_await transport::pause(Loop_, Settings_.CheckPeriod_);
+    if (!Versions_.isComplete())
+      continue;
+    SteadyTime Now = SteadyClock::now();
     std::vector<VersionName> Registered = Versions_.registered();
-    std::erase_if(Registered, [this](const VersionName &Name) {
-      return !Versions_.isComplete() ||
-             !Election_.writesVersionsOf(Name.Service_);
+    noteUnrecorded(Registered, Now);
+    std::erase_if(Registered, [&](const VersionName &Name) {
+      return !shouldKeep(Name, Now);
     });
-    std::set<VersionName> Elected(Registered.begin(), Registered.end());
+    std::set<VersionName> OwnRecords(Registered.begin(), Registered.end());
     // The leases of other records end by themselves: ending them could remove
     // a record that another host has just taken over.
     std::erase_if(Kept_, [&](const auto &Entry) {
-      return !Elected.contains(Entry.first);
+      return !OwnRecords.contains(Entry.first);
     });
     for (const VersionName &Name : Registered)
       co_await keep(Name);
--- a/source/Serving/VersionRecords.h
+++ b/source/Serving/VersionRecords.h
@@ -25,6 +25,10 @@
   /// A record that does not arrive here so long after it was written is
   /// written again.
   Milliseconds MissingTime_{2000};
+  /// A version that has no record for so long is recorded by each host that
+  /// watches the store: the elected one may not reach it. Shorter than the time
+  /// after which versions get streams without a record.
+  Milliseconds OverdueTime_{1000};
   Milliseconds CheckPeriod_{50};
   Milliseconds MinReadPeriod_{250};
   /// Calls a second that the store allows all hosts together.
@@ -36,6 +40,8 @@
 public:
   virtual ~VersionWriterElection() = default;
   virtual bool writesVersionsOf(const std::string &Service) const = 0;
+  /// Whether this host is one of those that watch the store.
+  virtual bool watchesStore() const = 0;
 };
 
 /// Keeps a record in the store for each version of a service that has
@@ -76,6 +82,10 @@
   transport::Awaitable<void> keep(coordination::VersionName Name);
   /// False if the record has to be written again.
   transport::Awaitable<bool> write(coordination::VersionName Name);
+  void noteUnrecorded(const std::vector<coordination::VersionName> &Registered,
+                      SteadyTime Now);
+  /// Whether this host writes the record of a registered version.
+  bool shouldKeep(const coordination::VersionName &Name, SteadyTime Now);
   void noteRead(const std::vector<protocol::StoreItem> &Items);
   /// The version that a record names; nothing if it is unreadable.
   std::optional<coordination::VersionName>
@@ -89,6 +99,8 @@
   const VersionWriterElection &Election_;
   VersionRecordsSettings Settings_;
   std::map<coordination::VersionName, Kept> Kept_;
+  /// Registered versions without a record, and since when.
+  std::map<coordination::VersionName, SteadyTime> UnrecordedSince_;
   std::optional<SteadyTime> UnreadableLoggedAt_;
   SharedStoreRead Reads_;
   /// The versions of each service with a record, as found by the last read.
--- a/tests/Serving/StoredStreamOriginsTest.cpp
+++ b/tests/Serving/StoredStreamOriginsTest.cpp
@@ -102,6 +102,7 @@
     Settings.MissingTime_ = Milliseconds{30};
     Settings.CheckPeriod_ = Milliseconds{5};
     Settings.MinReadPeriod_ = Milliseconds{12};
+    Settings.OverdueTime_ = Milliseconds{60};
     return Settings;
   }
   static StreamRecordsSettings streamSettings(const std::string &Name,
@@ -119,6 +120,7 @@
   bool writesVersionsOf(const std::string &) const override {
     return IsWriter_;
   }
+  bool watchesStore() const override { return WatchesStore_; }
 
   void followRecords() {
     std::map<std::string, std::string> Current;
@@ -177,6 +179,7 @@
 
   MemoryStore &Store_;
   bool IsWriter_;
+  bool WatchesStore_ = false;
   bool IsCurrent_ = true;
   bool FollowsRecords_ = true; ///< Changes of the records arrive.
   transport::Loop Loop_;
@@ -421,3 +424,29 @@
   Host.run(RenewPeriod);
   CHECK(Store.Writes_ == 2);
 }
+
+// Rules ORDER, LOST. Guards against a version without a record because the
+// elected host does not reach the store: it would get streams nevertheless, and
+// none of them could be taken up at other hosts.
+TEST_CASE("stream origins: a record that the elected host does not write") {
+  MemoryStore Store;
+  OriginsHost Watcher(Store, "h1", 1, false);
+  OriginsHost Other(Store, "h2", 1, false);
+  Watcher.WatchesStore_ = true;
+  Watcher.add("i-1", "v1");
+  Other.add("i-1", "v1");
+  // The elected host has time to write it.
+  CHECK(Store.Writes_ == 0);
+  Watcher.run(2 * OriginsHost::recordSettings().OverdueTime_);
+  Other.run(2 * OriginsHost::recordSettings().OverdueTime_);
+  CHECK(Store.Writes_ == 1);
+  Other.FollowsRecords_ = false;
+  CHECK(Other.find("r1") == "v1");
+  // The elected host takes the record over with the next renewal.
+  OriginsHost Elected(Store, "h3");
+  Elected.add("i-1", "v1");
+  CHECK(Store.Writes_ == 1);
+  Elected.run(RenewPeriod);
+  Watcher.run(RenewPeriod);
+  CHECK(Store.Writes_ == 2);
+}
