Do not use a read of the store that was on its way when the era changed

What callers would see: after a restore of the store, a host goes on with the configuration from before and ignores later ones until the store's revisions have passed those that were given out before (CONFIG).

Cause: a host that learns of a new era from a peer while its own read is on its way accepts the answer as one of the new era. If the store computed it before the restore and stated the era as it sent it, revisions of the old era count as revisions of the new one.

Evidence: "store follower: a read from before a restore is not used after it" fails without the change (one read in place of two) and passes with it.

--- a/source/Serving/StoreFollower.cpp
+++ b/source/Serving/StoreFollower.cpp
@@ -44,7 +44,14 @@
   Milliseconds RetryDelay = Settings_.MinRetryDelay_;
   for (;;) {
     std::string Prefix = Settings_.Prefix_;
+    std::uint64_t EraBefore = Listener_.knownEra(Prefix);
     StoreItems Current = co_await Store_.range(Prefix);
+    // A peer has passed on a new era during the call: the store may have
+    // computed the answer before the restore and stated the era as it sent it.
+    if (EraBefore != 0 && Listener_.knownEra(Prefix) != EraBefore) {
+      co_await transport::pause(Loop_, Settings_.MinRetryDelay_);
+      continue;
+    }
     if (Current.Status_ == StoreStatus::Ok &&
         Listener_.isOutdated(Prefix, Current.Era_))
       Current.Status_ = StoreStatus::EraChanged;
--- a/source/Serving/StoreFollower.h
+++ b/source/Serving/StoreFollower.h
@@ -34,6 +34,8 @@
   /// Whether an answer of \p Era shows a restore that is not known yet.
   virtual bool isRestored(const std::string &Prefix,
                           std::uint64_t Era) const = 0;
+  /// The latest known era; 0 if it was never stated.
+  virtual std::uint64_t knownEra(const std::string &Prefix) const = 0;
   /// All items, read at \p Revision of \p Era.
   virtual void onStoreRange(const std::string &Prefix,
                             const std::vector<protocol::StoreItem> &Items,
--- a/source/Serving/StoreReplica.cpp
+++ b/source/Serving/StoreReplica.cpp
@@ -71,6 +71,10 @@
   return findFollowedPrefix(Prefix)->Mirror_.isRestored(Era);
 }
 
+std::uint64_t StoreReplica::knownEra(const std::string &Prefix) const {
+  return findFollowedPrefix(Prefix)->Mirror_.era();
+}
+
 protocol::StoreRecords
 StoreReplica::allRecords(const FollowedPrefix &Followed) {
   protocol::StoreRecords Records;
--- a/source/Serving/StoreReplica.h
+++ b/source/Serving/StoreReplica.h
@@ -68,6 +68,7 @@
                     std::uint64_t Revision, std::uint64_t Era) override;
   bool isOutdated(const std::string &Prefix, std::uint64_t Era) const override;
   bool isRestored(const std::string &Prefix, std::uint64_t Era) const override;
+  std::uint64_t knownEra(const std::string &Prefix) const override;
   void onStoreChanges(const std::string &Prefix,
                       const std::vector<protocol::StoreItem> &Items) override;
   void onStoreConnected(const std::string &Prefix, bool Connected) override;
--- a/tests/Serving/StoreFollowerTest.cpp
+++ b/tests/Serving/StoreFollowerTest.cpp
@@ -17,6 +17,8 @@
 
   Awaitable<StoreItems> range(std::string) override {
     ++Ranges_;
+    if (RangeTime_ > Milliseconds{0})
+      co_await transport::pause(Loop_, std::exchange(RangeTime_, {}));
     StoreItems Items;
     Items.Status_ = Status_;
     Items.Era_ = std::exchange(NextRangeEra_, 0);
@@ -52,6 +54,7 @@
   std::uint64_t RangeEra_ = 1;
   std::uint64_t NextRangeEra_ = 0; ///< Of the next range only; 0 for RangeEra_.
   std::uint64_t WatchEra_ = 1;
+  Milliseconds RangeTime_{0}; ///< Of the next range only.
   int Ranges_ = 0;
   int Watches_ = 0;
 };
@@ -75,9 +78,11 @@
   bool isRestored(const std::string &, std::uint64_t Era) const override {
     return Era_ != 0 && Era > Era_;
   }
+  std::uint64_t knownEra(const std::string &) const override { return Era_; }
   void onStoreRange(const std::string &, const std::vector<StoreItem> &,
                     std::uint64_t, std::uint64_t Era) override {
     Era_ = Era;
+    ++UsedRanges_;
   }
   void onStoreChanges(const std::string &,
                       const std::vector<StoreItem> &) override {}
@@ -85,6 +90,7 @@
   void run() { Loop_.run_for(Milliseconds{30}); }
 
   std::uint64_t Era_ = 0;
+  int UsedRanges_ = 0;
   transport::Loop Loop_;
   CountingStore Store_{Loop_};
   StoreFollower Follower_{Loop_, Store_, *this, testSettings()};
@@ -184,3 +190,24 @@
   CHECK(Host.Era_ == 1);
   CHECK(Host.Follower_.isUpToDate());
 }
+
+// Rule CONFIG. Guards against records from before a restore that count as those
+// of the new era, so that later ones with lower revisions are ignored: the
+// store had computed the answer before, and stated the era as it sent it, and a
+// peer had passed on the new era meanwhile.
+TEST_CASE("store follower: a read from before a restore is not used after it") {
+  FollowingHost Host;
+  int UsedBefore = Host.UsedRanges_;
+  Host.Store_.RangeTime_ = Milliseconds{10};
+  Host.Follower_.setActive(true);
+  Host.Loop_.run_for(Milliseconds{3});
+  REQUIRE(Host.UsedRanges_ == UsedBefore);
+  Host.Era_ = 2; // from a peer
+  Host.Store_.RangeEra_ = 2;
+  Host.Store_.WatchEra_ = 2;
+  int RangesBefore = Host.Store_.Ranges_;
+  Host.run();
+  CHECK(Host.UsedRanges_ == UsedBefore + 1);
+  CHECK(Host.Store_.Ranges_ == RangesBefore + 1);
+  CHECK(Host.Follower_.isUpToDate());
+}
