Serve streams that are taken up before new requests

They have less time left than new requests and compete with the burst of retries after the kill; the admission of stages treats them like new ones.

Change: a take-up has the priority of the most urgent requests, in the admission and the queues of stages and at the engine. Its caller already has a part of the answer. The log line "request" names the attempt that is resumed.

"platform: a stream that is taken up is more urgent than a new one" fails without the change (4 < 4).

--- a/source/Serving/RequestScope.cpp
+++ b/source/Serving/RequestScope.cpp
@@ -197,6 +197,12 @@
               : "";
 }
 
+bool RequestScope::isTakeUp() const {
+  bool HasEvents =
+      Request_.LastEventId_.value_or(0) > 0 || !Request_.ResumedId_.empty();
+  return Route_->IsResumable_ && HasEvents;
+}
+
 protocol::TargetCallFields targetFields(const RequestScope &Scope,
                                         const state::TargetRecord &Target,
                                         SteadyTime Deadline) {
--- a/source/Serving/RequestScope.h
+++ b/source/Serving/RequestScope.h
@@ -61,6 +61,8 @@
   std::size_t RemoteInputs_ = 0; ///< Inputs read from another data centre.
   std::optional<Milliseconds> TimeToFirstEvent_; ///< Counted from the arrival.
 
+  /// Whether the caller takes up a stream of which it has events.
+  bool isTakeUp() const;
   /// True if the caller has closed its connection. Asks the connection itself,
   /// so that nothing is sent to a target for a caller that has left while the
   /// loop was busy.
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -21,6 +21,7 @@
 /// The connection is closed this long after the delivery of the answer was
 /// given up, if that did not end the request.
 constexpr Milliseconds CloseMargin{1000};
+constexpr int MostUrgentPriority = 0;
 
 /// Answer to a request that is refused before anything is run.
 struct Refusal {
@@ -85,6 +86,10 @@
   Scope.Priority_ = Scope.Route_->Priority_;
   if (Scope.Account_ && Scope.Account_->Priority_)
     Scope.Priority_ = *Scope.Account_->Priority_;
+  // After a host was lost, its streams are taken up all at once. Refusing them
+  // loses what their callers already have.
+  if (Scope.isTakeUp())
+    Scope.Priority_ = MostUrgentPriority;
   Scope.Service_ = chooseService(*Scope.Route_);
   Milliseconds TimeLimit = Scope.Request_.Deadline_.value_or(DefaultDeadline);
   if (Scope.Route_->Timeout_ > Milliseconds(0))
@@ -104,9 +109,11 @@
 void logRequest(const RequestScope &Scope) {
   auto Elapsed = std::chrono::duration_cast<Milliseconds>(SteadyClock::now() -
                                                           Scope.Arrival_);
-  LogEvent(LogLevel::Info, "request")
-      .field("id", Scope.Request_.Id_)
-      .field("route", Scope.Route_ ? Scope.Route_->Name_ : "none")
+  LogEvent Event(LogLevel::Info, "request");
+  Event.field("id", Scope.Request_.Id_);
+  if (!Scope.Request_.ResumedId_.empty())
+    Event.field("resumes", Scope.Request_.ResumedId_);
+  Event.field("route", Scope.Route_ ? Scope.Route_->Name_ : "none")
       .field("target", Scope.TargetId_.empty() ? "none" : Scope.TargetId_)
       .field("status", Scope.Status_)
       .field("ms", Elapsed.count())
--- a/source/Serving/StreamContinuation.cpp
+++ b/source/Serving/StreamContinuation.cpp
@@ -32,12 +32,6 @@
     recordOrigin();
 }
 
-bool StreamContinuation::isTakeUp() const {
-  bool HasEvents = Scope_.Request_.LastEventId_.value_or(0) > 0 ||
-                   !Scope_.Request_.ResumedId_.empty();
-  return Scope_.Route_->IsResumable_ && HasEvents;
-}
-
 Awaitable<bool> StreamContinuation::findOrigin() {
   SteadyTime Until =
       std::min(Scope_.Deadline_, SteadyClock::now() + MaxOriginSearch);
--- a/source/Serving/StreamContinuation.h
+++ b/source/Serving/StreamContinuation.h
@@ -23,8 +23,6 @@
   StreamContinuation(const StreamContinuation &) = delete;
   StreamContinuation &operator=(const StreamContinuation &) = delete;
 
-  /// Whether the caller takes up a stream of which it has events.
-  bool isTakeUp() const;
   /// Finds the version that began the stream that the caller takes up, and the
   /// service of the route that it belongs to. False if the request has ended
   /// with a refusal, because the version is not known or no engine of it
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -115,7 +115,7 @@
     co_await sendOwnAnswer(Scope_, 503, TooLarge, RetryAfterTooLarge);
     co_return;
   }
-  if (Continuation_.isTakeUp()) {
+  if (Scope_.isTakeUp()) {
     bool HasOrigin = co_await Continuation_.findOrigin();
     if (!HasOrigin)
       co_return;
--- a/tests/Integration/Platform/StreamVersionTest.cpp
+++ b/tests/Integration/Platform/StreamVersionTest.cpp
@@ -54,9 +54,13 @@
   }
   TargetDouble &target() { return Target_; }
   int requests() const { return Target_.requests(); }
+  /// As the last request states it; 0 is the most urgent.
+  int priority() const { return Priority_; }
 
 private:
   bool answer(RawServerConnection &Connection, const RawRequest &Request) {
+    std::string Priority = Request.field("Request-Priority");
+    Priority_ = Priority.empty() ? 0 : std::stoi(Priority);
     std::string Last = Request.field("Last-Event-Id");
     int First = Last.empty() ? 1 : std::stoi(Last) + 1;
     std::string Head =
@@ -78,6 +82,7 @@
   std::string Version_;
   std::atomic<int> BreakAfter_{0};
   std::atomic<int> BreaksLeft_{0};
+  std::atomic<int> Priority_{0};
   std::function<void()> BeforeEnd_;
   TargetDouble Target_;
 };
@@ -255,6 +260,29 @@
   }
 }
 
+// Rule LOST. Guards against streams that are refused when they are taken up,
+// all at once after their host was lost, because new requests are as urgent.
+TEST_CASE("platform: a stream that is taken up is more urgent than a new one") {
+  StoreDouble Store;
+  nlohmann::json Configuration = platformConfiguration();
+  for (nlohmann::json &Route : Configuration.at("routes"))
+    if (Route.at("prefix") == "/draft/") {
+      Route["priority"] = 3;
+      Route["session_affinity"] = true;
+    }
+  Store.put("op/config", Configuration);
+  VersionedEngine Engine(Store, "i-1", "v1");
+  PlatformFleet Fleet(Store, 1);
+  Engine.breakAfter(2, 2);
+  std::string First = platformRequest("POST", "/draft/1");
+  REQUIRE(Fleet.call(0, First).Body_ == Engine.events(1, 2));
+  int NewPriority = Engine.priority();
+  std::string TakeUp =
+      TwoVersions::takeUp(TwoVersions::requestId(First), 2, "/draft/2");
+  CHECK(Fleet.call(0, TakeUp).Body_ == Engine.events(3, 6));
+  CHECK(Engine.priority() < NewPriority);
+}
+
 namespace {
 
 /// More than the time after which hosts write the streams that they began.
