Forget the leases of stream and version records when the store was restored

Cause: a store that comes back from a copy gives out ids of leases again. The registration of a host forgets its lease then; the records of versions and of streams kept theirs.

Change: both forget their leases, and calls that cross the restore set none. Streams are written again at once, as the copy may lack them.

Evidence: "stream origins: leases from before a restore are not used" fails without the change (lease 3 is used again) and passes with it.

--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -391,6 +391,8 @@
   } else if (Prefix == HostPrefix) {
     Registration_.onStoreRestored();
     SuspectExchange_.onStoreRestored();
+  } else if (Prefix == VersionRecords::keyPrefix()) {
+    Origins_.onStoreRestored();
   }
 }
 
--- a/source/Serving/StoredStreamOrigins.cpp
+++ b/source/Serving/StoredStreamOrigins.cpp
@@ -62,6 +62,11 @@
   VersionRecords_.onRecordChanged(Item, Now);
 }
 
+void StoredStreamOrigins::onStoreRestored() {
+  VersionRecords_.onStoreRestored();
+  StreamRecords_.onStoreRestored();
+}
+
 void StoredStreamOrigins::update(bool IsCurrent, std::size_t Hosts,
                                  SteadyTime Now) {
   if (UpdatedAt_ && Now - *UpdatedAt_ > MaxUpdatePause)
--- a/source/Serving/StoredStreamOrigins.h
+++ b/source/Serving/StoredStreamOrigins.h
@@ -32,6 +32,7 @@
   void onTargetRemoved(const std::string &Id, SteadyTime Now);
   /// Call for every change under VersionRecords::keyPrefix().
   void onVersionRecord(const protocol::StoreItem &Item, SteadyTime Now);
+  void onStoreRestored();
   void onVersionRecordsComplete() { Versions_.onRecordsComplete(); }
   /// Whether the records of targets and versions follow the store. Call often.
   void update(bool IsCurrent, std::size_t Hosts, SteadyTime Now);
--- a/source/Serving/StreamRecords.cpp
+++ b/source/Serving/StreamRecords.cpp
@@ -63,6 +63,12 @@
   Reads_.setHosts(Hosts);
 }
 
+void StreamRecords::onStoreRestored() {
+  Lease_ = 0;
+  HasChanged_ = true;
+  ++Restores_;
+}
+
 Awaitable<void> StreamRecords::writeRecords() {
   for (;;) {
     co_await transport::pause(Loop_, Settings_.CheckPeriod_);
@@ -95,7 +101,10 @@
 Awaitable<void> StreamRecords::renew() {
   RenewAt_ = SteadyClock::now() + Settings_.RenewPeriod_;
   HasChanged_ = true;
+  std::uint64_t RestoresBefore = Restores_;
   StoreStatus Status = co_await Store_.keepLease(Lease_);
+  if (Restores_ != RestoresBefore)
+    co_return;
   if (Status == StoreStatus::LeaseNotFound)
     Lease_ = 0;
   else if (Status != StoreStatus::Ok)
@@ -112,9 +121,10 @@
       MaxStreams, Now);
   if (Record.Streams_.empty() && Lease_ == 0)
     co_return true;
+  std::uint64_t RestoresBefore = Restores_;
   if (Lease_ == 0) {
     StoreLease Lease = co_await Store_.grantLease(Settings_.LeaseTime_);
-    if (Lease.Status_ != StoreStatus::Ok)
+    if (Lease.Status_ != StoreStatus::Ok || Restores_ != RestoresBefore)
       co_return false;
     Lease_ = Lease.Id_;
     RenewAt_ = SteadyClock::now() + Settings_.RenewPeriod_;
@@ -129,6 +139,8 @@
       .field("streams", Record.Streams_.size())
       .field("bytes", Value.size())
       .field("status", toString(Status));
+  if (Restores_ != RestoresBefore)
+    co_return false;
   // A call that the store refuses would be refused again.
   co_return Status == StoreStatus::Ok || Status == StoreStatus::Invalid;
 }
--- a/source/Serving/StreamRecords.h
+++ b/source/Serving/StreamRecords.h
@@ -53,6 +53,9 @@
   void start();
   /// A stream was added to the host's own.
   void onStreamBegun() { HasChanged_ = true; }
+  /// The store was restored from an older copy: its ids of leases may have been
+  /// given out again, and the record may be missing.
+  void onStoreRestored();
   /// Number of hosts that share the store.
   void setHosts(std::size_t Hosts);
   Milliseconds writePeriod() const;
@@ -85,6 +88,7 @@
   bool HasChanged_ = false;
   std::set<std::string> WrittenServices_; ///< Those with several versions.
   std::uint64_t Lease_ = 0;
+  std::uint64_t Restores_ = 0; ///< Number of restores so far.
   SteadyTime NextWriteAt_{};
   SteadyTime RenewAt_{};
 
--- a/source/Serving/VersionRecords.cpp
+++ b/source/Serving/VersionRecords.cpp
@@ -62,6 +62,11 @@
     Versions_.removeRecord(Item.Key_);
 }
 
+void VersionRecords::onStoreRestored() {
+  Kept_.clear();
+  ++Restores_;
+}
+
 std::optional<VersionName> VersionRecords::readRecord(const StoreItem &Item) {
   std::optional<FleetMessage> Message =
       protocol::decodeFleetMessage(Item.Value_);
@@ -165,7 +170,10 @@
   if (Record.Lease_ == 0 || Now < Record.NextCallAt_)
     co_return;
   std::uint64_t Lease = Record.Lease_;
+  std::uint64_t RestoresBefore = Restores_;
   StoreStatus Status = co_await Store_.keepLease(Lease);
+  if (Restores_ != RestoresBefore)
+    co_return;
   Kept &Renewed = Kept_[Name];
   if (Status == StoreStatus::Ok) {
     Renewed.NextCallAt_ = SteadyClock::now() + Settings_.RenewPeriod_;
@@ -181,6 +189,7 @@
 }
 
 Awaitable<bool> VersionRecords::write(VersionName Name) {
+  std::uint64_t RestoresBefore = Restores_;
   StoreLease Lease = co_await Store_.grantLease(Settings_.LeaseTime_);
   if (Lease.Status_ != StoreStatus::Ok)
     co_return false;
@@ -192,6 +201,8 @@
       .field("service", Name.Service_)
       .field("version", Name.Version_)
       .field("status", toString(Status));
+  if (Restores_ != RestoresBefore)
+    co_return false;
   Kept &Written = Kept_[Name];
   Written.Lease_ = Status == StoreStatus::Ok ? Lease.Id_ : 0;
   if (Status != StoreStatus::Ok)
--- a/source/Serving/VersionRecords.h
+++ b/source/Serving/VersionRecords.h
@@ -61,6 +61,9 @@
   void start();
   /// Call for every change under keyPrefix().
   void onRecordChanged(const protocol::StoreItem &Item, SteadyTime Now);
+  /// The store was restored from an older copy: its ids of leases may have been
+  /// given out again.
+  void onStoreRestored();
   /// Number of hosts that share the store.
   void setHosts(std::size_t Hosts) { Reads_.setHosts(Hosts); }
   /// Whether \p Version is the only version of \p Services with a record, by a
@@ -99,6 +102,7 @@
   const VersionWriterElection &Election_;
   VersionRecordsSettings Settings_;
   std::map<coordination::VersionName, Kept> Kept_;
+  std::uint64_t Restores_ = 0; ///< Number of restores so far.
   /// Registered versions without a record, and since when.
   std::map<coordination::VersionName, SteadyTime> UnrecordedSince_;
   std::optional<SteadyTime> UnreadableLoggedAt_;
--- a/tests/Serving/StoredStreamOriginsTest.cpp
+++ b/tests/Serving/StoredStreamOriginsTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace amaranth;
 using namespace amaranth::protocol;
@@ -36,6 +37,7 @@
     co_return Lease;
   }
   Awaitable<StoreStatus> keepLease(std::uint64_t Id) override {
+    UsedLeases_.insert(Id);
     if (Status_ != StoreStatus::Ok)
       co_return Status_;
     co_return Id > EndedLeases_ ? StoreStatus::Ok : StoreStatus::LeaseNotFound;
@@ -46,6 +48,7 @@
   Awaitable<StoreStatus> put(std::string Key, std::string Value,
                              std::uint64_t Lease) override {
     ++Writes_;
+    UsedLeases_.insert(Lease);
     if (Status_ != StoreStatus::Ok)
       co_return Status_;
     if (Lease <= EndedLeases_)
@@ -63,6 +66,7 @@
   std::map<std::string, std::string> Values_;
   std::uint64_t LastLease_ = 0;
   std::uint64_t EndedLeases_ = 0;
+  std::set<std::uint64_t> UsedLeases_; ///< Renewed or written with.
   int Writes_ = 0;
   int Reads_ = 0;
 };
@@ -351,6 +355,26 @@
   CHECK(Other.find("r1") == "v1");
 }
 
+// Rule LOST. Guards against records that end with the lease of another host,
+// and against keeping that alive, after a restore of the store that gives out
+// the ids of leases again.
+TEST_CASE("stream origins: leases from before a restore are not used") {
+  MemoryStore Store;
+  OriginsHost Host(Store, "h1");
+  Host.add("i-1", "v1");
+  Host.add("i-2", "v2");
+  Host.begin("r1", "v1");
+  REQUIRE(Store.Values_.size() == 3);
+  REQUIRE(Store.LastLease_ == 3);
+  // The copy has nothing of it, and other hosts get the ids again.
+  Store.Values_.clear();
+  Store.UsedLeases_.clear();
+  Host.Origins_.onStoreRestored();
+  Host.run(2 * RenewPeriod);
+  CHECK(Store.Values_.size() == 3);
+  CHECK(*Store.UsedLeases_.begin() > 3);
+}
+
 // Guards against a read for each take-up, and against more writes than the
 // store allows a large fleet.
 TEST_CASE("stream origins: lookups share reads, and large fleets write less") {
