Serve plain requests whose route has stages

Cause: requests with stages were given to the run of streams whatever the kind of their route. It passes on server-sent events only; a plain body counted as a broken event and was thrown away.

Change: PlainRun runs the stages of its request, sends their results along and makes them again after a 409. Refusals because of stages are shared by both runs (StageRun::refuse).

--- a/source/Serving/PlainRun.cpp
+++ b/source/Serving/PlainRun.cpp
@@ -16,10 +16,17 @@
 /// request: each adds load to a service that may be overloaded.
 constexpr int MaxSentAttempts = 3;
 constexpr int MaxUnreachedTargets = 4;
+/// Time reserved for the request itself when its stages are scheduled.
+constexpr Milliseconds RunReserve{250};
 
 } // namespace
 
-PlainRun::PlainRun(RequestScope &Scope) : Scope_(Scope) {}
+PlainRun::PlainRun(RequestScope &Scope, StageClient &Client) : Scope_(Scope) {
+  std::string AnyDataCentre;
+  if (!Scope.Route_->Stages_.empty())
+    Stages_.emplace(Scope, Client, Scope.AimBy_ - RunReserve,
+                    Scope.Deadline_ - RunReserve, AnyDataCentre);
+}
 
 const TargetRecord *
 PlainRun::chooseFrom(const std::vector<const TargetRecord *> &Candidates) {
@@ -75,6 +82,9 @@
   Context.RetryBudget_.onRequest(Scope_.Service_, SteadyClock::now());
   while (!Succeeded_ && !FailureIsFinal_ && mayTryAgain() &&
          !Scope_.hasCallerLeft() && crashReason(Scope_).empty()) {
+    bool HasInputs = co_await runStages();
+    if (!HasInputs)
+      co_return;
     if (SentAttempts_ > 0 &&
         !Context.RetryBudget_.tryTake(Scope_.Service_, SteadyClock::now()))
       break;
@@ -97,6 +107,21 @@
   co_await answerFailure();
 }
 
+Awaitable<bool> PlainRun::runStages() {
+  if (!Stages_)
+    co_return true;
+  StageEnd End = co_await Stages_->run();
+  if (End == StageEnd::Completed)
+    co_return true;
+  if (End == StageEnd::CallerDisconnected)
+    co_return false;
+  if (SentAttempts_ > 0 || End == StageEnd::HostStops)
+    co_await answerFailure();
+  else
+    co_await Stages_->refuse(End);
+  co_return false;
+}
+
 Awaitable<void> PlainRun::attempt(TargetRecord Target) {
   EntryContext &Context = Scope_.Context_;
   TriedTargets_.insert(Target.Id_);
@@ -104,6 +129,10 @@
   SteadyTime AttemptDeadline = attemptDeadline();
   protocol::TargetCallFields Fields =
       targetFields(Scope_, Target, AttemptDeadline);
+  if (Stages_) {
+    Fields.Inputs_ = Stages_->inputHandles();
+    Scope_.RemoteInputs_ = Stages_->countRemoteInputs(Target.DataCentre_);
+  }
   std::string Request =
       Context.Edge_.targetRequest(Scope_.Head_, Scope_.Body_, Fields);
   TargetExchangeSettings Settings = Context.exchangeSettings(Target);
@@ -147,6 +176,9 @@
     return;
   case ExchangeState::NotExecuted:
     ++SentAttempts_;
+    // 409: a stage result that the request needs no longer exists.
+    if (Stages_ && Exchange.head().Status_ == 409)
+      Stages_->discardInputs();
     recordResult(Exchange, TargetResult::Overloaded, Elapsed);
     return;
   case ExchangeState::Complete:
--- a/source/Serving/PlainRun.h
+++ b/source/Serving/PlainRun.h
@@ -1,10 +1,11 @@
 /// \file
-/// Requests to plain services: no stages and no stream.
+/// Requests to plain services: no stream.
 #ifndef AMARANTH_SERVING_PLAINRUN_H
 #define AMARANTH_SERVING_PLAINRUN_H
 
 #include "Serving/RequestScope.h"
 #include "Serving/SendPermits.h"
+#include "Serving/StageRun.h"
 #include "Serving/TargetExchange.h"
 
 #include <optional>
@@ -12,12 +13,13 @@
 
 namespace amaranth::serving {
 
-/// Sends a request to one target after another until one gives a usable answer
+/// Runs the stages of a request, if its route has any, and sends it with their
+/// results to one target after another until one gives a usable answer
 /// or no further attempt is allowed. A non-idempotent request is sent to
 /// another target only if no earlier target can have run it.
 class PlainRun final : public TargetChooser {
 public:
-  explicit PlainRun(RequestScope &Scope);
+  PlainRun(RequestScope &Scope, StageClient &Client);
 
   transport::Awaitable<void> run();
 
@@ -33,6 +35,9 @@
     std::string Body_;
   };
 
+  /// Whether the target may be sent the request: its stages are complete. If
+  /// not, it has been answered.
+  transport::Awaitable<bool> runStages();
   SteadyTime attemptDeadline() const;
   SteadyTime middleOfTimeLeft() const;
   bool mayTryAgain() const;
@@ -43,6 +48,7 @@
   transport::Awaitable<void> answerFailure();
 
   RequestScope &Scope_;
+  std::optional<StageRun> Stages_; ///< Empty if the route has none.
   std::set<std::string> TriedTargets_;
   int SentAttempts_ = 0;     ///< Attempts that reached a target.
   int PossibleRuns_ = 0;     ///< Of these, attempts that may have run.
--- a/source/Serving/RequestTask.cpp
+++ b/source/Serving/RequestTask.cpp
@@ -147,12 +147,11 @@
       if (Scope.Interrupt_)
         Scope.Interrupt_();
     });
-    if (Scope.Route_->Kind_ == state::RequestKind::Stream ||
-        !Scope.Route_->Stages_.empty()) {
+    if (Scope.Route_->Kind_ == state::RequestKind::Stream) {
       StreamRun Run(Scope, Stages);
       co_await Run.run();
     } else {
-      PlainRun Run(Scope);
+      PlainRun Run(Scope, Stages);
       co_await Run.run();
     }
     Caller->stopWatching();
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -95,8 +95,16 @@
   return Context.isEvacuated(Scope_.Service_);
 }
 
-Milliseconds StageRun::retryAfter() const {
-  return Scope_.Context_.StageAdmission_.retryAfter(Plan_);
+Awaitable<void> StageRun::refuse(StageEnd End) const {
+  std::string Reason = "a stage failed";
+  Milliseconds RetryAfter = Scope_.Context_.StageAdmission_.retryAfter(Plan_);
+  if (End == StageEnd::OutOfTime) {
+    Reason = "the stages cannot be finished in time";
+  } else if (End == StageEnd::Evacuated) {
+    Reason = "all targets of a service are evacuated";
+    RetryAfter = RetryAfterEvacuation;
+  }
+  co_await sendOwnAnswer(Scope_, 503, Reason, RetryAfter);
 }
 
 void StageRun::orderReadyPieces() {
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -41,8 +41,9 @@
   transport::Awaitable<StageEnd> run();
   /// Handles of the results of the final stages, which the engine reads.
   std::vector<std::string> inputHandles() const { return Plan_.finalHandles(); }
-  /// Retry-After for a caller whose stages did not finish.
-  Milliseconds retryAfter() const;
+  /// Refuses the request, whose stages ended with \p End and which has reached
+  /// no target.
+  transport::Awaitable<void> refuse(StageEnd End) const;
   /// Number of inputs that are not in \p DataCentre.
   std::size_t countRemoteInputs(const std::string &DataCentre) const;
   /// Bytes of the final stages' results in each data centre.
--- a/source/Serving/StreamRun.cpp
+++ b/source/Serving/StreamRun.cpp
@@ -202,15 +202,7 @@
     co_await answerOrAbort();
     co_return false;
   }
-  std::string Reason = End == StageEnd::OutOfTime
-                           ? "the stages cannot be finished in time"
-                           : "a stage failed";
-  Milliseconds RetryAfter = Stages_.retryAfter();
-  if (IsEvacuated) {
-    Reason = "all targets of a service are evacuated";
-    RetryAfter = RetryAfterEvacuation;
-  }
-  co_await sendOwnAnswer(Scope_, 503, Reason, RetryAfter);
+  co_await Stages_.refuse(End);
   co_return false;
 }
 
