Serve metrics on the platform, with the era of the store

GET /metrics at the address of the readiness checks now gives them as Prometheus text: requests in flight, peers, whether the store is followed, era and revision of each prefix. The addresses of the callers and of the directory do not answer it.

"platform: the metrics state the era of the store" follows a restore on three hosts; it fails before, as the address answered 404.

--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -111,7 +111,7 @@
 };
 
 /// Calls that a host answers itself; None for requests to targets.
-enum class HostCall { None, Directory, Readiness };
+enum class HostCall { None, Directory, Readiness, Metrics };
 
 /// What a caller states when it asks for entry hosts; empty if not stated.
 struct DirectoryQuery {
--- a/source/Serving/CallerServer.cpp
+++ b/source/Serving/CallerServer.cpp
@@ -77,8 +77,8 @@
   if (!CallerAcceptor_ || !Directory || !Readiness || !listen(*Directory) ||
       !listen(*Readiness))
     return false;
-  transport::startTask(Context_.Loop_, accept(Directory, Port::Host));
-  transport::startTask(Context_.Loop_, accept(Readiness, Port::Host));
+  transport::startTask(Context_.Loop_, accept(Directory, Port::Directory));
+  transport::startTask(Context_.Loop_, accept(Readiness, Port::Readiness));
   return true;
 }
 
@@ -138,8 +138,8 @@
     bool HasRequest = co_await readRequest(Caller, Reader, Held, Arrival);
     if (!HasRequest)
       break;
-    if (ListeningPort == Port::Host) {
-      KeepOpen = co_await answerHostCall(Caller, Reader);
+    if (ListeningPort != Port::Callers) {
+      KeepOpen = co_await answerHostCall(Caller, ListeningPort, Reader);
       continue;
     }
     transport::HttpHead Head = Reader.head();
@@ -230,12 +230,16 @@
   co_await Caller->write(Answer);
 }
 
-Awaitable<bool> CallerServer::answerHostCall(Link Caller,
+Awaitable<bool> CallerServer::answerHostCall(Link Caller, Port ListeningPort,
                                              const HttpReader &Reader) {
   const transport::HttpHead &Head = Reader.head();
   std::string NoRequestId;
   std::string Answer;
-  switch (Context_.Edge_.hostCall(Head)) {
+  protocol::HostCall Call = Context_.Edge_.hostCall(Head);
+  // Callers reach the directory, but need no metrics.
+  if (Call == protocol::HostCall::Metrics && ListeningPort != Port::Readiness)
+    Call = protocol::HostCall::None;
+  switch (Call) {
   case protocol::HostCall::Directory: {
     protocol::DirectoryQuery Query = Context_.Edge_.directoryQuery(Head);
     Answer = Context_.Edge_.directoryAnswer(
@@ -250,6 +254,12 @@
                                        std::nullopt, false);
     break;
   }
+  case protocol::HostCall::Metrics: {
+    std::string Text = Status_.metricsText();
+    Answer =
+        Context_.Edge_.hostAnswer(200, NoRequestId, Text, std::nullopt, false);
+    break;
+  }
   case protocol::HostCall::None: {
     std::string Reason = "unknown call";
     Answer = Context_.Edge_.hostAnswer(404, NoRequestId, Reason, std::nullopt,
--- a/source/Serving/CallerServer.h
+++ b/source/Serving/CallerServer.h
@@ -19,6 +19,8 @@
 public:
   virtual ~HostStatus() = default;
   virtual bool ready() const = 0;
+  /// The host's metrics in the Prometheus text format.
+  virtual std::string metricsText() = 0;
   /// Entry hosts that the asking caller should use.
   virtual std::vector<std::string>
   callerAddresses(const protocol::DirectoryQuery &Query) = 0;
@@ -54,7 +56,7 @@
 private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
   using Link = std::shared_ptr<transport::TcpLink>;
-  enum class Port { Callers, Host };
+  enum class Port { Callers, Directory, Readiness };
 
   std::shared_ptr<Acceptor> bind(const std::string &Address);
   bool listen(Acceptor &Listener);
@@ -71,7 +73,8 @@
   refuseUnread(Link Caller, int Status, std::string Reason,
                std::optional<Milliseconds> RetryAfter = std::nullopt);
   transport::Awaitable<bool>
-  answerHostCall(Link Caller, const transport::HttpReader &Reader);
+  answerHostCall(Link Caller, Port ListeningPort,
+                 const transport::HttpReader &Reader);
   state::CallerLimits callerLimits() const;
 
   EntryContext &Context_;
--- a/source/Serving/EntryHost.cpp
+++ b/source/Serving/EntryHost.cpp
@@ -97,7 +97,20 @@
       RestoreExchange_(Context_, Peers_, OperatorRecords_),
       SuspectRecords_(Executor, Store, Context_.SuspectParts_),
       Replica_(Context_, Store, Peers_, *this,
-               followedPrefixes(Settings, Codec)) {}
+               followedPrefixes(Settings, Codec)),
+      Metrics_(state::MetricsSettings{}) {
+  Metrics_.describe("amaranth_in_flight", "Requests being served.");
+  Metrics_.describe("amaranth_peers", "Serving entry hosts besides this one.");
+  Metrics_.describe("amaranth_watches_store",
+                    "1 if this host watches the store for others.");
+  Metrics_.describe("amaranth_store_read",
+                    "1 if this host or a peer follows the store.");
+  Metrics_.describe("amaranth_store_era",
+                    "Era of the store's records: rises when the store came "
+                    "back from an older copy. 0 if not stated.");
+  Metrics_.describe("amaranth_store_revision",
+                    "Highest known revision of the store.");
+}
 
 bool EntryHost::start() {
   if (!Callers_.start() || !Peers_.start())
@@ -117,6 +130,15 @@
          !Context_.Drain_.hasBegun();
 }
 
+std::string EntryHost::metricsText() {
+  auto InFlight = static_cast<double>(Context_.RequestsInProgress_.size());
+  Metrics_.gauge("amaranth_in_flight").set(InFlight);
+  auto Peers = static_cast<double>(Peers_.servingPeers().size());
+  Metrics_.gauge("amaranth_peers").set(Peers);
+  Replica_.reportMetrics(Metrics_);
+  return Metrics_.exportText();
+}
+
 std::vector<std::string>
 EntryHost::callerAddresses(const protocol::DirectoryQuery &Query) {
   updatePlacement(SteadyClock::now());
--- a/source/Serving/EntryHost.h
+++ b/source/Serving/EntryHost.h
@@ -49,6 +49,7 @@
 
   // HostStatus
   bool ready() const override;
+  std::string metricsText() override;
   std::vector<std::string>
   callerAddresses(const protocol::DirectoryQuery &Query) override;
   // PeerListener
@@ -125,6 +126,7 @@
   SteadyTime StartedAt_{};
   SuspectPartRecords SuspectRecords_;
   StoreReplica Replica_;
+  state::Metrics Metrics_;
   bool TargetsLoaded_ = false;
 };
 
--- a/source/Serving/StoreReplica.cpp
+++ b/source/Serving/StoreReplica.cpp
@@ -152,6 +152,18 @@
   return IsRead;
 }
 
+void StoreReplica::reportMetrics(state::Metrics &Metrics) const {
+  Metrics.gauge("amaranth_watches_store").set(Watching_ ? 1 : 0);
+  Metrics.gauge("amaranth_store_read").set(isStoreRead() ? 1 : 0);
+  for (const FollowedPrefix &Followed : FollowedPrefixes_) {
+    state::MetricLabels Labels{{"prefix", Followed.Prefix_}};
+    Metrics.gauge("amaranth_store_era", Labels)
+        .set(static_cast<double>(Followed.Mirror_.era()));
+    Metrics.gauge("amaranth_store_revision", Labels)
+        .set(static_cast<double>(Followed.Mirror_.revision()));
+  }
+}
+
 std::vector<std::uint64_t> StoreReplica::digests() const {
   std::vector<std::uint64_t> Digests;
   for (const FollowedPrefix &Followed : FollowedPrefixes_)
--- a/source/Serving/StoreReplica.h
+++ b/source/Serving/StoreReplica.h
@@ -8,6 +8,7 @@
 #include "Serving/EntryContext.h"
 #include "Serving/PeerMesh.h"
 #include "Serving/StoreFollower.h"
+#include "State/Metrics.h"
 
 #include <cstdint>
 #include <map>
@@ -54,6 +55,8 @@
   bool readsStore() const;
   /// Whether this host or one of its peers reads the store.
   bool isStoreRead() const;
+  /// Sets the gauges of the copies: era and revision of each prefix.
+  void reportMetrics(state::Metrics &Metrics) const;
   /// Digests of the copies, one for each prefix.
   std::vector<std::uint64_t> digests() const;
   /// Sends a peer the prefixes whose records differ from this host's, unless
--- a/tests/Integration/Platform/PlatformFleet.cpp
+++ b/tests/Integration/Platform/PlatformFleet.cpp
@@ -358,6 +358,11 @@
              .Status_ == 200;
 }
 
+PlatformAnswer PlatformFleet::metrics(std::size_t Host) {
+  return exchange(Hosts_.at(Host).ReadinessPort_,
+                  "GET /metrics HTTP/1.1\r\nHost: r\r\n\r\n");
+}
+
 std::string platformRequest(const std::string &Method, const std::string &Path,
                             const std::string &Fields,
                             const std::string &Body) {
--- a/tests/Integration/Platform/PlatformFleet.h
+++ b/tests/Integration/Platform/PlatformFleet.h
@@ -116,6 +116,8 @@
   resolveEntryHosts(std::size_t Host, const std::string &DataCentre = "a");
   std::string callerAddress(std::size_t Host) const;
   bool isReady(std::size_t Host);
+  /// Asks for the metrics at the address of the readiness checks.
+  PlatformAnswer metrics(std::size_t Host);
 
 private:
   struct HostProcess {
--- a/tests/Integration/Platform/StoreRestoreTest.cpp
+++ b/tests/Integration/Platform/StoreRestoreTest.cpp
@@ -485,3 +485,28 @@
   std::this_thread::sleep_for(ChangeLimit);
   checkAvoids(Fleet, Setup.Leaving_);
 }
+
+// Guards against operators who cannot see that the store came back from an
+// older copy, and which hosts know of it.
+TEST_CASE("platform: the metrics state the era of the store") {
+  RestoredPlatform Setup;
+  PlatformFleet Fleet(Setup.Store_, HostCount);
+  waitUntilRead(Setup.Store_);
+  auto HasEra = [&](std::size_t Host, int Era) {
+    PlatformAnswer Answer = Fleet.metrics(Host);
+    std::string Line = "amaranth_store_era{prefix=\"op/\"} ";
+    return Answer.Status_ == 200 && Answer.Complete_ &&
+           Answer.Body_.find(Line + std::to_string(Era) + "\n") !=
+               std::string::npos;
+  };
+  for (std::size_t Host = 0; Host < HostCount; ++Host)
+    CHECK(HasEra(Host, 1));
+  StoreDouble::Copy Earlier = Setup.Store_.copy();
+  Setup.writeVersions();
+  Setup.restore(Earlier);
+  for (std::size_t Host = 0; Host < HostCount; ++Host)
+    CHECK(eventually([&] { return HasEra(Host, 2); }, ChangeLimit));
+  // Callers do not get them.
+  CHECK(Fleet.call(0, "GET /metrics HTTP/1.1\r\nHost: h.example\r\n\r\n")
+            .Status_ >= 400);
+}
