State an id in calls to stage targets

Requests were given the results of other requests, for as long as the connection was used: 51 of 372 generations.

Cause: calls to stage targets had no id, so that any answer counted as their own. Copies are recognised by results that were reported before; results that were made again are new.

Change: calls to run pieces and to free results state a random id. An answer with another id is skipped and its connection closed, as for requests.

The test of copies keeps its checks; both share a stage target that answers twice.

--- a/source/Protocol/EdgeProtocol.h
+++ b/source/Protocol/EdgeProtocol.h
@@ -149,13 +149,17 @@
   virtual std::string directoryAnswer(const std::vector<std::string> &Addresses,
                                       Milliseconds Lifetime) const = 0;
 
+  /// Targets may repeat \p CallId in their answer, which tells it from those to
+  /// other calls.
   virtual std::string
   stageCall(const std::vector<StagePiece> &Pieces, const std::string &TargetId,
+            const std::string &CallId,
             const std::vector<std::optional<Milliseconds>> &TimeLeft) const = 0;
   virtual Result<std::vector<PieceOutcome>>
   readStageAnswer(const std::string &Body) const = 0;
   virtual std::string freeResultsCall(const std::vector<std::string> &Handles,
-                                      const std::string &TargetId) const = 0;
+                                      const std::string &TargetId,
+                                      const std::string &CallId) const = 0;
   /// Address of the target that holds a result.
   virtual std::string holderAddress(const std::string &Handle) const = 0;
 };
--- a/source/Serving/StageDispatcher.cpp
+++ b/source/Serving/StageDispatcher.cpp
@@ -3,6 +3,7 @@
 #include "Serving/RequestScope.h"
 #include "Serving/SendPermits.h"
 #include "Serving/TargetExchange.h"
+#include "Support/Digest.h"
 #include "Support/Log.h"
 
 #include <boost/asio/post.hpp>
@@ -30,6 +31,8 @@
 /// Limits for the answers to calls, far above what sound targets send: decoding
 /// an answer can take eighty times its size in memory.
 constexpr std::size_t MaxAnswerBytes = 16 * 1024;
+/// Of the id of a call, which the targets echo.
+constexpr std::size_t CallIdBytes = 8;
 constexpr std::size_t MaxAnswerBytesPerPiece = 1024;
 
 std::uint64_t totalBytes(const std::vector<QueuedPiece> &CallPieces) {
@@ -272,30 +275,32 @@
   return false;
 }
 
-std::string StageDispatcher::encodeCall(const RunningCall &Call) const {
+std::string StageDispatcher::encodeCall(const RunningCall &Call,
+                                        const std::string &CallId) const {
   std::vector<protocol::StagePiece> Items;
   std::vector<std::optional<Milliseconds>> TimeLeft;
   for (const QueuedPiece &Piece : Call.Pieces_) {
     Items.push_back(Piece.Piece_);
     TimeLeft.push_back(remaining(Piece.ExpiresAt_));
   }
-  return Context_.Edge_.stageCall(Items, Call.Target_.Id_, TimeLeft);
+  return Context_.Edge_.stageCall(Items, Call.Target_.Id_, CallId, TimeLeft);
 }
 
 Awaitable<void> StageDispatcher::runCall(RunningCallPtr Running) {
   SteadyTime Deadline = Running->StartedAt_ +
                         Running->ExpectedTime_ * Settings_.TimeoutFactor_ +
                         Settings_.TimeoutBase_;
-  std::string Request = encodeCall(*Running);
+  std::string CallId = randomHex(CallIdBytes);
+  std::string Request = encodeCall(*Running, CallId);
   TargetExchangeSettings Settings = Context_.exchangeSettings(Running->Target_);
   Settings.MaxBody_ =
       MaxAnswerBytes + MaxAnswerBytesPerPiece * Running->Pieces_.size();
   Settings.HoldsConnection_ = true;
+  Settings.MayLackId_ = true;
   Context_.Health_.begin(Running->Target_.Id_);
   TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
                           Context_.MessageBytes_, Running->Target_, Settings);
-  std::string NoRequestId;
-  co_await Exchange.start(Request, NoRequestId, Deadline);
+  co_await Exchange.start(Request, CallId, Deadline);
   recordStatement(Context_, Exchange);
   co_await Exchange.readAll();
   Running->Ended_ = true;
@@ -550,14 +555,16 @@
           Now + Schedule_.interval(*Limit) * Settings_.LimitedFreeDivisor_;
     std::vector<std::string> Handles = std::move(State.HandlesToFree_);
     State.HandlesToFree_.clear();
-    std::string Request = Context_.Edge_.freeResultsCall(Handles, Target.Id_);
+    std::string CallId = randomHex(CallIdBytes);
+    std::string Request =
+        Context_.Edge_.freeResultsCall(Handles, Target.Id_, CallId);
     TargetExchangeSettings Settings = Context_.exchangeSettings(Target);
     Settings.MaxBody_ = MaxAnswerBytes;
+    Settings.MayLackId_ = true;
     TargetExchange Exchange(Context_.Connections_, Context_.Edge_,
                             Context_.MessageBytes_, Target, Settings);
     SteadyTime Deadline = SteadyClock::now() + Settings_.TimeoutBase_;
-    std::string NoRequestId;
-    co_await Exchange.start(Request, NoRequestId, Deadline);
+    co_await Exchange.start(Request, CallId, Deadline);
     recordStatement(Context_, Exchange);
     co_await Exchange.readAll();
     // If the call failed, the results expire on the target.
--- a/source/Serving/StageDispatcher.h
+++ b/source/Serving/StageDispatcher.h
@@ -118,7 +118,8 @@
   bool tryStartCall(const std::string &ServiceName, ServiceState &Service,
                     const state::StageCapacity &Capacity);
   transport::Awaitable<void> runCall(RunningCallPtr Running);
-  std::string encodeCall(const RunningCall &Call) const;
+  std::string encodeCall(const RunningCall &Call,
+                         const std::string &CallId) const;
   /// Updates health, ledger and pieces from the answer or failure of a call.
   void finishCall(RunningCall &Call, TargetExchange &Exchange);
   /// The answer to a call names no request, so that a copy of an earlier answer
--- a/source/Serving/TargetExchange.cpp
+++ b/source/Serving/TargetExchange.cpp
@@ -116,7 +116,8 @@
     return false;
   // Targets echo the id in each answer, refusals included. One without it may
   // be a remainder of an earlier exchange and says nothing about this request.
-  return RequestId_.empty() || Reply_.RequestId_ == RequestId_;
+  return RequestId_.empty() || Reply_.RequestId_ == RequestId_ ||
+         (Settings_.MayLackId_ && Reply_.RequestId_.empty());
 }
 
 Awaitable<LinkStatus> TargetExchange::skipBody() {
--- a/source/Serving/TargetExchange.h
+++ b/source/Serving/TargetExchange.h
@@ -37,6 +37,8 @@
   /// Keep the connection from other requests until releaseConnection(), because
   /// only the body shows whether the answer is that of this request.
   bool HoldsConnection_ = false;
+  /// The target may leave the id out of its answer, but states no other one.
+  bool MayLackId_ = false;
   /// Asked immediately before the request is written: the target may have
   /// stated that it leaves, or its data centre may have been evacuated, while
   /// the exchange waited for a connection. Empty if it may be sent in any case.
--- a/tests/Integration/Platform/FaultyAnswerTest.cpp
+++ b/tests/Integration/Platform/FaultyAnswerTest.cpp
@@ -210,45 +210,75 @@
   CHECK(Peak < MachineMemory);
 }
 
-// Rule MIXED. Pattern: a stage target sends one answer a second time, late,
-// when its connection is in use again. Guards against an engine that is given
-// the results of other requests, by this call or by later ones on the
-// connection.
-TEST_CASE("platform: a second copy of a stage answer mixes up no inputs") {
-  constexpr int CopiedAnswer = 10;
+namespace {
+
+/// What a stage target sends a second time, late, when the connection of the
+/// call is in use again.
+enum class SecondAnswer {
+  Copy,     ///< The same answer, without an id.
+  RunAgain, ///< The call was run once more: the same id, other results.
+};
+
+/// A stage target that answers one call twice.
+class RepeatingStage final {
+public:
+  RepeatingStage(StoreDouble &Store, SecondAnswer Second)
+      : Second_(Second), Target_(Store, "i-1", "stage",
+                                 [this](RawServerConnection &Connection,
+                                        const RawRequest &Request) {
+                                   return answer(Connection, Request);
+                                 }) {}
+
+  int repeated() const { return Repeated_; }
+
+private:
+  bool answer(RawServerConnection &Connection, const RawRequest &Request) {
+    if (Request.path() != "/amaranthcourse/stage-run") {
+      // Keeps calls that free results on a connection of their own.
+      std::this_thread::sleep_for(Milliseconds{500});
+      return answerStageCall(Connection, Request, Target_.address());
+    }
+    std::string Answer = newAnswer(Request);
+    std::string Repeated;
+    {
+      std::lock_guard Lock(Mutex_);
+      std::swap(Repeated, Pending_);
+      if (++Calls_ == RepeatedCall)
+        Pending_ = Second_ == SecondAnswer::Copy ? Answer : newAnswer(Request);
+    }
+    Repeated_ += !Repeated.empty();
+    Connection.write(Repeated);
+    std::this_thread::sleep_for(Milliseconds{20});
+    Connection.write(Answer);
+    return true;
+  }
+  std::string newAnswer(const RawRequest &Request) {
+    std::string Answer = stageAnswer(Request, Target_.address());
+    if (Second_ == SecondAnswer::RunAgain)
+      Answer.insert(Answer.find("\r\n") + 2,
+                    "Request-Id: " + Request.field("Request-Id") + "\r\n");
+    return Answer;
+  }
+
+  static constexpr int RepeatedCall = 10;
+  SecondAnswer Second_;
+  std::mutex Mutex_;
+  int Calls_ = 0;
+  std::string Pending_;
+  std::atomic<int> Repeated_{0};
+  TargetDouble Target_;
+};
+
+/// Sends requests with stages while one stage call is answered twice; checks
+/// that each engine call gets the results of its own request.
+void checkInputs(SecondAnswer Second) {
   constexpr int CallerCount = 8;
   StoreDouble Store;
   nlohmann::json Configuration = platformConfiguration();
   // Calls with equal numbers of pieces cannot be told apart by their answers.
   Configuration["services"][2]["pieces"]["batch"] = 1;
   Store.put("op/config", Configuration);
-  std::mutex Mutex;
-  int StageCalls = 0;
-  std::atomic<int> Copies{0};
-  std::string Copy;
-  std::unique_ptr<TargetDouble> Stage;
-  Stage = std::make_unique<TargetDouble>(
-      Store, "i-1", "stage",
-      [&](RawServerConnection &Connection, const RawRequest &Request) {
-        if (Request.path() != "/amaranthcourse/stage-run") {
-          // Keeps calls that free results on a connection of their own.
-          std::this_thread::sleep_for(Milliseconds{500});
-          return answerStageCall(Connection, Request, Stage->address());
-        }
-        std::string Answer = stageAnswer(Request, Stage->address());
-        std::string Repeated;
-        {
-          std::lock_guard Lock(Mutex);
-          std::swap(Repeated, Copy);
-          if (++StageCalls == CopiedAnswer)
-            Copy = Answer;
-        }
-        Copies += !Repeated.empty();
-        Connection.write(Repeated);
-        std::this_thread::sleep_for(Milliseconds{20});
-        Connection.write(Answer);
-        return true;
-      });
+  RepeatingStage Stage(Store, Second);
   std::atomic<int> Prompts{0};
   std::atomic<int> MixedInputs{0};
   TargetDouble Engine(
@@ -270,7 +300,23 @@
     });
   for (std::thread &Caller : Callers)
     Caller.join();
-  CHECK(Copies == 1);
+  CHECK(Stage.repeated() == 1);
   CHECK(Prompts > CallerCount);
   CHECK(MixedInputs == 0);
 }
+
+} // namespace
+
+// Rule MIXED. Pattern: a stage target sends one answer a second time, late,
+// when its connection is in use again. Guards against an engine that is given
+// the results of other requests, by this call or by later ones on the
+// connection.
+TEST_CASE("platform: a second copy of a stage answer mixes up no inputs") {
+  checkInputs(SecondAnswer::Copy);
+}
+
+// Rule MIXED. The same for a call that was run and answered twice: its second
+// results are as new as those of the next call.
+TEST_CASE("platform: a stage call that was run twice mixes up no inputs") {
+  checkInputs(SecondAnswer::RunAgain);
+}
--- a/tests/Platform/CodecTest.cpp
+++ b/tests/Platform/CodecTest.cpp
@@ -474,7 +474,7 @@
     Piece.RequestId_ = Request->Id_;
     Piece.Key_ = Request->PieceKey_;
     std::string Call;
-    CHECK_NOTHROW(Call = Edge.stageCall({Piece}, "i-1", {std::nullopt}));
+    CHECK_NOTHROW(Call = Edge.stageCall({Piece}, "i-1", "c-1", {std::nullopt}));
     CHECK(Call.find(Request->Id_) != std::string::npos);
     CHECK_NOTHROW(Edge.targetRequest(Head, "", {}));
   }
--- a/tests/Serving/TargetExchangeTest.cpp
+++ b/tests/Serving/TargetExchangeTest.cpp
@@ -57,6 +57,7 @@
   }
   std::string
   stageCall(const std::vector<protocol::StagePiece> &, const std::string &,
+            const std::string &,
             const std::vector<std::optional<Milliseconds>> &) const override {
     return "";
   }
@@ -65,6 +66,7 @@
     return std::vector<protocol::PieceOutcome>{};
   }
   std::string freeResultsCall(const std::vector<std::string> &,
+                              const std::string &,
                               const std::string &) const override {
     return "";
   }
