--- a/source/Serving/SharedStoreRead.cpp
+++ b/source/Serving/SharedStoreRead.cpp
@@ -27,10 +27,10 @@
 
 SharedStoreRead::SharedStoreRead(transport::Loop &Executor,
                                  protocol::PlatformStore &Store,
-                                 SharedStoreReadSettings Settings,
-                                 std::function<void(const Items &)> OnItems)
-    : Loop_(Executor), Store_(Store), Settings_(std::move(Settings)),
-      OnItems_(std::move(OnItems)), IsWanted_(Executor) {}
+                                 SharedStoreReadListener &Listener,
+                                 SharedStoreReadSettings Settings)
+    : Loop_(Executor), Store_(Store), Listener_(Listener),
+      Settings_(std::move(Settings)), IsWanted_(Executor) {}
 
 void SharedStoreRead::start() { transport::startTask(Loop_, run()); }
 
@@ -53,7 +53,7 @@
     StoreItems Found = co_await Store_.range(Prefix);
     HasSucceeded_ = Found.Status_ == StoreStatus::Ok;
     if (HasSucceeded_)
-      OnItems_(Found.Items_);
+      Listener_.onItemsRead(Found.Items_);
     else
       LogEvent(LogLevel::Warn, "store_lookup_failed")
           .field("prefix", Settings_.Prefix_)
--- a/source/Serving/SharedStoreRead.h
+++ b/source/Serving/SharedStoreRead.h
@@ -6,7 +6,6 @@
 #include "Protocol/PlatformStore.h"
 
 #include <cstdint>
-#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,17 +21,21 @@
   double ReadsPerSecond_ = 2000;
 };
 
+/// Receives what shared reads find.
+class SharedStoreReadListener {
+public:
+  virtual ~SharedStoreReadListener() = default;
+  /// All items of the prefix. Called before those who wait for the read go on.
+  virtual void onItemsRead(const std::vector<protocol::StoreItem> &Items) = 0;
+};
+
 /// Reads a prefix of the store when somebody asks for it. All who wait at the
 /// same time share one read.
 class SharedStoreRead final {
 public:
-  using Items = std::vector<protocol::StoreItem>;
-
-  /// \p OnItems gets what each successful read has found, before those who wait
-  /// for it go on.
   SharedStoreRead(transport::Loop &Executor, protocol::PlatformStore &Store,
-                  SharedStoreReadSettings Settings,
-                  std::function<void(const Items &)> OnItems);
+                  SharedStoreReadListener &Listener,
+                  SharedStoreReadSettings Settings);
 
   void start();
   /// Number of hosts that share the store.
@@ -47,8 +50,8 @@
 
   transport::Loop &Loop_;
   protocol::PlatformStore &Store_;
+  SharedStoreReadListener &Listener_;
   SharedStoreReadSettings Settings_;
-  std::function<void(const Items &)> OnItems_;
   std::size_t Hosts_ = 1;
   std::uint64_t Begun_ = 0;   ///< Number of reads so far.
   std::uint64_t Ended_ = 0;   ///< Number of the last read that has ended.
--- a/source/Serving/StreamRecords.cpp
+++ b/source/Serving/StreamRecords.cpp
@@ -37,11 +37,9 @@
       Settings_(std::move(Settings)),
       Key_(keyPrefix() + storeKeyPart(Settings_.Host_) + "/" +
            std::to_string(Settings_.Incarnation_)),
-      Reads_(Executor, Store,
-             {keyPrefix(), Settings_.MinReadPeriod_, Settings_.ReadsPerSecond_},
-             [this](const std::vector<StoreItem> &Items) {
-               noteRecords(Items);
-             }) {}
+      Reads_(
+          Executor, Store, *this,
+          {keyPrefix(), Settings_.MinReadPeriod_, Settings_.ReadsPerSecond_}) {}
 
 const std::string &StreamRecords::keyPrefix() {
   static const std::string Prefix = "amaranth/streams/";
@@ -145,7 +143,7 @@
   co_return Status == StoreStatus::Ok || Status == StoreStatus::Invalid;
 }
 
-void StreamRecords::noteRecords(const std::vector<StoreItem> &Items) {
+void StreamRecords::onItemsRead(const std::vector<StoreItem> &Items) {
   Read_.clear();
   for (const StoreItem &Item : Items) {
     std::optional<FleetMessage> Message =
--- a/source/Serving/StreamRecords.h
+++ b/source/Serving/StreamRecords.h
@@ -41,7 +41,7 @@
 /// Writes the streams that this host began to a record of its own while several
 /// versions of their service are in the window, and reads the records of all
 /// hosts when a stream is looked up.
-class StreamRecords final {
+class StreamRecords final : private SharedStoreReadListener {
 public:
   StreamRecords(transport::Loop &Executor, protocol::PlatformStore &Store,
                 const coordination::ServiceVersions &Versions,
@@ -66,6 +66,9 @@
   findVersion(std::uint64_t Stream, SteadyTime Deadline);
 
 private:
+  // SharedStoreReadListener
+  void onItemsRead(const std::vector<protocol::StoreItem> &Items) override;
+
   /// Versions of the streams as they were read; an empty optional means that
   /// records contradict each other.
   using VersionMap =
@@ -74,7 +77,6 @@
   transport::Awaitable<void> writeRecords();
   transport::Awaitable<bool> write();
   transport::Awaitable<void> renew();
-  void noteRecords(const std::vector<protocol::StoreItem> &Items);
   void noteUnreadable(const std::string &Key);
 
   transport::Loop &Loop_;
--- a/source/Serving/VersionRecords.cpp
+++ b/source/Serving/VersionRecords.cpp
@@ -30,9 +30,8 @@
                                VersionRecordsSettings Settings)
     : Loop_(Executor), Store_(Store), Versions_(Versions), Election_(Election),
       Settings_(Settings),
-      Reads_(Executor, Store,
-             {keyPrefix(), Settings.MinReadPeriod_, Settings.ReadsPerSecond_},
-             [this](const std::vector<StoreItem> &Items) { noteRead(Items); }) {
+      Reads_(Executor, Store, *this,
+             {keyPrefix(), Settings.MinReadPeriod_, Settings.ReadsPerSecond_}) {
 }
 
 const std::string &VersionRecords::keyPrefix() {
@@ -84,7 +83,7 @@
   return std::nullopt;
 }
 
-void VersionRecords::noteRead(const std::vector<StoreItem> &Items) {
+void VersionRecords::onItemsRead(const std::vector<StoreItem> &Items) {
   Read_.clear();
   for (const StoreItem &Item : Items)
     if (std::optional<VersionName> Name = readRecord(Item))
--- a/source/Serving/VersionRecords.h
+++ b/source/Serving/VersionRecords.h
@@ -48,7 +48,7 @@
 /// registered targets, and passes the records of all hosts on to
 /// ServiceVersions. Hosts that start after all were killed learn from them
 /// which versions were in service.
-class VersionRecords final {
+class VersionRecords final : private SharedStoreReadListener {
 public:
   VersionRecords(transport::Loop &Executor, protocol::PlatformStore &Store,
                  coordination::ServiceVersions &Versions,
@@ -74,6 +74,9 @@
                                           SteadyTime Deadline);
 
 private:
+  // SharedStoreReadListener
+  void onItemsRead(const std::vector<protocol::StoreItem> &Items) override;
+
   /// A record that this host writes.
   struct Kept {
     std::uint64_t Lease_ = 0; ///< 0 if this host has not written it.
@@ -89,7 +92,6 @@
                       SteadyTime Now);
   /// Whether this host writes the record of a registered version.
   bool shouldKeep(const coordination::VersionName &Name, SteadyTime Now);
-  void noteRead(const std::vector<protocol::StoreItem> &Items);
   /// The version that a record names; nothing if it is unreadable.
   std::optional<coordination::VersionName>
   readRecord(const protocol::StoreItem &Item);
