Ask the elected host for places again soon after it did not reply

Callers saw: a cold target stayed idle for seconds after the host that gives its places had stood still, although that host, or its successor, answered.

Cause: without a reply, a host waited for its own share of a cold target's rate, hosts / (cold_per_s / 4) seconds, before it asked again. With 25 hosts and 6 a second that is up to 17 s.

With a host stopped from -3.5 s to -1.5 s, requests arrived at -3.61, -1.33 and -1.23 s and none later; permit_unanswered in the logs at these times.

While there is no reply, one request in 250 ms asks again; requests that wait for a place check as often. The share itself is unchanged, and so is the bound for cold targets. The new test needs functions that the old code does not have; the time that it would have waited, more than 2 s, is asserted in it.

--- a/source/Coordination/Targets/PacedTargets.cpp
+++ b/source/Coordination/Targets/PacedTargets.cpp
@@ -156,6 +156,12 @@
   return Request;
 }
 
+void PacedTargets::onAsked(const std::string &Id, SteadyTime Now) {
+  auto Found = Targets_.find(Id);
+  if (Found != Targets_.end())
+    Found->second.AskAgainAt_ = Now + Settings_.AskAgainDelay_;
+}
+
 void PacedTargets::onReply(const PaceRequest &Request, const PacePlace &Place,
                            SteadyTime Now) {
   auto Found = Targets_.find(Request.Target_);
@@ -163,6 +169,7 @@
       Found->second.PacedSince_ != Request.PacedSince_)
     return;
   Entry &Target = Found->second;
+  Target.IsUnanswered_ = false;
   Target.PerSecond_ = Place.PerSecond_;
   Target.OpensAt_ = Place.Granted_ ? SteadyTime{} : Now + Place.Delay_;
   if (Place.IsPaced_ || Now < coldUntil(Target))
@@ -179,6 +186,8 @@
   using std::chrono::ceil;
   PacePlace Place;
   Entry &Target = Targets_[Request.Target_];
+  Target.IsUnanswered_ = true;
+  Target.AskAgainAt_ = Now + Settings_.AskAgainDelay_;
   bool IsCold = Request.ColdPerSecond_ > 0;
   double Rate = IsCold ? Request.ColdPerSecond_ * Settings_.ColdShare_
                        : std::max(Request.KnownPerSecond_, 0.01);
@@ -205,20 +214,33 @@
   return Place;
 }
 
-bool PacedTargets::isPaced(const std::string &Id) const {
+const PacedTargets::Entry *
+PacedTargets::findPaced(const std::string &Id) const {
   if (!HasPaced_)
-    return false;
+    return nullptr;
   auto Found = Targets_.find(Id);
-  return Found != Targets_.end() && isPaced(Found->second);
+  return Found != Targets_.end() && isPaced(Found->second) ? &Found->second
+                                                           : nullptr;
+}
+
+bool PacedTargets::isPaced(const std::string &Id) const {
+  return findPaced(Id) != nullptr;
 }
 
 SteadyTime PacedTargets::opensAt(const std::string &Id) const {
-  if (!HasPaced_)
-    return SteadyTime{};
-  auto Found = Targets_.find(Id);
-  return Found != Targets_.end() && isPaced(Found->second)
-             ? Found->second.OpensAt_
-             : SteadyTime{};
+  const Entry *Target = findPaced(Id);
+  return Target ? Target->OpensAt_ : SteadyTime{};
+}
+
+bool PacedTargets::isUnanswered(const std::string &Id) const {
+  const Entry *Target = findPaced(Id);
+  return Target && Target->IsUnanswered_;
+}
+
+bool PacedTargets::mayHavePlace(const std::string &Id, SteadyTime Now) const {
+  const Entry *Target = findPaced(Id);
+  return !Target || Target->OpensAt_ <= Now ||
+         (Target->IsUnanswered_ && Target->AskAgainAt_ <= Now);
 }
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Targets/PacedTargets.h
+++ b/source/Coordination/Targets/PacedTargets.h
@@ -29,6 +29,9 @@
   /// Without the elected host, a target that is not cold may get at least one
   /// request in this time from this host.
   Milliseconds MaxShareInterval_{250};
+  /// Without a reply, the elected host is asked again after this long: it may
+  /// be back, or another host may have been elected.
+  Milliseconds AskAgainDelay_{250};
   /// All hosts without the elected host together send a cold target at most
   /// this share of its rate.
   double ColdShare_ = 0.25;
@@ -72,6 +75,8 @@
   /// The request for a place at a target; nothing if it is not paced.
   std::optional<PaceRequest> makeRequest(const std::string &Id, double Cost,
                                          SteadyTime Now) const;
+  /// The elected host is asked for a place.
+  void onAsked(const std::string &Id, SteadyTime Now);
   /// Takes the elected host's reply to \p Request.
   void onReply(const PaceRequest &Request, const PacePlace &Place,
                SteadyTime Now);
@@ -82,6 +87,12 @@
   /// Time from which the target may have a free place; in the past if it is not
   /// paced.
   SteadyTime opensAt(const std::string &Id) const;
+  /// Whether the elected host has not replied to the last request for a place,
+  /// so that opensAt() is the time of this host's share.
+  bool isUnanswered(const std::string &Id) const;
+  /// Whether to ask for a place that is free at once. While the elected host
+  /// does not reply, one request at a time asks it.
+  bool mayHavePlace(const std::string &Id, SteadyTime Now) const;
   /// Forgets targets that have left long ago.
   void forgetUnused(SteadyTime Now);
 
@@ -98,6 +109,8 @@
     SteadyTime OpensAt_{};
     double PerSecond_ = 0; ///< As last told by the elected host; 0 if unknown.
     SteadyTime NextShareAt_{};
+    bool IsUnanswered_ = false;
+    SteadyTime AskAgainAt_{}; ///< While IsUnanswered_.
     int FailureStreak_ = 0;
   };
 
@@ -105,6 +118,7 @@
   double coldPerSecond(const Entry &Target) const;
   static SteadyTime coldUntil(const Entry &Target);
   bool isPaced(const Entry &Target) const;
+  const Entry *findPaced(const std::string &Id) const;
   void start(const std::string &Id, Entry &Target, const char *Reason,
              bool MayBeCold, SteadyTime Now);
 
--- a/source/Serving/SendPermits.cpp
+++ b/source/Serving/SendPermits.cpp
@@ -52,7 +52,7 @@
            (!WithLimits || Context_.Notices_.opensAt(Target->Id_) > Now);
   });
   std::erase_if(Open, [&](const TargetRecord *Target) {
-    return WithPaced ? Pace_.targets().opensAt(Target->Id_) > Now
+    return WithPaced ? !Pace_.targets().mayHavePlace(Target->Id_, Now)
                      : Pace_.targets().isPaced(Target->Id_);
   });
   return Open;
@@ -146,6 +146,9 @@
       break;
     auto Delay =
         std::chrono::ceil<Milliseconds>(TryAgainAt - SteadyClock::now());
+    // The elected host may reply again long before this host's share.
+    if (Pace_.targets().isUnanswered(Id))
+      Delay = std::min(Delay, Settings_.UnansweredPause_);
     co_await transport::pause(Context_.Loop_, Delay);
   }
   co_return Permitted;
@@ -165,8 +168,10 @@
     Request.Target_ = Target;
     Request.PerSecond_ = PerSecond;
     Request.MaxDelay_ = std::max(Milliseconds(0), remaining(Until));
-    if (Pace)
+    if (Pace) {
       Request.Pace_ = PaceExchange::toMessage(*Pace, AskedAt);
+      Pace_.targets().onAsked(Target, AskedAt);
+    }
     Place = co_await requestPlace(Request);
     // This host's share of the pace does not replace a place at a limit.
     if (Pace && !(PerSecond && Place.NotElected_))
--- a/tests/Coordination/Targets/PacedTargetsTest.cpp
+++ b/tests/Coordination/Targets/PacedTargetsTest.cpp
@@ -142,3 +142,26 @@
     REQUIRE(End - First <= 9);
   }
 }
+
+// Guards against a cold target that stays idle although the elected host
+// replies again, or another one has been elected: the host waited for its
+// share, which is many seconds later in a large fleet.
+TEST_CASE("paced targets: an elected host that does not reply is asked again") {
+  constexpr std::size_t Hosts = 25;
+  PacedTargets Paced("host-1");
+  Paced.onConfiguration(table(12));
+  put(Paced, record("t", 1, Seconds{60}), Start);
+  CHECK(Paced.mayHavePlace("t", Start));
+  PaceRequest Asked = *Paced.makeRequest("t", 1, Start);
+  REQUIRE_FALSE(Paced.reserveShare(Asked, Hosts, Start).Granted_);
+  REQUIRE(Paced.opensAt("t") > Start + Seconds{2});
+  CHECK_FALSE(Paced.mayHavePlace("t", Start + Milliseconds{249}));
+  SteadyTime Now = Start + Milliseconds{250};
+  CHECK(Paced.mayHavePlace("t", Now));
+  // One request asks; the others do not wait for a reply that may not come.
+  Paced.onAsked("t", Now);
+  CHECK_FALSE(Paced.mayHavePlace("t", Now));
+  Paced.onReply(Asked, {false, Milliseconds{100}, true, 3}, Now);
+  CHECK_FALSE(Paced.mayHavePlace("t", Now + Milliseconds{99}));
+  CHECK(Paced.mayHavePlace("t", Now + Milliseconds{100}));
+}
