Compute a paced target's next place at the rate in force

Cause: TargetPacer stored the time of the next place when it gave the last one. A host that resumes from a stall takes its peers for lost until they connect, 0.5 s in the test, and multiplies a cold target's rate by its reach. A place that it gave then, at 0.375 a second with four hosts, kept the next one 2.7 s away after the rate was back.

The new test gets no place in 1.5 s on the old code, at least four are due; it fails there and passes now.

The last place and its cost are stored instead, and the next one follows at the rate in force, later as well as earlier.

--- a/source/Coordination/Targets/TargetPacer.cpp
+++ b/source/Coordination/Targets/TargetPacer.cpp
@@ -85,17 +85,21 @@
   double Rate = allowedRate(Target, Now);
   // Another host may have given places until now: the first one here is an
   // interval later.
-  if (IsNew)
-    Target.NextPlace_ = Now + timeFor(1, Rate);
-  SteadyTime PlaceAt = std::max(
-      Target.NextPlace_, Now - timeFor(burst(Target, Rate, Now) - 1, Rate));
+  if (IsNew) {
+    Target.LastPlaceAt_ = Now;
+    Target.LastCost_ = 1;
+  }
+  SteadyTime PlaceAt =
+      std::max(Target.LastPlaceAt_ + timeFor(Target.LastCost_, Rate),
+               Now - timeFor(burst(Target, Rate, Now) - 1, Rate));
   SteadyClock::duration Delay =
       std::max(PlaceAt - Now, SteadyClock::duration(0));
   if (Delay > SteadyClock::duration(0))
     Target.LastShortAt_ = Now;
   if (Delay > Request.MaxDelay_)
     return {false, Delay, true, Rate};
-  Target.NextPlace_ = PlaceAt + timeFor(std::max(1.0, Request.Cost_), Rate);
+  Target.LastPlaceAt_ = PlaceAt;
+  Target.LastCost_ = std::max(1.0, Request.Cost_);
   return {true, Delay, true, Rate};
 }
 
--- a/source/Coordination/Targets/TargetPacer.h
+++ b/source/Coordination/Targets/TargetPacer.h
@@ -96,7 +96,10 @@
 private:
   struct Entry {
     double PerSecond_ = 0;
-    SteadyTime NextPlace_{};
+    /// The next place is as far away as the last one's cost at the rate then: a
+    /// rate that was small for a moment does not delay it further.
+    SteadyTime LastPlaceAt_{};
+    double LastCost_ = 0;
     SteadyTime StartedAt_{};
     SteadyTime TakenOverAt_{}; ///< When this host began to give the places.
     SteadyTime LastRequestAt_{};
--- a/tests/Coordination/Targets/TargetPacerTest.cpp
+++ b/tests/Coordination/Targets/TargetPacerTest.cpp
@@ -126,6 +126,26 @@
                     Start + Seconds{12}) > 5 * ColdPerSecond);
 }
 
+// Guards against a cold target that stays idle for seconds because the elected
+// host gave a place while it reached no other host, at a twenty-fifth of the
+// usual rate, and kept the interval of that rate.
+TEST_CASE("target pacer: a small rate does not outlast its cause") {
+  TargetPacer Pacer;
+  PaceRequest Cold = request(0, Start + Seconds{20});
+  placesUntil(Pacer, Cold, Start, Start + Seconds{4});
+  SteadyTime Resumed = Start + Seconds{6};
+  Pacer.onHostsChanged(Resumed);
+  Pacer.setReach(1.0 / 25);
+  CHECK(placesUntil(Pacer, Cold, Resumed, Resumed + Milliseconds{500}) <= 2);
+  SteadyTime Reached = Resumed + Milliseconds{500};
+  Pacer.setReach(1);
+  Pacer.onHostsChanged(Reached);
+  // A quarter of 12 a second for 1.5 s, after a burst.
+  int Places = placesUntil(Pacer, Cold, Reached, Reached + Milliseconds{1500});
+  CHECK(Places >= 4);
+  CHECK(Places <= 7);
+}
+
 // Guards against a rate that rises while the target refuses or is slow, and
 // against a successor that starts a warm target anew.
 TEST_CASE("target pacer: the rate follows how the target responds") {
