Apply a target's higher limit to its next place at once

Callers saw: after a target's stated limit had risen, it stayed idle for up to 4 s, while requests went to the other targets or were refused.

SendSchedule stored the time of the next place at the limit of the last one, and a host did not ask again before the time that it was told at the lower limit.

The schedule stores the last place, and a higher limit lets a host ask again at once. A lower limit applies to the next place as well.

--- a/source/Coordination/Targets/SendSchedule.cpp
+++ b/source/Coordination/Targets/SendSchedule.cpp
@@ -19,8 +19,8 @@
                                    SteadyTime Now) {
   // Another host may have given places until now: the first one here is an
   // interval later.
-  auto [Entry, IsNew] = NextPlaces_.try_emplace(Target, Now + Interval);
-  return std::max(Entry->second, Now - (Settings_.Burst_ - 1) * Interval);
+  auto [Entry, IsNew] = LastPlaces_.try_emplace(Target, Now);
+  return std::max(Entry->second + Interval, Now - (Settings_.Burst_ - 1) * Interval);
 }
 
 SendSchedule::Place SendSchedule::reserve(const std::string &Target,
@@ -33,7 +33,7 @@
       std::max(PlaceAt - Now, SteadyClock::duration(0));
   if (Delay > MaxDelay)
     return {false, Delay};
-  NextPlaces_[Target] = PlaceAt + Interval;
+  LastPlaces_[Target] = PlaceAt;
   return {true, Delay};
 }
 
@@ -45,7 +45,7 @@
 }
 
 void SendSchedule::forgetUnused(SteadyTime Now) {
-  std::erase_if(NextPlaces_, [&](const auto &Item) {
+  std::erase_if(LastPlaces_, [&](const auto &Item) {
     return Now - Item.second > Settings_.UnusedLifetime_;
   });
 }
--- a/source/Coordination/Targets/SendSchedule.h
+++ b/source/Coordination/Targets/SendSchedule.h
@@ -53,8 +53,9 @@
                        SteadyClock::duration Interval, SteadyTime Now);
 
   SendScheduleSettings Settings_;
-  /// Time of the next free place, by target.
-  std::map<std::string, SteadyTime> NextPlaces_;
+  /// Time of the last place, by target. The next one is an interval later at
+  /// the limit that is in force then.
+  std::map<std::string, SteadyTime> LastPlaces_;
 };
 
 } // namespace amaranth::coordination
--- a/source/Coordination/Targets/TargetNotices.cpp
+++ b/source/Coordination/Targets/TargetNotices.cpp
@@ -55,6 +55,9 @@
   if (!Target.Limit_)
     Target.Limit_ = Limit();
   HasLimits_ = true;
+  // A place may be free sooner than at the lower limit.
+  if (*PerSecond > Target.Limit_->PerSecond_)
+    Target.Limit_->FullUntil_ = {};
   Target.Limit_->PerSecond_ = *PerSecond;
   Target.Limit_->ReceivedAt_ = Now;
   return Changed;
--- a/tests/Coordination/Targets/SendScheduleTest.cpp
+++ b/tests/Coordination/Targets/SendScheduleTest.cpp
@@ -94,6 +94,19 @@
   CHECK(Next.Delay_ == Seconds{1});
 }
 
+// Guards against a target that stays idle for seconds after its limit has
+// risen, because the next place kept the interval of the lower limit.
+TEST_CASE("send schedule: a limit that rises applies at once") {
+  SendSchedule Schedule;
+  REQUIRE_FALSE(Schedule.reserve("t", 0.25, Milliseconds{0}, Start).Granted_);
+  SteadyTime Now = Start + Seconds{4};
+  REQUIRE(Schedule.reserve("t", 0.25, Milliseconds{0}, Now).Granted_);
+  Now += Milliseconds{99};
+  CHECK_FALSE(Schedule.reserve("t", 10, Milliseconds{0}, Now).Granted_);
+  Now += Milliseconds{1};
+  CHECK(Schedule.reserve("t", 10, Milliseconds{0}, Now).Granted_);
+}
+
 // Guards against a target that accepts nothing and is never asked again, so
 // that nobody learns that its limit has ended; and against rates that are no
 // numbers.
--- a/tests/Coordination/Targets/TargetNoticesTest.cpp
+++ b/tests/Coordination/Targets/TargetNoticesTest.cpp
@@ -39,6 +39,12 @@
   Notices.setFullUntil("t", Start + Seconds{5});
   CHECK(Notices.opensAt("t") == Start + Seconds{5});
   CHECK(Notices.opensAt("unlimited") < Start);
+  CHECK(Notices.onAnswer(T, limitedTo(2), Start + Seconds{2}));
+  CHECK(Notices.opensAt("t") == Start + Seconds{5});
+  // Guards against a target that is not asked for a place although a higher
+  // limit has made one free.
+  CHECK(Notices.onAnswer(T, limitedTo(4), Start + Seconds{2}));
+  CHECK(Notices.opensAt("t") < Start);
   CHECK(Notices.onAnswer(T, limitedTo(std::nullopt), Start + Seconds{3}));
   CHECK_FALSE(Notices.limit("t"));
   CHECK(Notices.opensAt("t") < Start);
