Log the times by which stages are refused

The log did not tell whether other work or too little time was the reason.

Change: stages_refused states the time left, the predicted work and the delay by other work. StageAdmission decides as before; the delays have a function of their own. The counters of SharedStoreRead say what they count.

Tests of the admission pass unchanged.

--- a/source/Coordination/Stages/StageAdmission.cpp
+++ b/source/Coordination/Stages/StageAdmission.cpp
@@ -85,21 +85,26 @@
   });
 }
 
+Milliseconds StageAdmission::delay(const StagePlan &Plan, Ahead Work,
+                                   int Priority) const {
+  return timeToFinish(Plan, Work, Priority) - Plan.timeToFinish();
+}
+
+Milliseconds StageAdmission::predictedDelay(const StagePlan &Plan,
+                                            int Priority) const {
+  return Settings_.DelayMargin_ * delay(Plan, Ahead::All, Priority);
+}
+
 StageStart StageAdmission::decide(const StagePlan &Plan, int Priority,
                                   SteadyTime ReadyBy, SteadyTime UsableUntil,
                                   SteadyTime Now) const {
-  Milliseconds Undelayed = Plan.timeToFinish();
-  auto Delay = [&](Ahead Work) {
-    return timeToFinish(Plan, Work, Priority) - Undelayed;
-  };
-  auto Finish = [&](Ahead Work) {
-    return Now + Undelayed + Settings_.DelayMargin_ * Delay(Work);
-  };
-  if (Finish(Ahead::InTime) <= ReadyBy)
+  SteadyTime Undelayed = Now + Plan.timeToFinish();
+  Milliseconds DelayInTime = delay(Plan, Ahead::InTime, Priority);
+  if (Undelayed + Settings_.DelayMargin_ * DelayInTime <= ReadyBy)
     return StageStart::Begin;
-  if (Finish(Ahead::All) > UsableUntil)
+  if (Undelayed + predictedDelay(Plan, Priority) > UsableUntil)
     return StageStart::Refuse;
-  return Delay(Ahead::Started) > Settings_.MaxBacklogForLate_
+  return delay(Plan, Ahead::Started, Priority) > Settings_.MaxBacklogForLate_
              ? StageStart::Wait
              : StageStart::Begin;
 }
--- a/source/Coordination/Stages/StageAdmission.h
+++ b/source/Coordination/Stages/StageAdmission.h
@@ -69,6 +69,9 @@
   /// by \p ReadyBy to meet the aim and by \p UsableUntil to meet the deadline.
   StageStart decide(const StagePlan &Plan, int Priority, SteadyTime ReadyBy,
                     SteadyTime UsableUntil, SteadyTime Now) const;
+  /// Time by which the work of other requests delays \p Plan, as decide()
+  /// predicts it before it refuses a request.
+  Milliseconds predictedDelay(const StagePlan &Plan, int Priority) const;
   /// Returns the retry delay for a refused caller: the time until the current
   /// backlog is completed.
   Milliseconds retryAfter(const StagePlan &Plan) const;
@@ -88,6 +91,8 @@
   /// Time until the plan is completed behind the work \p Work.
   Milliseconds timeToFinish(const StagePlan &Plan, Ahead Work,
                             int Priority) const;
+  /// Time by which the work \p Work delays the plan.
+  Milliseconds delay(const StagePlan &Plan, Ahead Work, int Priority) const;
 
   QueueView &Queues_;
   StageAdmissionSettings Settings_;
--- a/source/Serving/SharedStoreRead.cpp
+++ b/source/Serving/SharedStoreRead.cpp
@@ -47,7 +47,7 @@
       continue;
     Milliseconds Pause = remaining(NextReadAt_);
     co_await transport::pause(Loop_, Pause);
-    ++Begun_;
+    ++BegunReads_;
     NextReadAt_ = SteadyClock::now() + period();
     std::string Prefix = Settings_.Prefix_;
     StoreItems Found = co_await Store_.range(Prefix);
@@ -59,7 +59,7 @@
           .field("prefix", Settings_.Prefix_)
           .field("status", toString(Found.Status_))
           .field("lookups", Waiting_.size());
-    Ended_ = Begun_;
+    EndedReads_ = BegunReads_;
     for (transport::Wakeup *Reader : Waiting_)
       Reader->notify();
   }
@@ -67,9 +67,9 @@
 
 Awaitable<bool> SharedStoreRead::read(SteadyTime Deadline) {
   // A read on its way may have passed the store already.
-  std::uint64_t BegunBefore = Begun_;
+  std::uint64_t BegunBefore = BegunReads_;
   transport::Wakeup ReadEnded(Loop_);
-  while (Ended_ <= BegunBefore) {
+  while (EndedReads_ <= BegunBefore) {
     if (SteadyClock::now() >= Deadline)
       co_return false;
     Waiting_.insert(&ReadEnded);
--- a/source/Serving/SharedStoreRead.h
+++ b/source/Serving/SharedStoreRead.h
@@ -53,9 +53,9 @@
   SharedStoreReadListener &Listener_;
   SharedStoreReadSettings Settings_;
   std::size_t Hosts_ = 1;
-  std::uint64_t Begun_ = 0;   ///< Number of reads so far.
-  std::uint64_t Ended_ = 0;   ///< Number of the last read that has ended.
-  bool HasSucceeded_ = false; ///< The last read that has ended.
+  std::uint64_t BegunReads_ = 0;
+  std::uint64_t EndedReads_ = 0;
+  bool HasSucceeded_ = false; ///< Of the last read that has ended.
   SteadyTime NextReadAt_{};
   transport::Wakeup IsWanted_;
   std::set<transport::Wakeup *> Waiting_;
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -73,8 +73,10 @@
         Plan_, Scope_.Priority_, ReadyBy_, UsableUntil_, Now);
     if (Start == StageStart::Begin)
       break;
-    if (Start == StageStart::Refuse)
+    if (Start == StageStart::Refuse) {
+      logRefusal(Now);
       co_return StageEnd::OutOfTime;
+    }
     Scope_.Context_.OutstandingWork_.add(Outstanding_);
     SteadyTime NextCheck = Now + StartCheckPeriod;
     co_await PlanChanged_.wait(NextCheck);
@@ -224,6 +226,18 @@
       .field("ms", Elapsed.count());
 }
 
+void StageRun::logRefusal(SteadyTime Now) const {
+  Milliseconds Delay = Scope_.Context_.StageAdmission_.predictedDelay(
+      Plan_, Scope_.Priority_);
+  LogEvent(LogLevel::Info, "stages_refused")
+      .field("id", Scope_.Request_.Id_)
+      .field("priority", Scope_.Priority_)
+      .field("left_ms",
+             std::chrono::floor<Milliseconds>(UsableUntil_ - Now).count())
+      .field("work_ms", Plan_.timeToFinish().count())
+      .field("delay_ms", Delay.count());
+}
+
 void StageRun::freeResults(
     const std::vector<StagePlan::ReleasedResult> &Results) {
   std::vector<protocol::UnneededResult> Unneeded;
--- a/source/Serving/StageRun.h
+++ b/source/Serving/StageRun.h
@@ -76,6 +76,7 @@
   void freeResults(
       const std::vector<coordination::StagePlan::ReleasedResult> &Results);
   void logStageDone(std::size_t Stage) const;
+  void logRefusal(SteadyTime Now) const;
 
   RequestScope &Scope_;
   StageClient &Client_;
