--- a/source/Coordination/Targets/SendSchedule.cpp
+++ b/source/Coordination/Targets/SendSchedule.cpp
@@ -20,7 +20,8 @@
   // Another host may have given places until now: the first one here is an
   // interval later.
   auto [Entry, IsNew] = LastPlaces_.try_emplace(Target, Now);
-  return std::max(Entry->second + Interval, Now - (Settings_.Burst_ - 1) * Interval);
+  return std::max(Entry->second + Interval,
+                  Now - (Settings_.Burst_ - 1) * Interval);
 }
 
 SendSchedule::Place SendSchedule::reserve(const std::string &Target,
--- a/source/Serving/StageRun.cpp
+++ b/source/Serving/StageRun.cpp
@@ -227,8 +227,8 @@
 }
 
 void StageRun::logRefusal(SteadyTime Now) const {
-  Milliseconds Delay = Scope_.Context_.StageAdmission_.predictedDelay(
-      Plan_, Scope_.Priority_);
+  Milliseconds Delay =
+      Scope_.Context_.StageAdmission_.predictedDelay(Plan_, Scope_.Priority_);
   LogEvent(LogLevel::Info, "stages_refused")
       .field("id", Scope_.Request_.Id_)
       .field("priority", Scope_.Priority_)
