Read replies on the product's own interface with HttpReader

Cause: HttpClient used cpp-httplib, which has no limit for such lines and does not return while it reads one.

Change: HttpClient writes its requests to a ClientConnection, a blocking socket whose operations end at stated times, and parses replies with HttpReader, as the platform's path does. Heads, chunk lines and trailers have 64 KB at most; time is checked after each read. Paths are percent-encoded, and fields with line ends left out, as before. An idle connection that was closed or has bytes to read is not used again.

--- a/source/Transport/HttpClient.h
+++ b/source/Transport/HttpClient.h
@@ -1,9 +1,10 @@
 /// \file
-/// HTTP client on cpp-httplib with persistent connections.
+/// Blocking HTTP client with persistent connections.
 #ifndef AMARANTH_TRANSPORT_HTTPCLIENT_H
 #define AMARANTH_TRANSPORT_HTTPCLIENT_H
 
 #include "Transport/HttpMessage.h"
+#include "Transport/Loop.h"
 
 #include <functional>
 #include <map>
@@ -39,6 +40,10 @@
 
 private:
   friend class HttpClient;
+  /// Sets the connection that cancel() ends; null for none. False if the token
+  /// is cancelled.
+  bool attach(detail::ClientConnection *Connection);
+
   mutable std::mutex Mutex_;
   bool Cancelled_ = false;
   detail::ClientConnection *Active_ = nullptr;
@@ -94,10 +99,13 @@
 private:
   using Connection = std::unique_ptr<detail::ClientConnection>;
 
+  Connection takeIdle(const std::string &Address);
+  /// An idle connection or a new one; null if none can be opened.
   Connection acquire(const HttpCall &Call);
   void release(const std::string &Address, Connection Released);
 
   HttpClientSettings Settings_;
+  std::unique_ptr<Loop> Loop_; ///< Creates the sockets; is not run.
   std::mutex Mutex_;
   std::map<std::string, std::vector<Connection>> Idle_;
 };
--- a/tests/Transport/HttpTest.cpp
+++ b/tests/Transport/HttpTest.cpp
@@ -224,8 +224,7 @@
 
 // Pattern: a target in trouble sends a line of a head, or of a chunk, without
 // end. Guards against calls that keep it until the process has no memory left.
-TEST_CASE("a reply line without end is a failure and is not kept",
-          "[known-red][.]") {
+TEST_CASE("a reply line without end is a failure and is not kept") {
   const std::string Head = "HTTP/1.1 200 OK\r\n";
   checkNotKept("");
   checkNotKept(Head + "X: ");
