Test what HttpClient has taken over from cpp-httplib

Deadline of a reply that arrives byte by byte, interim replies, idle connections that were closed, line ends in paths and fields, cancelled calls.

--- a/tests/Transport/HttpTest.cpp
+++ b/tests/Transport/HttpTest.cpp
@@ -230,3 +230,113 @@
   checkNotKept(Head + "X: ");
   checkNotKept(Head + "Transfer-Encoding: chunked\r\n\r\n3;x=");
 }
+
+namespace {
+
+HttpCall callTo(const testing::LoopbackPeer &Peer, Milliseconds Limit) {
+  HttpCall Call;
+  Call.Address_ = Peer.address();
+  Call.Path_ = "/";
+  Call.Deadline_ = SteadyClock::now() + Limit;
+  return Call;
+}
+
+} // namespace
+
+// Pattern: a target sends its reply byte by byte. Guards against calls that go
+// on after their deadline because each read finds something.
+TEST_CASE("a reply that arrives byte by byte ends at the deadline") {
+  testing::LoopbackPeer Peer([](testing::PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write("HTTP/1.1 200 OK\r\nX: ");
+    while (Connection.write("x"))
+      std::this_thread::sleep_for(Milliseconds{20});
+  });
+  HttpClient Client({});
+  HttpCall Call = callTo(Peer, Milliseconds{300});
+  HttpOutcome Outcome = Client.call(Call);
+  CHECK_FALSE(Outcome.Ok_);
+  CHECK(Outcome.Failure_ == CallFailure::DeadlineExceeded);
+  bool IsInTime = SteadyClock::now() < Call.Deadline_ + Seconds{2};
+  CHECK(IsInTime);
+}
+
+// Guards against taking an interim reply for the final one, whether the two
+// arrive together or not.
+TEST_CASE("an interim reply is not the reply") {
+  bool IsTogether = GENERATE(true, false);
+  testing::LoopbackPeer Peer([&](testing::PeerConnection &Connection) {
+    const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string Final =
+        "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok";
+    Connection.readHead();
+    Connection.write(IsTogether ? Interim + Final : Interim);
+    if (IsTogether)
+      return;
+    std::this_thread::sleep_for(Milliseconds{50});
+    Connection.write(Final);
+  });
+  HttpClient Client({});
+  HttpOutcome Outcome = Client.call(callTo(Peer, Seconds{5}));
+  REQUIRE(Outcome.Ok_);
+  CHECK(Outcome.Reply_.Status_ == 201);
+  CHECK(Outcome.Reply_.Body_ == "ok");
+}
+
+// Guards against a request that is sent on a connection that its target has
+// closed, which would be reported as possibly run.
+TEST_CASE("an idle connection that its target has closed is not used") {
+  std::atomic<int> Closed = 0;
+  testing::LoopbackPeer Peer([&](testing::PeerConnection &Connection) {
+    Connection.readHead();
+    Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    Connection.close();
+    ++Closed;
+  });
+  HttpClient Client({});
+  for (int Calls = 1; Calls <= 3; ++Calls) {
+    CHECK(Client.call(callTo(Peer, Seconds{5})).Ok_);
+    while (Closed < Calls)
+      std::this_thread::sleep_for(Milliseconds{1});
+  }
+}
+
+// Guards against callers' bytes that end the head of a request early, so that
+// the target reads a second request or a field that nobody sent.
+TEST_CASE("a path or a field with a line end does not end the head") {
+  std::string Head;
+  testing::LoopbackPeer Peer([&](testing::PeerConnection &Connection) {
+    Head = Connection.readHead();
+    Connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpClient Client({});
+  HttpCall Call = callTo(Peer, Seconds{5});
+  Call.Path_ = "/a b\r\nX-Path: 1\r\n\r\n\xc3\xa9?c=%20";
+  Call.Headers_.add("X-Id", "1\r\nX-Field: 1");
+  Call.Headers_.add("X-Kept", "2");
+  REQUIRE(Client.call(Call).Ok_);
+  std::string Line = Head.substr(0, Head.find("\r\n"));
+  CHECK(Line ==
+        "POST /a%20b%0D%0AX-Path:%201%0D%0A%0D%0A%C3%A9?c=%20 HTTP/1.1");
+  CHECK(Head.find("X-Field") == std::string::npos);
+  CHECK(Head.find("X-Kept: 2\r\n") != std::string::npos);
+}
+
+// Guards against a cancelled call that occupies its thread until the deadline.
+TEST_CASE("a cancelled call ends at once") {
+  CancelToken Cancel;
+  testing::LoopbackPeer Peer([&](testing::PeerConnection &Connection) {
+    Connection.readHead();
+    Cancel.cancel();
+    Connection.readToEnd();
+  });
+  HttpClient Client({});
+  HttpCall Call = callTo(Peer, Seconds{20});
+  Call.ProgressTimeout_ = Seconds{20};
+  Call.Cancel_ = &Cancel;
+  SteadyTime Begin = SteadyClock::now();
+  HttpOutcome Outcome = Client.call(Call);
+  CHECK(Outcome.Failure_ == CallFailure::Cancelled);
+  CHECK(SteadyClock::now() - Begin < Seconds{5});
+  CHECK(Client.call(Call).Failure_ == CallFailure::Cancelled);
+}
