Let HttpClient decide on reuse from the state of its reader

Exchange asked the outcome that run() had moved out; the flag survives a move, but a reader has to know that. The end of a body without a length gets its reason.

--- a/source/Coordination/Targets/TargetPacer.h
+++ b/source/Coordination/Targets/TargetPacer.h
@@ -96,8 +96,8 @@
 private:
   struct Entry {
     double PerSecond_ = 0;
-    /// The next place is as far away as the last one's cost at the rate then: a
-    /// rate that was small for a moment does not delay it further.
+    /// The next place follows this one by LastCost_ at the rate in force then,
+    /// so that a rate that was small for a moment does not delay it further.
     SteadyTime LastPlaceAt_{};
     double LastCost_ = 0;
     SteadyTime StartedAt_{};
--- a/source/Transport/HttpClient.cpp
+++ b/source/Transport/HttpClient.cpp
@@ -94,8 +94,10 @@
     return std::move(Outcome_);
   }
 
+  /// After run().
   bool mayReuseConnection() const {
-    return Outcome_.Ok_ && Reader_->keepAlive() && Connection_.input().empty();
+    return Reader_->state() == HttpReader::State::Complete && !HasFailed_ &&
+           Reader_->keepAlive() && Connection_.input().empty();
   }
 
 private:
@@ -116,11 +118,12 @@
   void receive() {
     LinkStatus Read =
         Connection_.readSome(Call_.ProgressTimeout_, Call_.Deadline_);
-    HttpReader::State State = HttpReader::State::Head;
     if (Read == LinkStatus::Ok)
-      State = Reader_->feed(Connection_.input());
+      Reader_->feed(Connection_.input());
     else if (Read == LinkStatus::End && Reader_->started())
-      State = Reader_->onEndOfStream();
+      Reader_->onEndOfStream();
+    HttpReader::State State = Reader_->state();
+    // A body without a length is complete when the connection ends in order.
     if (Read != LinkStatus::Ok && State != HttpReader::State::Complete)
       return fail(toFailure(Read));
     if (SteadyClock::now() >= Call_.Deadline_)
@@ -288,7 +291,7 @@
   Outcome = Current.run();
   if (Call.Cancel_)
     Call.Cancel_->attach(nullptr);
-  if (Outcome.Ok_ && Current.mayReuseConnection())
+  if (Current.mayReuseConnection())
     release(Call.Address_, std::move(Acquired));
   return Outcome;
 }
